--- /dev/null
+++ b/drivers/asio/reactor.cpp
@@ -0,0 +1,72 @@
+#include "drivers/asio/reactor.h"
+
+#include <asio/executor_work_guard.hpp>
+#include <asio/io_context.hpp>
+#include <asio/post.hpp>
+#include <asio/signal_set.hpp>
+#include <asio/steady_timer.hpp>
+#include <csignal>
+
+namespace kumquat {
+
+struct reactor::implementation {
+    asio::io_context context { 1 };
+    asio::executor_work_guard<asio::io_context::executor_type> guard { context.get_executor() };
+    asio::steady_timer timer { context };
+    asio::signal_set signals { context };
+    std::function<void()> onTerminate;
+
+    void awaitSignal()
+    {
+        signals.async_wait([this](const asio::error_code& failure, int) {
+            if (failure)
+                return;
+            onTerminate();
+            awaitSignal();
+        });
+    }
+};
+
+reactor::reactor()
+    : m_implementation(std::make_unique<implementation>())
+{
+}
+
+reactor::~reactor() = default;
+
+void reactor::post(std::function<void()> task)
+{
+    asio::post(m_implementation->context, std::move(task));
+}
+
+void reactor::setTimer(std::optional<instant> at, std::function<void()> onDue)
+{
+    m_implementation->timer.cancel();
+    if (!at)
+        return;
+    m_implementation->timer.expires_at(*at);
+    m_implementation->timer.async_wait([onDue = std::move(onDue)](const asio::error_code& failure) {
+        if (!failure)
+            onDue();
+    });
+}
+
+void reactor::onTerminate(std::function<void()> task)
+{
+    m_implementation->onTerminate = std::move(task);
+    m_implementation->signals.add(SIGTERM);
+    m_implementation->signals.add(SIGINT);
+    m_implementation->awaitSignal();
+}
+
+void reactor::run()
+{
+    m_implementation->context.run();
+}
+
+void reactor::stop()
+{
+    m_implementation->context.stop();
+}
+
+} // namespace kumquat
--- /dev/null
+++ b/drivers/http/caller_server.cpp
@@ -0,0 +1,363 @@
+#include "drivers/http/caller_server.h"
+
+#include "core/overloaded.h"
+#include "drivers/http/caller_channel.h"
+#include "drivers/http/connection_stream.h"
+#include "drivers/http/worker_pool.h"
+#include "drivers/json/completion_codec.h"
+#include "drivers/openssl/digest.h"
+
+#include <atomic>
+#include <mutex>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+#include <unordered_map>
+
+namespace kumquat {
+
+namespace {
+
+    constexpr int readTimeoutMs = 10'000;
+    constexpr int writeTimeoutMs = 30'000;
+    constexpr int keepAliveTimeoutMs = 5'000;
+    constexpr int keepAlivePollMs = 100;
+    constexpr std::chrono::milliseconds callerCheckInterval { 100 };
+    constexpr const char* requestIdHeader = "X-Kumquat-Request-Id";
+    constexpr const char* jsonType = "application/json";
+    constexpr const char* eventStreamType = "text/event-stream";
+    constexpr std::string_view bearerPrefix = "Bearer ";
+
+    // The socket whose request the current thread serves, for noticing that its caller has gone.
+    thread_local socket_t currentSocket = INVALID_SOCKET;
+
+    class pool_task_queue final : public httplib::TaskQueue {
+    public:
+        explicit pool_task_queue(std::size_t threads)
+            : m_pool(threads)
+        {
+        }
+        void enqueue(std::function<void()> task) override { m_pool.submit(std::move(task)); }
+        void shutdown() override { m_pool.shutdown(); }
+
+    private:
+        worker_pool m_pool;
+    };
+
+    // Serves each connection with the socket at hand, which the library hides from its handlers.
+    class socket_aware_server final : public httplib::Server {
+    public:
+        // Ends listening. The library's own stop() would also cut off the answers that are being streamed.
+        void closeListener()
+        {
+            if (m_closing.exchange(true))
+                return;
+            ::shutdown(svr_sock_, SHUT_RDWR);
+        }
+
+    private:
+        bool process_and_close_socket(socket_t socket) override
+        {
+            connection_stream stream(socket, readTimeoutMs, writeTimeoutMs);
+            currentSocket = socket;
+            bool succeeded = false;
+            while (waitForRequest(socket)) {
+                bool closed = false;
+                succeeded = process_request(stream, false, closed, nullptr);
+                if (!succeeded || closed)
+                    break;
+            }
+            currentSocket = INVALID_SOCKET;
+            ::shutdown(socket, SHUT_RDWR);
+            ::close(socket);
+            return succeeded;
+        }
+
+        bool waitForRequest(socket_t socket) const
+        {
+            for (int waited = 0; waited < keepAliveTimeoutMs; waited += keepAlivePollMs) {
+                if (m_closing)
+                    return false;
+                if (waitReadable(socket, keepAlivePollMs))
+                    return true;
+            }
+            return false;
+        }
+
+        std::atomic<bool> m_closing { false };
+    };
+
+    std::string keyDigestOf(const httplib::Request& request)
+    {
+        const auto header = request.get_header_value("Authorization");
+        if (!header.starts_with(bearerPrefix))
+            return "";
+        return sha256Hex(std::string_view(header).substr(bearerPrefix.size()));
+    }
+
+    caller_request toCallerRequest(const httplib::Request& from)
+    {
+        caller_request to;
+        to.method = from.method;
+        to.path = from.target.empty() ? from.path : from.target;
+        to.contentType = from.get_header_value("Content-Type");
+        to.keyDigest = keyDigestOf(from);
+        to.className = from.get_header_value("X-Kumquat-Class");
+        to.idempotencyKey = from.get_header_value("Idempotency-Key");
+        to.body = from.body;
+        if (from.path.starts_with("/v1/")) {
+            to.path = from.path;
+            to.completion = parseCompletion(from.path, from.body);
+            const auto* summary = std::get_if<completion_summary>(&to.completion);
+            to.format = completionFormat(from.path, summary && summary->streaming);
+        }
+        return to;
+    }
+
+    bool isStream(answer_format format)
+    {
+        return format == answer_format::chat_stream || format == answer_format::completion_stream;
+    }
+
+    void writeError(httplib::Response& response, const std::string& requestId, const caller_error& failure)
+    {
+        response.status = httpStatus(failure.code);
+        if (!requestId.empty())
+            response.set_header(requestIdHeader, requestId);
+        if (failure.retryAfter) {
+            const auto wait = std::chrono::ceil<std::chrono::seconds>(*failure.retryAfter);
+            response.set_header("Retry-After", std::to_string(wait.count()));
+        }
+        response.set_content(formatError(requestId, failure), jsonType);
+    }
+
+} // namespace
+
+struct caller_server::implementation {
+    options settings;
+    handlers callbacks;
+    socket_aware_server server;
+    std::thread thread;
+    std::mutex mutex;
+    std::unordered_map<channel_id, std::shared_ptr<caller_channel>> channels;
+    channel_id nextChannel = 1;
+
+    std::pair<channel_id, std::shared_ptr<caller_channel>> openChannel()
+    {
+        const std::lock_guard lock(mutex);
+        const auto id = nextChannel++;
+        auto channel = std::make_shared<caller_channel>();
+        channels.emplace(id, channel);
+        return { id, channel };
+    }
+
+    void closeChannel(channel_id id)
+    {
+        const std::lock_guard lock(mutex);
+        channels.erase(id);
+    }
+
+    void push(channel_id id, channel_item item)
+    {
+        std::shared_ptr<caller_channel> channel;
+        {
+            const std::lock_guard lock(mutex);
+            const auto found = channels.find(id);
+            if (found == channels.end())
+                return;
+            channel = found->second;
+        }
+        channel->push(std::move(item));
+    }
+
+    void serve(const httplib::Request&, httplib::Response&);
+    void writeWhole(channel_id, const std::shared_ptr<caller_channel>&, const begin_answer&, httplib::Response&);
+    void writeStream(channel_id, const std::shared_ptr<caller_channel>&, const begin_answer&, httplib::Response&);
+    std::optional<channel_item> awaitItem(channel_id, caller_channel&);
+    void setRoutes();
+};
+
+// Returns nothing when the caller has gone, which it then has reported.
+std::optional<channel_item> caller_server::implementation::awaitItem(channel_id id, caller_channel& channel)
+{
+    while (true) {
+        if (auto item = channel.pop(callerCheckInterval))
+            return item;
+        if (isClosedByPeer(currentSocket)) {
+            callbacks.onGone(id);
+            return std::nullopt;
+        }
+    }
+}
+
+void caller_server::implementation::serve(const httplib::Request& request, httplib::Response& response)
+{
+    const auto [id, channel] = openChannel();
+    callbacks.onArrived(id, toCallerRequest(request));
+    const auto first = awaitItem(id, *channel);
+    if (!first) {
+        closeChannel(id);
+        return;
+    }
+    if (const auto* failure = std::get_if<fail_answer>(&*first)) {
+        writeError(response, failure->requestId, failure->error);
+        closeChannel(id);
+        return;
+    }
+    const auto begun = std::get<begin_answer>(*first);
+    response.set_header(requestIdHeader, begun.requestId);
+    if (isStream(begun.format))
+        writeStream(id, channel, begun, response);
+    else
+        writeWhole(id, channel, begun, response);
+}
+
+void caller_server::implementation::writeWhole(channel_id id, const std::shared_ptr<caller_channel>& channel, const begin_answer& begun, httplib::Response& response)
+{
+    std::string text;
+    bool ended = false;
+    while (!ended) {
+        const auto item = awaitItem(id, *channel);
+        if (!item)
+            break;
+        const auto visitor = overloaded {
+            [](const begin_answer&) {},
+            [&](const append_answer& piece) { text += piece.text; },
+            [&](const finish_answer& end) {
+                response.status = begun.status;
+                if (begun.format == answer_format::raw)
+                    response.set_content(text, begun.contentType.empty() ? "application/octet-stream" : begun.contentType);
+                else
+                    response.set_content(formatWholeAnswer({ begun.requestId, begun.model, begun.format }, text, end.finishReason, end.promptTokens, end.outputTokens), jsonType);
+                ended = true;
+            },
+            [&](const fail_answer& failure) {
+                writeError(response, failure.requestId, failure.error);
+                ended = true;
+            },
+        };
+        std::visit(visitor, *item);
+    }
+    closeChannel(id);
+}
+
+void caller_server::implementation::writeStream(channel_id id, const std::shared_ptr<caller_channel>& channel, const begin_answer& begun, httplib::Response& response)
+{
+    const answer_identity identity { begun.requestId, begun.model, begun.format };
+    response.set_header("Cache-Control", "no-cache");
+    const auto provide = [this, id = id, channel, identity](size_t, httplib::DataSink& sink) {
+        const auto item = awaitItem(id, *channel);
+        if (!item)
+            return false;
+        bool ended = false;
+        const auto visitor = overloaded {
+            [](const begin_answer&) { return std::string(); },
+            [&](const append_answer& piece) { return formatStreamText(identity, piece.text); },
+            [&](const finish_answer& end) {
+                ended = true;
+                return formatStreamEnd(identity, end.finishReason, end.promptTokens, end.outputTokens);
+            },
+            [&](const fail_answer& failure) {
+                ended = true;
+                return formatStreamError(failure.requestId, failure.error);
+            },
+        };
+        const auto bytes = std::visit(visitor, *item);
+        if (!bytes.empty() && !sink.write(bytes.data(), bytes.size())) {
+            callbacks.onGone(id);
+            return false;
+        }
+        if (ended)
+            sink.done();
+        return true;
+    };
+    response.set_chunked_content_provider(eventStreamType, provide, [this, id = id](bool) { closeChannel(id); });
+}
+
+void caller_server::implementation::setRoutes()
+{
+    const auto handler = [this](const httplib::Request& request, httplib::Response& response) { serve(request, response); };
+    server.Post("/v1/chat/completions", handler);
+    server.Post("/v1/completions", handler);
+    server.Get("/services/.*", handler);
+    server.Post("/services/.*", handler);
+    server.Put("/services/.*", handler);
+    server.Patch("/services/.*", handler);
+    server.Delete("/services/.*", handler);
+    server.set_payload_max_length(settings.bodyLimitBytes);
+    server.new_task_queue = [this] { return new pool_task_queue(settings.maximumThreads); };
+    server.set_error_handler([this](const httplib::Request& request, httplib::Response& response) {
+        if (!response.body.empty())
+            return;
+        if (response.status == 413)
+            writeError(response, "", { .code = error_code::body_too_large, .message = "the body exceeds " + std::to_string(settings.bodyLimitBytes) + " bytes" });
+        else if (response.status == 404)
+            response.set_content(formatError("", { .code = error_code::unknown_service, .message = "path '" + request.path + "' does not exist" }), jsonType);
+        else if (response.status >= 400)
+            response.set_content(formatError("", { .code = error_code::malformed_request, .message = "the HTTP request cannot be read" }), jsonType);
+    });
+}
+
+caller_server::caller_server(std::unique_ptr<implementation> contents)
+    : m_implementation(std::move(contents))
+{
+}
+
+result<std::unique_ptr<caller_server>> caller_server::open(const options& settings, handlers callbacks)
+{
+    auto contents = std::make_unique<implementation>();
+    contents->settings = settings;
+    contents->callbacks = std::move(callbacks);
+    contents->setRoutes();
+    contents->server.set_socket_options([](socket_t socket) {
+        const int yes = 1;
+        ::setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof yes);
+    });
+    if (!contents->server.bind_to_port(settings.host, settings.port))
+        return error { "cannot listen for callers at " + settings.host + ":" + std::to_string(settings.port) + ": the address is in use or not available" };
+    return std::unique_ptr<caller_server>(new caller_server(std::move(contents)));
+}
+
+caller_server::~caller_server()
+{
+    stopListening();
+    join();
+}
+
+void caller_server::start()
+{
+    m_implementation->thread = std::thread([raw = m_implementation.get()] { raw->server.listen_after_bind(); });
+}
+
+void caller_server::deliver(const begin_answer& item)
+{
+    m_implementation->push(item.channel, item);
+}
+
+void caller_server::deliver(const append_answer& item)
+{
+    m_implementation->push(item.channel, item);
+}
+
+void caller_server::deliver(const finish_answer& item)
+{
+    m_implementation->push(item.channel, item);
+}
+
+void caller_server::deliver(const fail_answer& item)
+{
+    m_implementation->push(item.channel, item);
+}
+
+void caller_server::stopListening()
+{
+    m_implementation->server.closeListener();
+}
+
+void caller_server::join()
+{
+    if (m_implementation->thread.joinable())
+        m_implementation->thread.join();
+}
+
+} // namespace kumquat
--- /dev/null
+++ b/drivers/http/worker_pool.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <condition_variable>
+#include <cstddef>
+#include <deque>
+#include <functional>
+#include <list>
+#include <mutex>
+#include <thread>
+
+namespace kumquat {
+
+// Runs blocking tasks on threads that are started on demand, up to a limit, and kept for reuse.
+class worker_pool {
+public:
+    explicit worker_pool(std::size_t maximumThreads);
+    ~worker_pool();
+    worker_pool(const worker_pool&) = delete;
+    worker_pool& operator=(const worker_pool&) = delete;
+
+    // Queues a task; it waits when all threads are busy.
+    void submit(std::function<void()>);
+    // Finishes the queued tasks and ends the threads.
+    void shutdown();
+
+private:
+    void work();
+
+    const std::size_t m_maximumThreads;
+    std::mutex m_mutex;
+    std::condition_variable m_wake;
+    std::deque<std::function<void()>> m_tasks;
+    std::list<std::thread> m_threads;
+    std::size_t m_idle = 0;
+    bool m_stopping = false;
+};
+
+} // namespace kumquat
--- /dev/null
+++ b/drivers/json/embedded_schemas.h
@@ -0,0 +1,10 @@
+#pragma once
+
+namespace kumquat {
+
+// The JSON Schemas of the folder schema/, compiled into the programs.
+extern const char* const documentSchema;
+extern const char* const entrySettingsSchema;
+extern const char* const sidecarSettingsSchema;
+
+} // namespace kumquat
--- /dev/null
+++ b/drivers/json/peer_codec.cpp
@@ -0,0 +1,79 @@
+#include "drivers/json/peer_codec.h"
+
+#include <array>
+#include <nlohmann/json.hpp>
+
+namespace nlohmann {
+
+template <>
+struct adl_serializer<std::chrono::milliseconds> {
+    static void to_json(json& to, const std::chrono::milliseconds& from) { to = from.count(); }
+    static void from_json(const json& from, std::chrono::milliseconds& to) { to = std::chrono::milliseconds(from.get<std::int64_t>()); }
+};
+
+} // namespace nlohmann
+
+namespace kumquat {
+
+// The macros define to_json() and from_json() for each type; the names of the fields are the names on the wire.
+// A field that a newer version adds is absent in messages of an older one and keeps its default.
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(peer_identity, id, address, incarnation)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(attempt_id, requestId, attempt)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(work, service, kind, method, path, contentType, body)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(offer, from, attempt, sidecarIncarnation, tierRank, className, organisation, timeLeft, expectedTokens, fingerprint, repeatable, streaming, nextChunk, deliveredPrefix, deliveredTokens, job)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(withdraw, from, attempt, sidecarIncarnation)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(acknowledge, attempt, sidecarIncarnation)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(subscribe, from, generation)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(answer_header, attempt, sidecarId, sidecarIncarnation)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(offer_refused, header, reason, message, retryAfter)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(offer_queued, header, position)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(offer_started, header)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(output_chunk, header, sequence, tokens, text)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(offer_finished, header, chunkCount, status, contentType, finishReason, promptTokens)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(offer_failed, header, started, crashed, reason, message)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(offer_withdrawn, header, started)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(wrong_incarnation, header, namedIncarnation)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(tier_load, rank, running, queued, expectedTokens)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(report, from, service, dataCentre, generation, leaving, healthy, slots, freeSlots, tokensPerSecond, tiers, suspects, refusedFingerprints)
+
+namespace {
+
+    using nlohmann::json;
+
+    // The position of a name is the message's number on the wire, so new types are added at the end.
+    template <std::size_t Index = 0>
+    result<peer_message> decodeBody(std::size_t type, const json& body)
+    {
+        if constexpr (Index == std::variant_size_v<peer_message>) {
+            return error { "peer message has the unknown type " + std::to_string(type) };
+        } else {
+            if (type == Index)
+                return peer_message(body.get<std::variant_alternative_t<Index, peer_message>>());
+            return decodeBody<Index + 1>(type, body);
+        }
+    }
+
+} // namespace
+
+std::string encodePeerMessage(const peer_message& message)
+{
+    json body;
+    std::visit([&](const auto& concrete) { body = concrete; }, message);
+    std::string bytes;
+    json::to_cbor(json::array({ message.index(), std::move(body) }), bytes);
+    return bytes;
+}
+
+result<peer_message> decodePeerMessage(const std::string& bytes)
+{
+    try {
+        const auto root = json::from_cbor(bytes);
+        if (!root.is_array() || root.size() != 2 || !root[0].is_number_unsigned() || !root[1].is_object())
+            return error { "peer message is no pair of type and body" };
+        return decodeBody(root[0].get<std::size_t>(), root[1]);
+    } catch (const json::exception& failure) {
+        return error { std::string("peer message cannot be decoded: ") + failure.what() };
+    }
+}
+
+} // namespace kumquat
--- /dev/null
+++ b/drivers/json/schema_check.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "core/result.h"
+
+#include <nlohmann/json.hpp>
+#include <string>
+
+namespace kumquat {
+
+// Parses JSON text and checks it against a JSON Schema. Errors name the source, the JSON pointer and the bad value.
+result<nlohmann::json> parseChecked(const std::string& source, const std::string& text, const char* schema);
+
+} // namespace kumquat
--- /dev/null
+++ b/drivers/json/settings_codec.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "core/result.h"
+#include "servers/entry/entry_settings.h"
+#include "servers/sidecar/sidecar_settings.h"
+
+#include <string>
+
+namespace kumquat {
+
+// Each parser checks the text against the program's JSON Schema; errors name the source, the JSON pointer and the bad value.
+result<entry_settings> parseEntrySettings(const std::string& source, const std::string& text);
+result<sidecar_settings> parseSidecarSettings(const std::string& source, const std::string& text);
+
+} // namespace kumquat
--- /dev/null
+++ b/drivers/prometheus/metrics_registry.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "core/metric.h"
+
+#include <memory>
+#include <string>
+
+namespace kumquat {
+
+// Keeps the metrics of a process and prints them in the Prometheus text format. Safe to use from several threads.
+class metrics_registry {
+public:
+    metrics_registry();
+    ~metrics_registry();
+
+    void apply(const count_metric&);
+    void apply(const gauge_metric&);
+    void apply(const observe_metric&);
+    std::string text() const;
+
+private:
+    struct implementation;
+    std::unique_ptr<implementation> m_implementation;
+};
+
+} // namespace kumquat
--- /dev/null
+++ b/main/entry_main.cpp
@@ -0,0 +1,8 @@
+#include "drivers/json/settings_codec.h"
+#include "platform/entry_process.h"
+#include "platform/server_main.h"
+
+int main(int argumentCount, char** arguments)
+{
+    return kumquat::serverMain("kumquat-entry", "Accepts callers and routes their requests to upstreams.", argumentCount, arguments, kumquat::parseEntrySettings, kumquat::runEntry);
+}
--- /dev/null
+++ b/misc/test.sh
@@ -0,0 +1,10 @@
+#!/usr/bin/env bash
+# Installs packages, checks format and lint, builds, and runs all tests.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+misc/install.sh
+misc/lint.sh
+misc/build.sh release
+misc/build.sh debug
+ctest --test-dir build/debug --output-on-failure
+ctest --test-dir build/release --output-on-failure
--- /dev/null
+++ b/servers/entry/entry_options.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+
+namespace kumquat {
+
+// Fixed properties of one entry, from its settings.
+struct entry_options {
+    std::string id;
+    std::string address;
+    std::uint64_t incarnation = 0;
+    std::string dataCentre;
+    // Longest life of a request, from arrival to the last byte.
+    std::chrono::milliseconds requestTimeout { 600000 };
+    std::chrono::milliseconds subscribeInterval { 1000 };
+    // An upstream that sends no report for this long receives no new work.
+    std::chrono::milliseconds reportTimeout { 3500 };
+    // An offer without an answer, or a stream without a chunk, is asked about after this time.
+    std::chrono::milliseconds resendInterval { 500 };
+    // Copies of an offer that may stay unanswered before the attempt is given up.
+    std::uint32_t resendLimit = 6;
+    std::uint32_t maximumAttempts = 4;
+    // Time between the drain request and the end of listening, so that the balancer notices.
+    std::chrono::milliseconds drainGrace { 2000 };
+    std::chrono::milliseconds drainLimit { 600000 };
+    std::uint64_t seed = 1;
+};
+
+} // namespace kumquat
--- /dev/null
+++ b/servers/entry/upstream_directory.cpp
@@ -0,0 +1,75 @@
+#include "servers/entry/upstream_directory.h"
+
+#include <set>
+
+namespace kumquat {
+
+upstream_directory::upstream_directory(std::chrono::milliseconds reportTimeout)
+    : m_reportTimeout(reportTimeout)
+{
+}
+
+void upstream_directory::applyList(const std::vector<instance>& instances)
+{
+    std::set<std::string> listed;
+    for (const auto& item : instances) {
+        if (item.role != "sidecar")
+            continue;
+        listed.insert(item.id);
+        auto& upstream = m_upstreams[item.id];
+        upstream.id = item.id;
+        upstream.address = item.address;
+        upstream.service = item.service;
+        upstream.dataCentre = item.dataCentre;
+        upstream.listedLeaving = item.leaving;
+    }
+    // An upstream with requests of ours in flight stays known until they have ended.
+    std::erase_if(m_upstreams, [&](const auto& item) { return !listed.contains(item.first) && item.second.ownInFlight == 0; });
+    m_byService.clear();
+    for (auto& [id, upstream] : m_upstreams) {
+        if (!listed.contains(id))
+            upstream.listedLeaving = true;
+        m_byService[upstream.service].push_back(&upstream);
+    }
+}
+
+bool upstream_directory::applyReport(const report& message, instant now)
+{
+    auto* upstream = find(message.from.id);
+    if (!upstream)
+        return false;
+    upstream->lastReport = message;
+    upstream->reportedAt = now;
+    upstream->sentSinceReport = 0;
+    return true;
+}
+
+upstream_state* upstream_directory::find(const std::string& id)
+{
+    const auto found = m_upstreams.find(id);
+    return found == m_upstreams.end() ? nullptr : &found->second;
+}
+
+bool upstream_directory::isUsable(const upstream_state& upstream, instant now) const
+{
+    if (upstream.listedLeaving || !upstream.lastReport)
+        return false;
+    if (upstream.lastReport->leaving || !upstream.lastReport->healthy)
+        return false;
+    return upstream.reportedAt + m_reportTimeout > now;
+}
+
+std::vector<upstream_state*> upstream_directory::usable(const std::string& service, instant now)
+{
+    std::vector<upstream_state*> result;
+    const auto found = m_byService.find(service);
+    if (found == m_byService.end())
+        return result;
+    for (auto* upstream : found->second) {
+        if (isUsable(*upstream, now))
+            result.push_back(upstream);
+    }
+    return result;
+}
+
+} // namespace kumquat
--- /dev/null
+++ b/servers/entry/upstream_directory.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "core/clock.h"
+#include "core/instance.h"
+#include "core/peer_message.h"
+
+#include <chrono>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace kumquat {
+
+// What an entry knows of one upstream.
+struct upstream_state {
+    std::string id;
+    std::string address;
+    std::string service;
+    std::string dataCentre;
+    bool listedLeaving = false;
+    std::optional<report> lastReport;
+    instant reportedAt;
+    // Requests that this entry has sent there and that have not ended.
+    std::uint32_t ownInFlight = 0;
+    // Of those, the ones sent since the last report.
+    std::uint32_t sentSinceReport = 0;
+};
+
+// Joins the platform's late list of instances with the sidecars' fresh reports.
+class upstream_directory {
+public:
+    explicit upstream_directory(std::chrono::milliseconds reportTimeout);
+
+    void applyList(const std::vector<instance>&);
+    // Returns false when the report comes from an upstream that the list does not name.
+    bool applyReport(const report&, instant now);
+
+    upstream_state* find(const std::string& id);
+    // Returns the upstreams of a service that may receive new work: listed, reporting, healthy and not leaving by either source.
+    std::vector<upstream_state*> usable(const std::string& service, instant now);
+    std::map<std::string, upstream_state>& all() { return m_upstreams; }
+    const std::map<std::string, upstream_state>& all() const { return m_upstreams; }
+
+private:
+    bool isUsable(const upstream_state&, instant now) const;
+
+    std::chrono::milliseconds m_reportTimeout;
+    std::map<std::string, upstream_state> m_upstreams;
+    std::map<std::string, std::vector<upstream_state*>> m_byService;
+};
+
+} // namespace kumquat
--- /dev/null
+++ b/servers/sidecar/attempt_record.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "core/clock.h"
+#include "core/peer_message.h"
+#include "servers/sidecar/sidecar_event.h"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace kumquat {
+
+// A piece of output kept until the entry acknowledges the whole answer.
+struct kept_chunk {
+    std::string text;
+    std::uint32_t tokens = 0;
+};
+
+struct attempt_queued { };
+
+struct attempt_running {
+    run_id run = 0;
+    instant startedAt;
+};
+
+struct attempt_finished {
+    std::string finishReason;
+    std::uint32_t promptTokens = 0;
+};
+
+struct attempt_failed {
+    bool started = true;
+    bool crashed = false;
+    error_code reason = error_code::upstream_failed;
+    std::string message;
+};
+
+struct attempt_refused {
+    error_code reason = error_code::overloaded;
+    std::string message;
+    std::chrono::milliseconds retryAfter { 0 };
+};
+
+struct attempt_withdrawn {
+    bool started = false;
+};
+
+using attempt_state = std::variant<attempt_queued, attempt_running, attempt_finished, attempt_failed, attempt_refused, attempt_withdrawn>;
+
+// Everything that a sidecar knows of one attempt. Ended attempts stay for a while as tombstones, without their body.
+struct attempt_record {
+    offer request;
+    instant arrivedAt;
+    instant deadline;
+    attempt_state state = attempt_queued {};
+    int status = 200;
+    std::string contentType;
+    std::vector<kept_chunk> chunks;
+    std::uint32_t producedTokens = 0;
+};
+
+} // namespace kumquat
--- /dev/null
+++ b/servers/sidecar/sidecar_effect.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "core/log_event.h"
+#include "core/metric.h"
+#include "core/peer_message.h"
+#include "servers/sidecar/sidecar_event.h"
+
+#include <string>
+#include <variant>
+
+namespace kumquat {
+
+struct send_to_peer {
+    std::string address;
+    peer_message message;
+};
+
+// Calls the upstream.
+struct start_run {
+    run_id run = 0;
+    work job;
+    // Smaller is more urgent.
+    std::uint32_t priority = 0;
+    std::string resumePrefix;
+    std::uint32_t resumeTokens = 0;
+};
+
+// Closes the call, which makes the engine abort the generation.
+struct cancel_run {
+    run_id run = 0;
+};
+
+// Ends the process with exit code 0.
+struct stop_process { };
+
+using sidecar_effect = std::variant<send_to_peer, start_run, cancel_run, stop_process, log_event, count_metric, gauge_metric, observe_metric>;
+using sidecar_effects = std::vector<sidecar_effect>;
+
+} // namespace kumquat
--- /dev/null
+++ b/servers/sidecar/sidecar_options.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "core/document.h"
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+
+namespace kumquat {
+
+// Fixed properties of one sidecar, from its settings.
+struct sidecar_options {
+    std::string id;
+    std::string address;
+    std::uint64_t incarnation = 0;
+    std::string service;
+    service_kind kind = service_kind::engine;
+    std::string dataCentre;
+    // Most requests that the upstream executes at once.
+    std::uint32_t slots = 16;
+    // Most attempts that wait for a slot.
+    std::uint32_t queueLimit = 1024;
+    std::chrono::milliseconds reportInterval { 1000 };
+    // An entry that sends nothing for this long is taken for dead and its repeatable work is cancelled.
+    std::chrono::milliseconds entryTimeout { 10000 };
+    // Time for which ended attempts are remembered, so that late copies of their offers are answered alike.
+    std::chrono::milliseconds tombstoneRetention { 120000 };
+    // A draining sidecar stops after this time even when calls are still running.
+    std::chrono::milliseconds drainLimit { 600000 };
+    std::uint64_t seed = 1;
+};
+
+} // namespace kumquat
--- /dev/null
+++ b/servers/sidecar/sidecar_reducer.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include "core/timer_queue.h"
+#include "servers/sidecar/admission_queue.h"
+#include "servers/sidecar/attempt_record.h"
+#include "servers/sidecar/sidecar_effect.h"
+#include "servers/sidecar/sidecar_options.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+namespace kumquat {
+
+// Decides what runs on one upstream. It is the only authority on that: an attempt that it has refused or withdrawn
+// unstarted never runs, and an attempt runs at most once.
+class sidecar_reducer {
+public:
+    explicit sidecar_reducer(sidecar_options);
+
+    // Applies one event and appends what has to be done about it.
+    void step(const sidecar_event&, instant now, sidecar_effects&);
+
+    // Returns when the next timer_due event is wanted, or nothing.
+    std::optional<instant> nextDeadline() const;
+
+    // State for the dump and for tests.
+    const sidecar_options& options() const { return m_options; }
+    const std::map<attempt_id, attempt_record>& attempts() const { return m_attempts; }
+    std::uint32_t runningCount() const { return static_cast<std::uint32_t>(m_runs.size()); }
+    std::size_t queuedCount() const { return m_queue.size(); }
+    bool leaving() const { return m_leaving; }
+    bool healthy() const { return m_healthy; }
+    std::uint64_t generation() const;
+    report makeReport() const;
+
+private:
+    struct subscriber {
+        peer_identity identity;
+        instant lastHeard;
+    };
+
+    void handle(const peer_received&);
+    void handle(const run_head&);
+    void handle(const run_output&);
+    void handle(const run_finished&);
+    void handle(const run_failed&);
+    void handle(const upstream_probed&);
+    void handle(const document_received&);
+    void handle(const drain_requested&);
+    void handle(const timer_due&);
+
+    void receive(const offer&);
+    void receive(const withdraw&);
+    void receive(const acknowledge&);
+    void receive(const subscribe&);
+    // Answers of sidecars are never addressed to a sidecar.
+    template <typename Other>
+    void receive(const Other&) { }
+
+    void admit(attempt_record&);
+    bool makeRoomFor(const attempt_record&);
+    void refuse(attempt_record&, error_code, std::string message, std::chrono::milliseconds retryAfter);
+    void fillSlots();
+    void startAttempt(attempt_record&);
+    void end(attempt_record&, attempt_state);
+    void answerState(const attempt_record&, std::uint32_t firstChunk);
+    void answerChunk(const attempt_record&, std::uint32_t sequence);
+    void withdrawKnown(attempt_record&);
+    void cancelWorkOfSilentEntries();
+    void publishReport();
+    void publishReportOnSharpChange();
+    void stopWhenDrained();
+    bool hasUnacknowledgedAnswers() const;
+    attempt_record* findRunning(run_id);
+    answer_header headerOf(const attempt_record&) const;
+    void send(const std::string& address, peer_message);
+    void log(log_level, std::string name, const attempt_record&, std::vector<std::pair<std::string, std::string>> more = {});
+
+    sidecar_options m_options;
+    document_ptr m_document;
+    std::map<attempt_id, attempt_record> m_attempts;
+    std::unordered_map<run_id, attempt_id> m_runs;
+    admission_queue m_queue;
+    timer_queue<attempt_id> m_tombstones;
+    std::map<std::string, subscriber> m_subscribers;
+    std::optional<instant> m_nextReport;
+    std::optional<instant> m_drainDeadline;
+    std::uint32_t m_lastReportedLoad = 0;
+    run_id m_nextRun = 1;
+    bool m_leaving = false;
+    bool m_healthy = true;
+    bool m_stopped = false;
+    double m_tokensPerSecond = 0;
+
+    // Valid during step() only.
+    instant m_now;
+    sidecar_effects* m_effects = nullptr;
+};
+
+} // namespace kumquat
--- /dev/null
+++ b/tests/drivers/completion_codec_test.cpp
@@ -0,0 +1,64 @@
+#include "drivers/json/completion_codec.h"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+using namespace kumquat;
+using nlohmann::json;
+
+namespace {
+
+constexpr const char* chatPath = "/v1/chat/completions";
+
+} // namespace
+
+TEST_CASE("a resumed engine call continues behind the delivered text")
+{
+    start_run run;
+    run.job.body = R"({"model":"m","max_tokens":10,"messages":[{"role":"user","content":"q"}]})";
+    run.priority = 2;
+    run.resumePrefix = "one two ";
+    run.resumeTokens = 2;
+    const auto body = json::parse(formatEngineRequest(run));
+    CHECK(body.at("stream") == true);
+    CHECK(body.at("priority") == 2);
+    CHECK(body.at("max_tokens") == 8);
+    CHECK(body.at("continue_final_message") == true);
+    CHECK(body.at("messages").back() == json { { "role", "assistant" }, { "content", "one two " } });
+}
+
+TEST_CASE("prompts with a common beginning share prefix hashes")
+{
+    const auto summarise = [](const std::string& prompt) {
+        const json body = { { "model", "m" }, { "messages", { { { "role", "user" }, { "content", prompt } } } } };
+        return std::get<completion_summary>(parseCompletion(chatPath, body.dump()));
+    };
+    const std::string common(2000, 'x');
+    const auto left = summarise(common + "left");
+    const auto right = summarise(common + "right, and longer");
+    REQUIRE(left.prefixHashes.size() >= 3);
+    CHECK(std::equal(left.prefixHashes.begin(), left.prefixHashes.begin() + 3, right.prefixHashes.begin()));
+    CHECK(summarise(std::string(2000, 'y')).prefixHashes[0] != left.prefixHashes[0]);
+}
+
+TEST_CASE("bad completion bodies are refused with the field's name")
+{
+    const auto messageFor = [](const std::string& body) { return std::get<error>(parseCompletion(chatPath, body)).message; };
+    CHECK_THAT(messageFor("[]"), Catch::Contains("object"));
+    CHECK_THAT(messageFor(R"({"messages":[]})"), Catch::Contains("'model'"));
+    CHECK_THAT(messageFor(R"({"model":"m","messages":[]})"), Catch::Contains("'messages'"));
+    CHECK_THAT(messageFor(R"({"model":"m","messages":[1],"stream":"yes"})"), Catch::Contains("'stream'"));
+    CHECK_THAT(messageFor(R"({"model":"m","messages":[1],"max_tokens":-1})"), Catch::Contains("'max_tokens'"));
+    CHECK_THAT(messageFor(R"({"model":"m","messages":[1],"tools":[]})"), Catch::Contains("'tools'"));
+}
+
+TEST_CASE("engine events yield text and end")
+{
+    const auto chunk = std::get<engine_chunk>(parseEngineChunk(R"({"choices":[{"delta":{"content":"hi"},"finish_reason":null}]})"));
+    CHECK(chunk.text == "hi");
+    CHECK(chunk.tokens == 1);
+    const auto end = std::get<engine_chunk>(parseEngineChunk(R"({"choices":[{"delta":{},"finish_reason":"length"}],"usage":{"prompt_tokens":9}})"));
+    CHECK(end.finishReason == "length");
+    CHECK(end.promptTokens == 9);
+    CHECK(errorOf(parseEngineChunk("{")) != nullptr);
+}
--- /dev/null
+++ b/tests/drivers/peer_codec_test.cpp
@@ -0,0 +1,48 @@
+#include "drivers/json/peer_codec.h"
+
+#include <catch2/catch.hpp>
+
+using namespace kumquat;
+using namespace std::chrono_literals;
+
+TEST_CASE("peer codec returns what went in")
+{
+    offer request;
+    request.from = { "entry-a", "tcp://e", ~0ULL };
+    request.attempt = { "r1", 2 };
+    request.timeLeft = 1500ms;
+    request.repeatable = false;
+    request.job.kind = service_kind::plain;
+    request.job.body = std::string("\0\xff{", 3);
+    const auto decoded = decodePeerMessage(encodePeerMessage(request));
+    REQUIRE(errorOf(decoded) == nullptr);
+    const auto& copy = std::get<offer>(valueOf(decoded));
+    CHECK(copy.from.incarnation == request.from.incarnation);
+    CHECK(copy.attempt == request.attempt);
+    CHECK(copy.timeLeft == request.timeLeft);
+    CHECK_FALSE(copy.repeatable);
+    CHECK(copy.job.kind == service_kind::plain);
+    CHECK(copy.job.body == request.job.body);
+}
+
+TEST_CASE("peer codec keeps the tiers of a report")
+{
+    report message;
+    message.tiers = { { 0, 1, 2, 300 }, { 3, 4, 5, 600 } };
+    message.tokensPerSecond = 31.5;
+    const auto decoded = decodePeerMessage(encodePeerMessage(message));
+    const auto& copy = std::get<report>(valueOf(decoded));
+    REQUIRE(copy.tiers.size() == 2);
+    CHECK(copy.tiers[1].expectedTokens == 600);
+    CHECK(copy.tokensPerSecond == 31.5);
+}
+
+TEST_CASE("peer codec refuses foreign bytes")
+{
+    const auto good = encodePeerMessage(acknowledge { { "r1", 1 }, 7 });
+    for (std::size_t length = 0; length < good.size(); ++length)
+        CHECK(errorOf(decodePeerMessage(good.substr(0, length))) != nullptr);
+    CHECK(errorOf(decodePeerMessage("GET / HTTP/1.1")) != nullptr);
+    // An array of the unknown type 23 and an empty map.
+    CHECK(errorOf(decodePeerMessage("\x82\x17\xa0")) != nullptr);
+}
--- /dev/null
+++ b/tests/process/lib.sh
@@ -0,0 +1,102 @@
+# Common functions of the tests that run real processes on 127.0.0.1. Source this file from the repository's root.
+# KUMQUAT_PORT_BASE moves all ports, so that several work trees can test at the same time.
+set -uo pipefail
+bin=${KUMQUAT_BUILD:-build/release}
+port_base=${KUMQUAT_PORT_BASE:-20000}
+work=$(mktemp -d)
+pids=()
+checks_passed=0
+checks_failed=0
+
+stop_all() {
+    for pid in "${pids[@]}"; do
+        kill -CONT "$pid" 2>/dev/null
+        kill -KILL "$pid" 2>/dev/null
+    done
+    wait 2>/dev/null
+    rm -rf "$work"
+}
+trap stop_all EXIT
+
+port() { echo $((port_base + $1)); }
+
+# start NAME COMMAND...: starts a process; its pid is then in $started and in $work/NAME.pid.
+start() {
+    local name=$1
+    shift
+    "$@" >>"$work/$name.out" 2>>"$work/$name.log" &
+    started=$!
+    pids+=("$started")
+    echo "$started" >"$work/$name.pid"
+}
+
+pid_of() { cat "$work/$1.pid"; }
+
+# check NAME COMMAND...: counts whether the command succeeds.
+check() {
+    local name=$1
+    shift
+    if "$@"; then
+        checks_passed=$((checks_passed + 1))
+        echo "ok      $name"
+    else
+        checks_failed=$((checks_failed + 1))
+        echo "FAILED  $name"
+    fi
+}
+
+equal() {
+    [ "$1" = "$2" ] && return 0
+    echo "        expected '$1', saw '$2'"
+    return 1
+}
+
+# eventually COMMAND...: repeats the command until it succeeds, for at most 30 s.
+eventually() {
+    for _ in $(seq 300); do
+        "$@" >/dev/null 2>&1 && return 0
+        sleep 0.1
+    done
+    "$@"
+}
+
+summary() {
+    echo "$checks_passed passed, $checks_failed failed"
+    if [ "$checks_failed" -gt 0 ]; then
+        for log in "$work"/*.log; do
+            echo "--- $(basename "$log")"
+            tail -n 15 "$log"
+        done
+        exit 1
+    fi
+}
+
+# entry_settings NAME CALLER_PORT PEER_PORT ADMIN_PORT [JQ_FILTER]: writes settings and prints their path.
+entry_settings() {
+    jq -n --arg id "$1" --argjson callers "$(port "$2")" --arg peer "tcp://127.0.0.1:$(port "$3")" --argjson admin "$(port "$4")" \
+        '{id: $id, data_centre: "east-legon", peer_address: $peer, callers: {port: $callers}, admin: {port: $admin}, drain_grace_ms: 200}' |
+        jq "${5:-.}" >"$work/$1.json"
+    echo "$work/$1.json"
+}
+
+# sidecar_settings NAME SERVICE KIND UPSTREAM_PORT PEER_PORT ADMIN_PORT [JQ_FILTER]: writes settings and prints their path.
+sidecar_settings() {
+    jq -n --arg id "$1" --arg service "$2" --arg kind "$3" --argjson upstream "$(port "$4")" \
+        --arg peer "tcp://127.0.0.1:$(port "$5")" --argjson admin "$(port "$6")" \
+        '{id: $id, data_centre: "east-legon", peer_address: $peer, admin: {port: $admin}, upstream: {service: $service, kind: $kind, port: $upstream}}' |
+        jq "${7:-.}" >"$work/$1.json"
+    echo "$work/$1.json"
+}
+
+# reporting ADMIN_PORT COUNT: succeeds when the entry has reports of that many healthy upstreams.
+reporting() {
+    local count
+    count=$(curl -s "127.0.0.1:$(port "$1")/dump" | jq '[.upstreams[] | select(.report.healthy)] | length')
+    [ "${count:-0}" -ge "$2" ]
+}
+
+# chat MODEL STREAM TEXT: prints the body of a chat request.
+chat() { jq -nc --arg model "$1" --argjson stream "$2" --arg text "$3" '{model: $model, stream: $stream, messages: [{role: "user", content: $text}]}'; }
+
+# stream_text FILE: prints the text of a streamed chat answer.
+stream_text() { grep -o '^data: {.*' "$1" | sed 's/^data: //' | jq -rj '.choices[0].delta.content // empty'; }
--- /dev/null
+++ b/tests/process/thin_path_test.sh
@@ -0,0 +1,88 @@
+#!/usr/bin/env bash
+# The whole path on real processes: answers, bad input, callers that leave, drains.
+cd "$(dirname "$0")/../.." || exit 2
+. tests/process/lib.sh
+
+document=$PWD/examples/consortium.json
+start engine $bin/tests/stand-in-model-engine "$(port 60)" 8 20 10
+start service $bin/tests/stand-in-plain-service "$(port 61)"
+with_document=". + {document_file: \"$document\"}"
+start kasa-1 $bin/kumquat-sidecar --settings "$(sidecar_settings kasa-1 kasa engine 60 72 92 "$with_document")"
+start dwumadie-1 $bin/kumquat-sidecar --settings "$(sidecar_settings dwumadie-1 dwumadie plain 61 73 93 "$with_document")"
+upstreams=". + {body_limit_bytes: 65536, upstreams: [{id: \"kasa-1\", service: \"kasa\", peer_address: \"tcp://127.0.0.1:$(port 72)\"}, {id: \"dwumadie-1\", service: \"dwumadie\", peer_address: \"tcp://127.0.0.1:$(port 73)\"}]}"
+start entry $bin/kumquat-entry --settings "$(entry_settings entry 80 70 90 "$with_document | $upstreams")"
+check "the entry hears from both sidecars" eventually reporting 90 2
+
+url=http://127.0.0.1:$(port 80)
+# ask FILE PATH BODY [CURL_OPTION...]: prints the HTTP status.
+ask() {
+    local file=$1 path=$2 body=$3
+    shift 3
+    curl -sN -o "$work/$file" -w '%{http_code}' -H "Authorization: Bearer ${key:-demo-ridge-guards}" --data "$body" "$@" "$url$path"
+}
+code_of() { jq -r .error.code "$work/$1"; }
+# expect_error NAME STATUS CODE PATH BODY [CURL_OPTION...]
+expect_error() {
+    local name=$1 status=$2 code=$3 path=$4 body=$5
+    shift 5
+    check "$name: status" equal "$status" "$(ask error "$path" "$body" "$@")"
+    check "$name: code" equal "$code" "$(code_of error)"
+    check "$name: ran" equal no "$(jq -r .error.ran "$work/error")"
+}
+chat_path=/v1/chat/completions
+
+check "a streamed request succeeds" equal 200 "$(ask streamed $chat_path "$(chat kasa-8b true 'the same question')")"
+check "a whole request succeeds" equal 200 "$(ask whole $chat_path "$(chat kasa-8b false 'the same question')")"
+stream_text "$work/streamed" >"$work/streamed.text"
+jq -rj '.choices[0].message.content' "$work/whole" >"$work/whole.text"
+check "the answer is not empty" test -s "$work/whole.text"
+check "streamed and whole answers are equal" cmp "$work/streamed.text" "$work/whole.text"
+check "a text completion succeeds" equal 200 "$(ask text /v1/completions '{"model":"kasa-8b","prompt":"hello"}')"
+check "a plain service answers" equal 200 "$(ask plain /services/dwumadie/passes '{"gate":1}')"
+check "the plain answer is the service's own" equal /passes "$(jq -r .path "$work/plain")"
+
+expect_error "malformed JSON" 400 malformed_request $chat_path '{"model":'
+expect_error "missing messages" 400 malformed_request $chat_path '{"model":"kasa-8b"}'
+expect_error "unsupported option" 400 malformed_request $chat_path '{"model":"kasa-8b","messages":[{"role":"user","content":"x"}],"n":2}'
+expect_error "unknown model" 404 unknown_model $chat_path "$(chat no-such-model false x)"
+expect_error "unknown class" 400 unknown_class $chat_path "$(chat kasa-8b false x)" -H 'X-Kumquat-Class: no-such-class'
+expect_error "unknown service" 404 unknown_service /services/no-such-service/x ''
+key=wrong expect_error "bad key" 401 unauthenticated $chat_path "$(chat kasa-8b false x)"
+expect_error "oversized body" 413 body_too_large $chat_path "$(chat kasa-8b false "$(head -c 70000 /dev/zero | tr '\0' x)")"
+
+aborted() { curl -s "127.0.0.1:$(port 60)/statistics" | jq .aborted; }
+check "nothing has been aborted" equal 0 "$(aborted)"
+curl -s "127.0.0.1:$(port 60)/control" --data '{"between_tokens_ms":100}' >/dev/null
+curl -sN --max-time 0.5 -o "$work/left" -H 'Authorization: Bearer demo-ridge-guards' --data "$(chat kasa-8b true 'a caller that leaves')" $url$chat_path
+aborted_is() { [ "$(aborted)" = "$1" ]; }
+check "a caller that leaves mid-stream ends the engine's work" eventually aborted_is 1
+curl -sN --max-time 0.5 -o "$work/left" -H 'Authorization: Bearer demo-ridge-guards' --data "$(chat kasa-8b false 'a caller that leaves early')" $url$chat_path
+check "a caller that leaves while waiting ends the engine's work" eventually aborted_is 2
+
+$bin/kumquat-entry --settings "$work/entry.json" >"$work/second.out" 2>"$work/second.err"
+check "a port in use: exit code" equal 1 "$?"
+check "a port in use: message" grep -q "cannot listen for callers at 127.0.0.1:$(port 80)" "$work/second.err"
+jq '.callers.port = 70000' "$work/entry.json" >"$work/bad.json"
+$bin/kumquat-entry --check --settings "$work/bad.json" >"$work/check.out" 2>"$work/check.err"
+check "bad settings: exit code" equal 2 "$?"
+check "bad settings: message" grep -q '/callers/port.*70000' "$work/check.err"
+check "good settings pass the check" $bin/kumquat-entry --check --settings "$work/entry.json"
+check "the version is printed" grep -q 'kumquat-entry 0' <($bin/kumquat-entry --version)
+
+check "the metrics are served" grep -q kumquat_entry_finished_total <(curl -s "127.0.0.1:$(port 90)/metrics")
+check "no key is in a dump or log" bash -c "! curl -s 127.0.0.1:$(port 90)/dump | grep -q demo- && ! grep -q demo-ridge '$work/entry.log'"
+
+# A drain answers what has been accepted: the stream takes over 1 s, the entry and the sidecar are told to stop at once.
+ask drained $chat_path "$(chat kasa-8b true 'a stream across a drain')" >"$work/drained.status" &
+asking=$!
+running() { [ "$(curl -s "127.0.0.1:$(port 60)/statistics" | jq .running)" = 1 ]; }
+check "the stream has begun" eventually running
+kill -TERM "$(pid_of entry)" "$(pid_of kasa-1)"
+wait "$asking"
+check "a drain cuts off no stream" equal 200 "$(cat "$work/drained.status")"
+check "the drained stream is whole" grep -q 'data: \[DONE\]' "$work/drained"
+wait "$(pid_of entry)"
+check "the entry exits with 0" equal 0 "$?"
+wait "$(pid_of kasa-1)"
+check "the sidecar exits with 0" equal 0 "$?"
+summary
--- /dev/null
+++ b/tests/servers/sidecar_reducer_test.cpp
@@ -0,0 +1,171 @@
+#include "servers/sidecar/sidecar_reducer.h"
+
+#include "tests/support/effects.h"
+
+#include <catch2/catch.hpp>
+
+using namespace kumquat;
+using namespace std::chrono_literals;
+using kumquat_test::only;
+
+namespace {
+
+struct sidecar_fixture {
+    sidecar_reducer reducer;
+    instant now { 1h };
+
+    explicit sidecar_fixture(std::uint32_t slots = 1, std::uint32_t queueLimit = 8)
+        : reducer({ .id = "kasa-1", .address = "tcp://s", .incarnation = 7, .service = "kasa", .slots = slots, .queueLimit = queueLimit })
+    {
+    }
+
+    sidecar_effects step(const sidecar_event& event)
+    {
+        sidecar_effects effects;
+        reducer.step(event, now, effects);
+        return effects;
+    }
+
+    sidecar_effects receive(peer_message message) { return step(peer_received { std::move(message) }); }
+
+    offer makeOffer(const std::string& id, std::uint32_t tierRank = 1) const
+    {
+        offer request;
+        request.from = { "entry-a", "tcp://e", 3 };
+        request.attempt = { id, 1 };
+        request.sidecarIncarnation = 7;
+        request.tierRank = tierRank;
+        request.timeLeft = 60s;
+        return request;
+    }
+
+    withdraw makeWithdraw(const std::string& id) const { return { { "entry-a", "tcp://e", 3 }, { id, 1 }, 7 }; }
+};
+
+template <typename Message>
+std::vector<Message> sent(const sidecar_effects& effects)
+{
+    return kumquat_test::sent<Message, send_to_peer>(effects);
+}
+
+} // namespace
+
+TEST_CASE("sidecar starts an offer once, however often it arrives")
+{
+    sidecar_fixture fixture;
+    const auto first = fixture.receive(fixture.makeOffer("r1"));
+    REQUIRE(only<start_run>(first).size() == 1);
+    CHECK(sent<offer_started>(first).size() == 1);
+    const auto second = fixture.receive(fixture.makeOffer("r1"));
+    CHECK(only<start_run>(second).empty());
+    CHECK(sent<offer_started>(second).size() == 1);
+}
+
+TEST_CASE("sidecar keeps chunks until acknowledged and sends a gap again")
+{
+    sidecar_fixture fixture;
+    const auto run = only<start_run>(fixture.receive(fixture.makeOffer("r1"))).at(0).run;
+    fixture.step(run_output { run, "a", 1 });
+    fixture.step(run_output { run, "b", 1 });
+    fixture.step(run_finished { .run = run, .finishReason = "stop" });
+    auto again = fixture.makeOffer("r1");
+    again.nextChunk = 1;
+    const auto repaired = fixture.receive(again);
+    REQUIRE(sent<output_chunk>(repaired).size() == 1);
+    CHECK(sent<output_chunk>(repaired).at(0).text == "b");
+    CHECK(sent<offer_finished>(repaired).at(0).chunkCount == 2);
+}
+
+TEST_CASE("sidecar never runs an offer that its withdrawal overtook")
+{
+    sidecar_fixture fixture;
+    const auto withdrawn = sent<offer_withdrawn>(fixture.receive(fixture.makeWithdraw("r1")));
+    REQUIRE(withdrawn.size() == 1);
+    CHECK_FALSE(withdrawn.at(0).started);
+    const auto late = fixture.receive(fixture.makeOffer("r1"));
+    CHECK(only<start_run>(late).empty());
+    CHECK(sent<offer_withdrawn>(late).size() == 1);
+}
+
+TEST_CASE("sidecar cancels a running attempt on withdrawal and says that it started")
+{
+    sidecar_fixture fixture;
+    fixture.receive(fixture.makeOffer("r1"));
+    const auto effects = fixture.receive(fixture.makeWithdraw("r1"));
+    CHECK(only<cancel_run>(effects).size() == 1);
+    CHECK(sent<offer_withdrawn>(effects).at(0).started);
+}
+
+TEST_CASE("sidecar refuses a predecessor's offer")
+{
+    sidecar_fixture fixture;
+    auto request = fixture.makeOffer("r1");
+    request.sidecarIncarnation = 6;
+    const auto effects = fixture.receive(request);
+    CHECK(only<start_run>(effects).empty());
+    CHECK(sent<wrong_incarnation>(effects).size() == 1);
+}
+
+TEST_CASE("sidecar displaces queued lower work for a higher arrival, and never the other way round")
+{
+    sidecar_fixture fixture(1, 1);
+    fixture.receive(fixture.makeOffer("running"));
+    fixture.receive(fixture.makeOffer("low", 2));
+    const auto higher = fixture.receive(fixture.makeOffer("high", 0));
+    const auto displaced = sent<offer_refused>(higher);
+    REQUIRE(displaced.size() == 1);
+    CHECK(displaced.at(0).header.attempt.requestId == "low");
+    const auto lower = sent<offer_refused>(fixture.receive(fixture.makeOffer("low2", 2)));
+    REQUIRE(lower.size() == 1);
+    CHECK(lower.at(0).header.attempt.requestId == "low2");
+}
+
+TEST_CASE("sidecar keeps a refusal when a late copy of the offer finds room")
+{
+    sidecar_fixture fixture(1, 0);
+    const auto run = only<start_run>(fixture.receive(fixture.makeOffer("r1")));
+    // A queue without room refuses even the first offer, since every attempt passes the queue.
+    CHECK(run.empty());
+    const auto again = fixture.receive(fixture.makeOffer("r1"));
+    CHECK(only<start_run>(again).empty());
+    CHECK(sent<offer_refused>(again).size() == 1);
+}
+
+TEST_CASE("sidecar refuses queued work that has waited past its time")
+{
+    sidecar_fixture fixture;
+    fixture.receive(fixture.makeOffer("running"));
+    fixture.receive(fixture.makeOffer("waiting"));
+    fixture.now += 61s;
+    const auto refused = sent<offer_refused>(fixture.step(timer_due {}));
+    REQUIRE(refused.size() == 1);
+    CHECK(refused.at(0).reason == error_code::timeout);
+}
+
+TEST_CASE("draining sidecar refuses waiting and new work, finishes what runs, and stops")
+{
+    sidecar_fixture fixture;
+    const auto run = only<start_run>(fixture.receive(fixture.makeOffer("running"))).at(0).run;
+    fixture.receive(fixture.makeOffer("waiting"));
+    const auto drained = fixture.step(drain_requested {});
+    CHECK(sent<offer_refused>(drained).at(0).header.attempt.requestId == "waiting");
+    CHECK(only<stop_process>(drained).empty());
+    CHECK(sent<offer_refused>(fixture.receive(fixture.makeOffer("new"))).size() == 1);
+    const auto finished = fixture.step(run_finished { .run = run });
+    CHECK(sent<offer_finished>(finished).size() == 1);
+    CHECK(only<stop_process>(finished).size() == 1);
+}
+
+TEST_CASE("sidecar cancels repeatable work of an entry that fell silent and lets the rest run on")
+{
+    sidecar_fixture fixture(2);
+    fixture.receive(subscribe { { "entry-a", "tcp://e", 3 }, 1 });
+    fixture.receive(fixture.makeOffer("repeatable"));
+    auto once = fixture.makeOffer("once");
+    once.repeatable = false;
+    fixture.receive(once);
+    fixture.now += 11s;
+    const auto effects = fixture.step(timer_due {});
+    CHECK(only<cancel_run>(effects).size() == 1);
+    CHECK(fixture.reducer.runningCount() == 1);
+}
--- /dev/null
+++ b/tests/stand_ins/object_api_main.cpp
@@ -0,0 +1,207 @@
+// The platform's object API and instance list for tests: versions, conditional updates and watches. On order it is
+// down, slow, loses answers after the write took effect, restores an older version, or lets the instance list lag.
+
+#include <chrono>
+#include <condition_variable>
+#include <cstdlib>
+#include <deque>
+#include <httplib.h>
+#include <iostream>
+#include <map>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <thread>
+
+namespace {
+
+using nlohmann::json;
+using steady = std::chrono::steady_clock;
+
+constexpr std::size_t largestValueBytes = 1 << 20;
+
+struct object_state {
+    std::uint64_t version = 0;
+    std::string value;
+};
+
+class object_api {
+public:
+    void read(const std::string& key, httplib::Response& response)
+    {
+        if (!admit("reads", response))
+            return;
+        const std::lock_guard lock(m_mutex);
+        answer(m_objects.find(key), response);
+    }
+
+    void list(const std::string& prefix, httplib::Response& response)
+    {
+        if (!admit("reads", response))
+            return;
+        const std::lock_guard lock(m_mutex);
+        json objects = json::array();
+        for (auto position = m_objects.lower_bound(prefix); position != m_objects.end() && position->first.starts_with(prefix); ++position)
+            objects.push_back({ { "key", position->first }, { "version", position->second.version }, { "value", position->second.value } });
+        response.set_content(json { { "objects", objects } }.dump(), "application/json");
+    }
+
+    void watch(const std::string& key, std::uint64_t after, std::chrono::milliseconds longest, httplib::Response& response)
+    {
+        if (!admit("watches", response))
+            return;
+        std::unique_lock lock(m_mutex);
+        m_changed.wait_for(lock, longest, [&] { return m_down || versionOf(key) != after; });
+        if (m_down) {
+            response.status = 503;
+            return;
+        }
+        answer(m_objects.find(key), response);
+    }
+
+    void update(const std::string& key, std::uint64_t expected, const std::string& value, httplib::Response& response)
+    {
+        if (!admit("writes", response))
+            return;
+        if (value.size() > largestValueBytes) {
+            response.status = 413;
+            return;
+        }
+        const std::lock_guard lock(m_mutex);
+        if (versionOf(key) != expected) {
+            response.status = 409;
+            response.set_content(json { { "version", versionOf(key) } }.dump(), "application/json");
+            return;
+        }
+        auto& object = m_objects[key];
+        object.version = ++m_lastVersion;
+        object.value = value;
+        m_changed.notify_all();
+        if (m_answersToLose > 0) {
+            m_answersToLose--;
+            response.status = 504;
+            return;
+        }
+        response.set_content(json { { "version", object.version } }.dump(), "application/json");
+    }
+
+    void remove(const std::string& key, std::uint64_t expected, httplib::Response& response)
+    {
+        if (!admit("writes", response))
+            return;
+        const std::lock_guard lock(m_mutex);
+        if (versionOf(key) != expected) {
+            response.status = 409;
+            response.set_content(json { { "version", versionOf(key) } }.dump(), "application/json");
+            return;
+        }
+        m_objects.erase(key);
+        m_changed.notify_all();
+        response.set_content(json { { "version", 0 } }.dump(), "application/json");
+    }
+
+    void listInstances(httplib::Response& response)
+    {
+        if (!admit("reads", response))
+            return;
+        const std::lock_guard lock(m_mutex);
+        while (m_instanceHistory.size() > 1 && m_instanceHistory[1].first + m_listLag <= steady::now())
+            m_instanceHistory.pop_front();
+        const json instances = m_instanceHistory.empty() ? json::array() : m_instanceHistory.front().second;
+        response.set_content(json { { "instances", instances } }.dump(), "application/json");
+    }
+
+    void control(const std::string& body, httplib::Response& response)
+    {
+        const auto order = json::parse(body, nullptr, false);
+        const std::lock_guard lock(m_mutex);
+        m_down = order.value("down", m_down);
+        m_delay = std::chrono::milliseconds(order.value("delay_ms", m_delay.count()));
+        m_answersToLose = order.value("lose_answers", m_answersToLose);
+        m_listLag = std::chrono::milliseconds(order.value("list_lag_ms", m_listLag.count()));
+        if (order.contains("instances"))
+            m_instanceHistory.emplace_back(steady::now(), order.at("instances"));
+        // Overwrites an object as a restored backup would, with a version that has been used before.
+        if (order.contains("restore"))
+            m_objects[order.at("restore").at("key")] = { order.at("restore").at("version"), order.at("restore").at("value") };
+        m_changed.notify_all();
+        response.set_content("{}", "application/json");
+    }
+
+    void statistics(httplib::Response& response)
+    {
+        const std::lock_guard lock(m_mutex);
+        response.set_content(json { { "calls", m_calls } }.dump(), "application/json");
+    }
+
+private:
+    std::uint64_t versionOf(const std::string& key) const
+    {
+        const auto found = m_objects.find(key);
+        return found == m_objects.end() ? 0 : found->second.version;
+    }
+
+    // Counts the call, waits when slow, and returns false when the service is down.
+    bool admit(const char* kind, httplib::Response& response)
+    {
+        std::chrono::milliseconds delay;
+        bool down = false;
+        {
+            const std::lock_guard lock(m_mutex);
+            m_calls[kind]++;
+            delay = m_delay;
+            down = m_down;
+        }
+        std::this_thread::sleep_for(delay);
+        if (down)
+            response.status = 503;
+        return !down;
+    }
+
+    void answer(std::map<std::string, object_state>::const_iterator found, httplib::Response& response) const
+    {
+        if (found == m_objects.end()) {
+            response.status = 404;
+            return;
+        }
+        response.set_content(json { { "version", found->second.version }, { "value", found->second.value } }.dump(), "application/json");
+    }
+
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    std::map<std::string, object_state> m_objects;
+    std::deque<std::pair<steady::time_point, json>> m_instanceHistory;
+    std::map<std::string, std::uint64_t> m_calls;
+    std::uint64_t m_lastVersion = 0;
+    bool m_down = false;
+    std::chrono::milliseconds m_delay { 0 };
+    std::uint32_t m_answersToLose = 0;
+    std::chrono::milliseconds m_listLag { 0 };
+};
+
+std::uint64_t numberOf(const std::string& text)
+{
+    return std::strtoull(text.c_str(), nullptr, 10);
+}
+
+} // namespace
+
+int main(int argumentCount, char** arguments)
+{
+    if (argumentCount < 2) {
+        std::cerr << "usage: stand-in-object-api PORT\n";
+        return 2;
+    }
+    object_api api;
+    httplib::Server server;
+    server.new_task_queue = [] { return new httplib::ThreadPool(256); };
+    server.set_tcp_nodelay(true);
+    server.Get(R"(/objects/(.+))", [&](const httplib::Request& request, httplib::Response& response) { api.read(request.matches[1], response); });
+    server.Get("/objects", [&](const httplib::Request& request, httplib::Response& response) { api.list(request.get_param_value("prefix"), response); });
+    server.Put(R"(/objects/(.+))", [&](const httplib::Request& request, httplib::Response& response) { api.update(request.matches[1], numberOf(request.get_header_value("If-Match")), request.body, response); });
+    server.Delete(R"(/objects/(.+))", [&](const httplib::Request& request, httplib::Response& response) { api.remove(request.matches[1], numberOf(request.get_header_value("If-Match")), response); });
+    server.Get(R"(/watch/(.+))", [&](const httplib::Request& request, httplib::Response& response) { api.watch(request.matches[1], numberOf(request.get_param_value("after")), std::chrono::milliseconds(numberOf(request.get_param_value("wait_ms"))), response); });
+    server.Get("/instances", [&](const httplib::Request&, httplib::Response& response) { api.listInstances(response); });
+    server.Post("/control", [&](const httplib::Request& request, httplib::Response& response) { api.control(request.body, response); });
+    server.Get("/statistics", [&](const httplib::Request&, httplib::Response& response) { api.statistics(response); });
+    return server.listen("127.0.0.1", std::atoi(arguments[1])) ? 0 : 1;
+}
