--- a/core/peer_message.h
+++ b/core/peer_message.h
@@ -53,6 +53,8 @@
     // Identifies requests with the same organisation, service and body.
     std::uint64_t fingerprint = 0;
     bool repeatable = true;
+    // Whether a request of this fingerprint was running when an upstream crashed.
+    bool suspect = false;
     bool streaming = false;
     // First chunk that the entry lacks; chunks from here on are sent again.
     std::uint32_t nextChunk = 0;
@@ -168,7 +170,9 @@
     // Output tokens per second of one running request.
     double tokensPerSecond = 0;
     std::vector<tier_load> tiers;
+    // Fingerprints that were running at a crash and have not survived a run alone since.
     std::vector<std::uint64_t> suspects;
+    // Fingerprints that crashed the upstream while they ran as the only suspect; nobody runs them for a time.
     std::vector<std::uint64_t> refusedFingerprints;
 };
 
--- a/servers/entry/entry_options.h
+++ b/servers/entry/entry_options.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "servers/entry/routing_policy.h"
+
 #include <chrono>
 #include <cstdint>
 #include <string>
@@ -26,6 +28,7 @@
     std::chrono::milliseconds drainGrace { 2000 };
     std::chrono::milliseconds drainLimit { 600000 };
     std::uint64_t seed = 1;
+    routing_policy policy;
 };
 
 } // namespace kumquat
--- /dev/null
+++ b/servers/sidecar/scheduling_policy.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <variant>
+
+namespace kumquat {
+
+// Baseline: first come, first served, whatever the tier. Nothing is displaced or preempted.
+struct fifo_scheduling { };
+
+// Baseline: strict order of tiers, first come first served inside a tier. Nothing is preempted.
+struct priority_scheduling { };
+
+// The product's policy: tiers, a guaranteed share for each class, fairness by organisation, deadlines and preemption.
+struct fair_scheduling { };
+
+using scheduling_policy = std::variant<fair_scheduling, priority_scheduling, fifo_scheduling>;
+
+} // namespace kumquat
--- a/servers/sidecar/sidecar_options.h
+++ b/servers/sidecar/sidecar_options.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/document.h"
+#include "servers/sidecar/scheduling_policy.h"
 
 #include <chrono>
 #include <cstdint>
@@ -28,6 +29,7 @@
     // A draining sidecar stops after this time even when calls are still running.
     std::chrono::milliseconds drainLimit { 600000 };
     std::uint64_t seed = 1;
+    scheduling_policy policy;
 };
 
 } // namespace kumquat
