Add kumquat-load, an open-loop load tool that judges every answer

Cause: nothing could drive real entries with a mix of classes and check that each answer is whole. Change: experiment files checked by a schema, seeded arrivals (constant, Poisson, burst, festival), quantiles from the metrics library's summary, results as JSON.

--- a/drivers/http/upstream_client.cpp
+++ b/drivers/http/upstream_client.cpp
@@ -1,5 +1,6 @@
 #include "drivers/http/upstream_client.h"
 
+#include "drivers/http/event_splitter.h"
 #include "drivers/http/worker_pool.h"
 #include "drivers/json/completion_codec.h"
 
@@ -16,33 +17,9 @@
 
     constexpr std::chrono::seconds connectTimeout { 2 };
     constexpr std::chrono::seconds probeTimeout { 2 };
-    constexpr std::string_view dataPrefix = "data: ";
     constexpr std::string_view endMarker = "[DONE]";
     constexpr std::size_t errorBodyLimit = 300;
 
-    // Splits a byte stream into server-sent events and hands out their data.
-    class event_splitter {
-    public:
-        template <typename Consumer>
-        void feed(const char* bytes, std::size_t size, Consumer&& consume)
-        {
-            m_buffer.append(bytes, size);
-            std::size_t start = 0;
-            for (auto end = m_buffer.find('\n'); end != std::string::npos; end = m_buffer.find('\n', start)) {
-                std::string_view line(m_buffer.data() + start, end - start);
-                if (line.ends_with('\r'))
-                    line.remove_suffix(1);
-                if (line.starts_with(dataPrefix))
-                    consume(std::string(line.substr(dataPrefix.size())));
-                start = end + 1;
-            }
-            m_buffer.erase(0, start);
-        }
-
-    private:
-        std::string m_buffer;
-    };
-
 } // namespace
 
 struct upstream_client::implementation {
--- a/drivers/json/embedded_schemas.h
+++ b/drivers/json/embedded_schemas.h
@@ -6,5 +6,6 @@
 extern const char* const documentSchema;
 extern const char* const entrySettingsSchema;
 extern const char* const sidecarSettingsSchema;
+extern const char* const loadExperimentSchema;
 
 } // namespace kumquat
--- /dev/null
+++ b/drivers/prometheus/quantile_recorder.cpp
@@ -0,0 +1,41 @@
+#include "drivers/prometheus/quantile_recorder.h"
+
+#include <cmath>
+#include <prometheus/summary.h>
+
+namespace kumquat {
+
+namespace {
+
+    constexpr std::chrono::hours longestExperiment { 24 };
+    constexpr double quantileError = 0.0005;
+
+} // namespace
+
+struct quantile_recorder::implementation {
+    prometheus::Summary summary { { { 0.5, quantileError }, { 0.95, quantileError }, { 0.99, quantileError } }, longestExperiment, 1 };
+};
+
+quantile_recorder::quantile_recorder()
+    : m_implementation(std::make_unique<implementation>())
+{
+}
+
+quantile_recorder::~quantile_recorder() = default;
+quantile_recorder::quantile_recorder(quantile_recorder&&) noexcept = default;
+
+void quantile_recorder::record(std::chrono::microseconds span)
+{
+    m_implementation->summary.Observe(static_cast<double>(span.count()));
+}
+
+std::chrono::microseconds quantile_recorder::quantile(double wanted) const
+{
+    for (const auto& item : m_implementation->summary.Collect().summary.quantile) {
+        if (item.quantile == wanted && std::isfinite(item.value))
+            return std::chrono::microseconds(std::llround(item.value));
+    }
+    return std::chrono::microseconds { 0 };
+}
+
+} // namespace kumquat
--- /dev/null
+++ b/servers/load/arrival_schedule.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "servers/load/load_experiment.h"
+
+#include <chrono>
+#include <cstddef>
+#include <vector>
+
+namespace kumquat {
+
+// One request that the experiment sends.
+struct scheduled_arrival {
+    std::chrono::microseconds at { 0 };
+    std::size_t stream = 0;
+};
+
+// Draws all arrivals of an experiment in order of time. Equal experiments give equal schedules.
+std::vector<scheduled_arrival> scheduleArrivals(const load_experiment&);
+
+} // namespace kumquat
--- /dev/null
+++ b/servers/load/load_report.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace kumquat {
+
+// Median and tail of one duration.
+struct load_percentiles {
+    std::chrono::microseconds median { 0 };
+    std::chrono::microseconds p95 { 0 };
+    std::chrono::microseconds p99 { 0 };
+};
+
+// Result of one stream of an experiment.
+struct load_stream_report {
+    std::string name;
+    std::string className;
+    std::uint64_t sent = 0;
+    std::uint64_t whole = 0;
+    std::uint64_t refused = 0;
+    std::uint64_t unknown = 0;
+    std::uint64_t broken = 0;
+    std::uint64_t unreachable = 0;
+    // Requests that met their class's targets.
+    std::uint64_t attained = 0;
+    std::uint64_t tokens = 0;
+    std::uint64_t usefulTokens = 0;
+    std::map<std::string, std::uint64_t> errors;
+    load_percentiles firstToken;
+    load_percentiles total;
+};
+
+struct load_report {
+    std::uint64_t seed = 0;
+    std::chrono::microseconds elapsed { 0 };
+    // Requests sent more than 10 ms after their scheduled time, because the tool itself was too slow.
+    std::uint64_t sentLate = 0;
+    std::vector<load_stream_report> streams;
+};
+
+} // namespace kumquat
