Authenticate the messages between processes by a shared network key

Cause: whoever reached a peer listener could start, cancel or fake work. Change: each message carries its sender's session, a counter and an HMAC-SHA256 that also covers the receiver's address; a window of 64 counters a session refuses repeats. A peer address outside the loopback range without a key is a settings error. Error messages never quote keys or tokens. Weighed: TLS per link (nng's is not in the package; certificates to look after) and signing by nng's own means (none). Replays towards a restarted process pass the window but name an old incarnation, which the protocol refuses. Conclusion: a process without the key can neither be heard nor understood as a peer; the payload itself is not encrypted, which docs will say.

--- a/core/common_settings.h
+++ b/core/common_settings.h
@@ -28,6 +28,8 @@
     object_api_address objectApi;
     // File with the document, for a site without an object API.
     std::string documentFile;
+    // Shared by all processes of the system, to authenticate their messages. Never logged.
+    std::string networkKey;
 };
 
 } // namespace kumquat
--- a/drivers/json/schema_check.cpp
+++ b/drivers/json/schema_check.cpp
@@ -29,10 +29,16 @@
         return pointer.empty() ? "/" : pointer;
     }
 
+    // Values of these members stay out of messages, which end in logs.
+    bool isSecret(const std::string& pointer)
+    {
+        return pointer.ends_with("key") || pointer.ends_with("token") || pointer.find("/keys/") != std::string::npos;
+    }
+
     std::string valueAt(const nlohmann::json& root, const std::string& pointer)
     {
         const nlohmann::json::json_pointer position(pointer == "/" ? "" : pointer);
-        if (!root.contains(position))
+        if (!root.contains(position) || isSecret(pointer))
             return "";
         std::string text = root.at(position).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
         if (text.size() > quotedValueLimit)
--- a/drivers/json/settings_codec.cpp
+++ b/drivers/json/settings_codec.cpp
@@ -9,6 +9,8 @@
 
     using nlohmann::json;
 
+    constexpr std::string_view loopbackPrefix = "tcp://127.";
+
     listen_address readListen(const json& from)
     {
         return { .host = from.value("host", "127.0.0.1"), .port = from.at("port") };
@@ -31,6 +33,7 @@
         settings.admin = readListen(root.at("admin"));
         settings.logLevel = readLevel(root.value("log_level", "info"));
         settings.documentFile = root.value("document_file", "");
+        settings.networkKey = root.value("network_key", "");
         if (root.contains("object_api")) {
             const auto address = readListen(root.at("object_api"));
             settings.objectApi = { address.host, address.port };
@@ -43,6 +46,14 @@
         value = std::chrono::milliseconds(root.value(name, value.count()));
     }
 
+    // Without a key anybody who reaches the listener can give orders, so that is for the loopback interface only.
+    std::optional<error> checkNetworkKey(const std::string& source, const std::string& peerAddress, const common_settings& settings)
+    {
+        if (!settings.networkKey.empty() || peerAddress.starts_with(loopbackPrefix))
+            return std::nullopt;
+        return error { source + ": at /network_key: a key of at least 32 characters is needed, since peer address '" + peerAddress + "' is not on the loopback interface" };
+    }
+
     std::optional<error> checkSources(const std::string& source, const common_settings& settings)
     {
         if (settings.documentFile.empty() && settings.objectApi.host.empty())
@@ -68,6 +79,8 @@
     auto& options = settings.options;
     options.id = root.at("id");
     options.address = root.at("peer_address");
+    if (const auto failure = checkNetworkKey(source, options.address, settings.common))
+        return *failure;
     options.dataCentre = root.at("data_centre");
     options.resendLimit = root.value("resend_limit", options.resendLimit);
     options.maximumAttempts = root.value("maximum_attempts", options.maximumAttempts);
@@ -103,6 +116,8 @@
     auto& options = settings.options;
     options.id = root.at("id");
     options.address = root.at("peer_address");
+    if (const auto failure = checkNetworkKey(source, options.address, settings.common))
+        return *failure;
     options.dataCentre = root.at("data_centre");
     options.service = upstream.at("service");
     options.kind = upstream.at("kind") == "plain" ? service_kind::plain : service_kind::engine;
--- a/drivers/nng/peer_links.cpp
+++ b/drivers/nng/peer_links.cpp
@@ -27,17 +27,21 @@
     }
 };
 
-peer_links::peer_links()
+peer_links::peer_links(const options& settings)
     : m_listener(std::make_unique<socket_handle>())
+    , m_address(settings.address)
+    , m_outgoing(settings.networkKey)
+    , m_incoming(settings.networkKey)
 {
 }
 
-result<std::unique_ptr<peer_links>> peer_links::open(const std::string& address, std::size_t maximumBytes, receiver onMessage)
+result<std::unique_ptr<peer_links>> peer_links::open(const options& settings, receiver onMessage)
 {
-    std::unique_ptr<peer_links> links(new peer_links());
+    const auto& address = settings.address;
+    std::unique_ptr<peer_links> links(new peer_links(settings));
     int failure = nng_pull0_open(&links->m_listener->socket);
     if (failure == 0)
-        failure = nng_socket_set_size(links->m_listener->socket, NNG_OPT_RECVMAXSZ, maximumBytes);
+        failure = nng_socket_set_size(links->m_listener->socket, NNG_OPT_RECVMAXSZ, settings.maximumBytes);
     if (failure == 0)
         failure = nng_listen(links->m_listener->socket, address.c_str(), nullptr, 0);
     if (failure != 0)
@@ -64,8 +68,13 @@
             return;
         if (failure != 0)
             continue;
-        onMessage(std::string(static_cast<const char*>(data), size));
+        auto opened = m_incoming.open(std::string_view(static_cast<const char*>(data), size), m_address);
         nng_free(data, size);
+        if (errorOf(opened)) {
+            m_refused++;
+            continue;
+        }
+        onMessage(std::move(valueOf(opened)));
     }
 }
 
@@ -87,8 +96,8 @@
         }
         peer = std::move(fresh);
     }
-    std::string copy = bytes;
-    if (nng_send(peer->socket, copy.data(), copy.size(), NNG_FLAG_NONBLOCK) != 0) {
+    std::string sealed = m_outgoing.seal(bytes, address);
+    if (nng_send(peer->socket, sealed.data(), sealed.size(), NNG_FLAG_NONBLOCK) != 0) {
         m_dropped++;
         return false;
     }
--- /dev/null
+++ b/tests/drivers/settings_codec_test.cpp
@@ -0,0 +1,67 @@
+#include "drivers/json/settings_codec.h"
+
+#include "platform/file_reader.h"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+using namespace kumquat;
+using nlohmann::json;
+
+namespace {
+
+json example()
+{
+    return json::parse(std::get<std::string>(readFile(KUMQUAT_SOURCE_DIR "/examples/settings/entry-consortium.json")));
+}
+
+std::string messageFor(const json& root)
+{
+    const auto parsed = parseEntrySettings("settings", root.dump());
+    const auto* failure = errorOf(parsed);
+    return failure ? failure->message : "";
+}
+
+} // namespace
+
+TEST_CASE("example settings are valid")
+{
+    const auto parsed = parseEntrySettings("settings", example().dump());
+    REQUIRE(errorOf(parsed) == nullptr);
+    CHECK(valueOf(parsed).callers.port == 18080);
+    CHECK(valueOf(parsed).upstreams.size() == 2);
+}
+
+TEST_CASE("settings errors name the place and the value")
+{
+    auto root = example();
+    SECTION("port")
+    {
+        root["callers"]["port"] = 70000;
+        CHECK_THAT(messageFor(root), Catch::Contains("/callers/port") && Catch::Contains("70000"));
+    }
+    SECTION("unknown member")
+    {
+        root["colour"] = "blue";
+        CHECK_THAT(messageFor(root), Catch::Contains("colour"));
+    }
+    SECTION("no document")
+    {
+        root.erase("document_file");
+        CHECK_THAT(messageFor(root), Catch::Contains("'object_api'") && Catch::Contains("'document_file'"));
+    }
+    SECTION("no key on a real network")
+    {
+        root["peer_address"] = "tcp://10.0.0.1:18070";
+        CHECK_THAT(messageFor(root), Catch::Contains("/network_key"));
+        root["network_key"] = std::string(32, 'k');
+        CHECK(messageFor(root).empty());
+    }
+}
+
+TEST_CASE("settings errors keep secrets out")
+{
+    auto root = example();
+    root["network_key"] = "too-short-secret";
+    CHECK_THAT(messageFor(root), Catch::Contains("/network_key") && !Catch::Contains("too-short-secret"));
+}
--- a/tests/process/lib.sh
+++ b/tests/process/lib.sh
@@ -4,6 +4,7 @@
 bin=${KUMQUAT_BUILD:-build/release}
 port_base=${KUMQUAT_PORT_BASE:-20000}
 work=$(mktemp -d)
+network_key=a-network-key-for-tests-of-40-characters
 pids=()
 checks_passed=0
 checks_failed=0
@@ -74,7 +75,8 @@
 # entry_settings NAME CALLER_PORT PEER_PORT ADMIN_PORT [JQ_FILTER]: writes settings and prints their path.
 entry_settings() {
     jq -n --arg id "$1" --argjson callers "$(port "$2")" --arg peer "tcp://127.0.0.1:$(port "$3")" --argjson admin "$(port "$4")" \
-        '{id: $id, data_centre: "east-legon", peer_address: $peer, callers: {port: $callers}, admin: {port: $admin}, drain_grace_ms: 200}' |
+        --arg key "$network_key" \
+        '{id: $id, data_centre: "east-legon", peer_address: $peer, callers: {port: $callers}, admin: {port: $admin}, drain_grace_ms: 200, network_key: $key}' |
         jq "${5:-.}" >"$work/$1.json"
     echo "$work/$1.json"
 }
@@ -83,7 +85,8 @@
 sidecar_settings() {
     jq -n --arg id "$1" --arg service "$2" --arg kind "$3" --argjson upstream "$(port "$4")" \
         --arg peer "tcp://127.0.0.1:$(port "$5")" --argjson admin "$(port "$6")" \
-        '{id: $id, data_centre: "east-legon", peer_address: $peer, admin: {port: $admin}, upstream: {service: $service, kind: $kind, port: $upstream}}' |
+        --arg key "$network_key" \
+        '{id: $id, data_centre: "east-legon", peer_address: $peer, admin: {port: $admin}, network_key: $key, upstream: {service: $service, kind: $kind, port: $upstream}}' |
         jq "${7:-.}" >"$work/$1.json"
     echo "$work/$1.json"
 }
--- a/tests/process/thin_path_test.sh
+++ b/tests/process/thin_path_test.sh
@@ -50,6 +50,14 @@
 key=wrong expect_error "bad key" 401 unauthenticated $chat_path "$(chat kasa-8b false x)"
 expect_error "oversized body" 413 body_too_large $chat_path "$(chat kasa-8b false "$(head -c 70000 /dev/zero | tr '\0' x)")"
 
+# A sidecar with another network key is not heard.
+foreign='.network_key = "another-network-key-of-more-than-32-characters"'
+start stranger $bin/kumquat-sidecar --settings "$(sidecar_settings stranger kasa engine 60 74 94 "$with_document | $foreign")"
+extra="{id: \"stranger\", service: \"kasa\", peer_address: \"tcp://127.0.0.1:$(port 74)\"}"
+start entry-b $bin/kumquat-entry --settings "$(entry_settings entry-b 81 71 91 "$with_document | $upstreams | .upstreams += [$extra]")"
+check "an entry hears the sidecars that share its key" eventually reporting 91 2
+check "it does not hear the one that does not" equal null "$(curl -s "127.0.0.1:$(port 91)/dump" | jq -c '.upstreams[] | select(.id == "stranger") | .report')"
+
 aborted() { curl -s "127.0.0.1:$(port 60)/statistics" | jq .aborted; }
 check "nothing has been aborted" equal 0 "$(aborted)"
 curl -s "127.0.0.1:$(port 60)/control" --data '{"between_tokens_ms":100}' >/dev/null
@@ -70,6 +78,7 @@
 check "the version is printed" grep -q 'kumquat-entry 0' <($bin/kumquat-entry --version)
 
 check "the metrics are served" grep -q kumquat_entry_finished_total <(curl -s "127.0.0.1:$(port 90)/metrics")
+check "no network key is in a dump or log" bash -c "! curl -s 127.0.0.1:$(port 90)/dump | grep -q '$network_key' && ! grep -q '$network_key' '$work'/*.log"
 check "no key is in a dump or log" bash -c "! curl -s 127.0.0.1:$(port 90)/dump | grep -q demo- && ! grep -q demo-ridge '$work/entry.log'"
 
 # A drain answers what has been accepted: the stream takes over 1 s, the entry and the sidecar are told to stop at once.
