--- a/tests/drivers/message_seal_test.cpp
+++ b/tests/drivers/message_seal_test.cpp
@@ -32,6 +32,7 @@
     message_seal sender(key);
     message_seal receiver(key);
     std::vector<std::string> sealed;
+    sealed.reserve(70);
     for (int index = 0; index < 70; ++index)
         sealed.push_back(sender.seal("x", address));
     CHECK(isAccepted(receiver, sealed[69]));
