--- a/servers/sidecar/admission_queue.cpp
+++ b/servers/sidecar/admission_queue.cpp
@@ -1,55 +1,74 @@
 #include "servers/sidecar/admission_queue.h"
 
+#include "core/overloaded.h"
+
 namespace kumquat {
 
+admission_queue::admission_queue(const scheduling_policy& policy)
+    : m_policy(policy)
+{
+    const auto chooseOrder = overloaded {
+        [this](const fair_scheduling&) { m_order.emplace<tiered_queue>(); },
+        [this](const priority_scheduling&) { m_order.emplace<tiered_queue>(); },
+        [this](const fifo_scheduling&) { m_order.emplace<fifo_queue>(); },
+        [this](const inverted_scheduling&) { m_order.emplace<inverted_queue>(); },
+    };
+    std::visit(chooseOrder, m_policy);
+}
+
 void admission_queue::push(queued_attempt attempt)
 {
-    const order_key key { attempt.tierRank, m_nextSequence++ };
-    m_positions.emplace(attempt.attempt, key);
-    m_deadlines.emplace(attempt.deadline, key);
-    m_waiting.emplace(key, std::move(attempt));
+    if (attempt.sequence == 0)
+        attempt.sequence = m_nextSequence++;
+    m_deadlines.set(attempt.attempt, attempt.deadline);
+    const auto id = attempt.attempt;
+    const auto& kept = m_waiting.insert_or_assign(id, std::move(attempt)).first->second;
+    std::visit([&](auto& order) { order.push(kept); }, m_order);
+    if (!kept.resumes)
+        m_displaceable.insert(&kept);
 }
 
-queued_attempt admission_queue::take(std::map<order_key, queued_attempt>::iterator position)
+queued_attempt admission_queue::take(const attempt_id& id)
 {
-    queued_attempt taken = std::move(position->second);
-    m_deadlines.erase({ taken.deadline, position->first });
-    m_positions.erase(taken.attempt);
-    m_waiting.erase(position);
-    return taken;
+    const auto position = m_waiting.find(id);
+    const auto& waiting = position->second;
+    std::visit([&](auto& order) { order.remove(waiting); }, m_order);
+    m_displaceable.erase(&waiting);
+    m_deadlines.cancel(id);
+    return std::move(m_waiting.extract(position).mapped());
 }
 
-std::optional<queued_attempt> admission_queue::popNext(instant)
+std::optional<queued_attempt> admission_queue::popNext(instant now)
 {
-    if (m_waiting.empty())
+    const auto choice = std::visit([&](auto& order) { return order.next(now); }, m_order);
+    if (!choice.attempt)
         return std::nullopt;
-    return take(m_waiting.begin());
+    return take(choice.attempt->attempt);
 }
 
 std::optional<queued_attempt> admission_queue::displaceBelow(std::uint32_t tierRank)
 {
-    if (m_waiting.empty())
+    if (m_displaceable.empty() || std::holds_alternative<fifo_scheduling>(m_policy))
         return std::nullopt;
-    const auto last = std::prev(m_waiting.end());
-    if (last->second.tierRank <= tierRank)
+    const bool isInverted = std::holds_alternative<inverted_scheduling>(m_policy);
+    const auto* candidate = isInverted ? *m_displaceable.begin() : *m_displaceable.rbegin();
+    if (!isInverted && candidate->tierRank <= tierRank)
         return std::nullopt;
-    return take(last);
+    return take(candidate->attempt);
 }
 
-bool admission_queue::remove(const attempt_id& attempt)
+std::optional<queued_attempt> admission_queue::remove(const attempt_id& attempt)
 {
-    const auto found = m_positions.find(attempt);
-    if (found == m_positions.end())
-        return false;
-    take(m_waiting.find(found->second));
-    return true;
+    if (!m_waiting.contains(attempt))
+        return std::nullopt;
+    return take(attempt);
 }
 
 std::vector<queued_attempt> admission_queue::removeExpired(instant now)
 {
     std::vector<queued_attempt> expired;
-    while (!m_deadlines.empty() && m_deadlines.begin()->first <= now)
-        expired.push_back(take(m_waiting.find(m_deadlines.begin()->second)));
+    while (const auto attempt = m_deadlines.popDue(now))
+        expired.push_back(take(*attempt));
     return expired;
 }
 
@@ -57,25 +76,8 @@
 {
     std::vector<queued_attempt> all;
     while (!m_waiting.empty())
-        all.push_back(take(m_waiting.begin()));
+        all.push_back(take(attempt_id(m_waiting.begin()->first)));
     return all;
 }
 
-std::optional<instant> admission_queue::nextDeadline() const
-{
-    if (m_deadlines.empty())
-        return std::nullopt;
-    return m_deadlines.begin()->first;
-}
-
-void admission_queue::addLoad(std::map<std::uint32_t, tier_load>& loads) const
-{
-    for (const auto& [key, attempt] : m_waiting) {
-        auto& load = loads[key.tierRank];
-        load.rank = key.tierRank;
-        load.queued++;
-        load.expectedTokens += attempt.expectedTokens;
-    }
-}
-
 } // namespace kumquat
--- a/servers/sidecar/sidecar_reducer.cpp
+++ b/servers/sidecar/sidecar_reducer.cpp
@@ -29,6 +29,7 @@
 
 sidecar_reducer::sidecar_reducer(sidecar_options options)
     : m_options(std::move(options))
+    , m_queue(m_options.policy)
 {
 }
 
@@ -101,6 +102,7 @@
         .expectedTokens = request.expectedTokens,
         .arrived = m_now,
         .deadline = record.deadline });
+    m_load.queued(record);
     log(log_level::debug, "attempt_queued", record);
     fillSlots();
     if (std::holds_alternative<attempt_queued>(record.state))
@@ -139,6 +141,7 @@
 void sidecar_reducer::startAttempt(attempt_record& record)
 {
     const run_id run = m_nextRun++;
+    m_load.started(record);
     record.state = attempt_running { run, m_now };
     m_runs.emplace(run, record.request.attempt);
     m_effects->push_back(start_run { .run = run,
@@ -155,6 +158,7 @@
 {
     if (const auto* running = std::get_if<attempt_running>(&record.state))
         m_runs.erase(running->run);
+    m_load.ended(record);
     record.state = std::move(state);
     record.request.job = {};
     record.request.deliveredPrefix.clear();
@@ -266,6 +270,7 @@
         return;
     record->chunks.push_back({ event.text, event.tokens });
     record->producedTokens += event.tokens;
+    m_load.produced(*record, event.tokens);
     answerChunk(*record, static_cast<std::uint32_t>(record->chunks.size() - 1));
 }
 
@@ -365,17 +370,7 @@
     result.slots = m_options.slots;
     result.freeSlots = m_options.slots - std::min<std::uint32_t>(m_options.slots, runningCount());
     result.tokensPerSecond = m_tokensPerSecond;
-    std::map<std::uint32_t, tier_load> loads;
-    m_queue.addLoad(loads);
-    for (const auto& [run, attempt] : m_runs) {
-        const auto& record = m_attempts.at(attempt);
-        auto& load = loads[record.request.tierRank];
-        load.rank = record.request.tierRank;
-        load.running++;
-        load.expectedTokens += record.request.expectedTokens - std::min(record.request.expectedTokens, record.producedTokens);
-    }
-    for (const auto& [rank, load] : loads)
-        result.tiers.push_back(load);
+    result.tiers = m_load.tiers();
     return result;
 }
 
--- a/servers/sidecar/sidecar_reducer.h
+++ b/servers/sidecar/sidecar_reducer.h
@@ -3,6 +3,7 @@
 #include "core/timer_queue.h"
 #include "servers/sidecar/admission_queue.h"
 #include "servers/sidecar/attempt_record.h"
+#include "servers/sidecar/load_tally.h"
 #include "servers/sidecar/sidecar_effect.h"
 #include "servers/sidecar/sidecar_options.h"
 
@@ -83,6 +84,7 @@
     std::map<attempt_id, attempt_record> m_attempts;
     std::unordered_map<run_id, attempt_id> m_runs;
     admission_queue m_queue;
+    load_tally m_load;
     timer_queue<attempt_id> m_tombstones;
     std::map<std::string, subscriber> m_subscribers;
     std::optional<instant> m_nextReport;
--- /dev/null
+++ b/tests/servers/sidecar_scheduling_test.cpp
@@ -0,0 +1,35 @@
+#include "servers/sidecar/sidecar_reducer.h"
+
+#include "tests/support/effects.h"
+#include "tests/support/sidecar_driver.h"
+
+#include <catch2/catch.hpp>
+
+using namespace kumquat;
+using namespace std::chrono_literals;
+using kumquat_test::only;
+using kumquat_test::sidecar_driver;
+
+TEST_CASE("fifo scheduling serves by arrival and displaces nobody")
+{
+    sidecar_driver driver({ .slots = 1, .queueLimit = 2, .policy = fifo_scheduling {} });
+    driver.offerOne({ .id = "running" });
+    driver.offerOne({ .id = "bulk", .tierRank = 2 });
+    driver.offerOne({ .id = "critical", .tierRank = 0 });
+    const auto refused = driver.refusals(driver.offerOne({ .id = "late", .tierRank = 0 }));
+    CHECK(refused == std::vector<std::string> { "late" });
+    CHECK(driver.startedBy(driver.finish("running")) == std::vector<std::string> { "bulk" });
+    CHECK(driver.startedBy(driver.finish("bulk")) == std::vector<std::string> { "critical" });
+}
+
+TEST_CASE("priority scheduling serves the highest tier first and displaces the lowest")
+{
+    sidecar_driver driver({ .slots = 1, .queueLimit = 2, .policy = priority_scheduling {} });
+    driver.offerOne({ .id = "running" });
+    driver.offerOne({ .id = "bulk", .tierRank = 2 });
+    driver.offerOne({ .id = "interactive", .tierRank = 1 });
+    const auto refused = driver.refusals(driver.offerOne({ .id = "critical", .tierRank = 0 }));
+    CHECK(refused == std::vector<std::string> { "bulk" });
+    CHECK(driver.startedBy(driver.finish("running")) == std::vector<std::string> { "critical" });
+    CHECK(driver.startedBy(driver.finish("critical")) == std::vector<std::string> { "interactive" });
+}
--- /dev/null
+++ b/tests/support/sidecar_driver.h
@@ -0,0 +1,137 @@
+#pragma once
+
+#include "servers/sidecar/sidecar_reducer.h"
+#include "tests/support/effects.h"
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace kumquat_test {
+
+// Facts about an offer that tests vary.
+struct offered {
+    std::string id;
+    std::uint32_t tierRank = 1;
+    std::string className = "unlisted";
+    std::string organisation = "osu";
+    std::uint32_t expectedTokens = 100;
+    std::uint64_t fingerprint = 0;
+    bool repeatable = true;
+    bool suspect = false;
+    std::chrono::milliseconds timeLeft { 600000 };
+    std::string entry = "entry-a";
+};
+
+// Drives one sidecar reducer in virtual time and follows which request each run belongs to.
+class sidecar_driver {
+public:
+    explicit sidecar_driver(kumquat::sidecar_options options)
+        : reducer(complete(std::move(options)))
+    {
+    }
+
+    kumquat::sidecar_effects step(const kumquat::sidecar_event& event)
+    {
+        kumquat::sidecar_effects effects;
+        reducer.step(event, now, effects);
+        followRuns();
+        return effects;
+    }
+
+    // Passes time and delivers every timer that falls due meanwhile.
+    kumquat::sidecar_effects advance(kumquat::duration span)
+    {
+        kumquat::sidecar_effects all;
+        const auto end = now + span;
+        while (reducer.nextDeadline() && *reducer.nextDeadline() <= end) {
+            now = std::max(now, *reducer.nextDeadline());
+            append(all, step(kumquat::timer_due {}));
+        }
+        now = end;
+        return all;
+    }
+
+    kumquat::sidecar_effects receive(kumquat::peer_message message) { return step(kumquat::peer_received { std::move(message) }); }
+    kumquat::sidecar_effects offerOne(const offered& facts) { return receive(makeOffer(facts)); }
+    kumquat::sidecar_effects produce(const std::string& id, const std::string& text, std::uint32_t tokens = 1) { return step(kumquat::run_output { runOf(id), text, tokens }); }
+    kumquat::sidecar_effects finish(const std::string& id) { return step(kumquat::run_finished { .run = runOf(id), .finishReason = "stop" }); }
+    kumquat::sidecar_effects breakConnection(const std::string& id) { return step(kumquat::run_failed { .run = runOf(id), .connectionBroke = true, .message = "reset" }); }
+    kumquat::sidecar_effects withdrawOne(const std::string& id) { return receive(kumquat::withdraw { identity("entry-a"), { id, 1 }, incarnation }); }
+
+    kumquat::offer makeOffer(const offered& facts) const
+    {
+        kumquat::offer message;
+        message.from = identity(facts.entry);
+        message.attempt = { facts.id, 1 };
+        message.sidecarIncarnation = incarnation;
+        message.tierRank = facts.tierRank;
+        message.className = facts.className;
+        message.organisation = facts.organisation;
+        message.expectedTokens = facts.expectedTokens;
+        message.fingerprint = facts.fingerprint;
+        message.repeatable = facts.repeatable;
+        message.suspect = facts.suspect;
+        message.timeLeft = facts.timeLeft;
+        return message;
+    }
+
+    // Requests whose runs these effects started.
+    std::vector<std::string> startedBy(const kumquat::sidecar_effects& effects) const
+    {
+        std::vector<std::string> ids;
+        for (const auto& run : only<kumquat::start_run>(effects))
+            ids.push_back(m_requestOf.at(run.run));
+        return ids;
+    }
+
+    // Requests that these effects refused.
+    static std::vector<std::string> refusals(const kumquat::sidecar_effects& effects)
+    {
+        std::vector<std::string> ids;
+        for (const auto& refused : sent<kumquat::offer_refused, kumquat::send_to_peer>(effects))
+            ids.push_back(refused.header.attempt.requestId);
+        return ids;
+    }
+
+    kumquat::run_id runOf(const std::string& id) const { return m_runOf.at(id); }
+    bool isRunning(const std::string& id) const
+    {
+        return std::holds_alternative<kumquat::attempt_running>(reducer.attempts().at({ id, 1 }).state);
+    }
+
+    static kumquat::peer_identity identity(const std::string& entry) { return { entry, "tcp://" + entry, 3 }; }
+
+    static constexpr std::uint64_t incarnation = 7;
+    kumquat::sidecar_reducer reducer;
+    kumquat::instant now { std::chrono::hours { 1 } };
+
+private:
+    static kumquat::sidecar_options complete(kumquat::sidecar_options options)
+    {
+        options.id = "kasa-1";
+        options.address = "tcp://s";
+        options.incarnation = incarnation;
+        options.service = "kasa";
+        return options;
+    }
+
+    static void append(kumquat::sidecar_effects& to, const kumquat::sidecar_effects& from) { to.insert(to.end(), from.begin(), from.end()); }
+
+    void followRuns()
+    {
+        for (const auto& [attempt, record] : reducer.attempts()) {
+            const auto* running = std::get_if<kumquat::attempt_running>(&record.state);
+            if (!running)
+                continue;
+            m_runOf[attempt.requestId] = running->run;
+            m_requestOf[running->run] = attempt.requestId;
+        }
+    }
+
+    std::map<std::string, kumquat::run_id> m_runOf;
+    std::map<kumquat::run_id, std::string> m_requestOf;
+};
+
+} // namespace kumquat_test
