Choose upstreams by expected wait, with the baselines beside it

Change: upstream_selector visits the routing policy. After a refusal for load the request goes where lower work is queued.

--- a/servers/entry/entry_reducer.cpp
+++ b/servers/entry/entry_reducer.cpp
@@ -2,7 +2,6 @@
 
 #include "core/hash.h"
 #include "servers/entry/classifier.h"
-#include "servers/entry/upstream_selector.h"
 
 #include <algorithm>
 
@@ -36,6 +35,7 @@
 entry_reducer::entry_reducer(entry_options options)
     : m_options(std::move(options))
     , m_directory(m_options.reportTimeout)
+    , m_selector(m_options.policy, m_options.dataCentre, m_options.seed)
 {
 }
 
@@ -95,6 +95,7 @@
     if (record.kind == service_kind::engine) {
         const auto& summary = valueOf(event.request.completion);
         record.model = summary.model;
+        record.prefixHashes = summary.prefixHashes;
         if (summary.maximumTokens > 0)
             record.expectedTokens = std::min(record.expectedTokens, summary.maximumTokens);
     }
@@ -109,7 +110,15 @@
 void entry_reducer::dispatch(request_record& record)
 {
     const auto candidates = m_directory.usable(record.service, m_now);
-    auto* chosen = selectUpstream(candidates, { .tierRank = record.requestClass.tierRank, .tried = &record.tried });
+    const bool refusedForLoad = record.lastError && record.lastError->code == error_code::overloaded;
+    auto* chosen = m_selector.select(candidates,
+        { .service = record.service,
+            .tierRank = record.requestClass.tierRank,
+            .expectedTokens = record.expectedTokens,
+            .prefixHashes = &record.prefixHashes,
+            .tried = &record.tried,
+            .refusedForLoad = refusedForLoad },
+        m_now);
     if (!chosen) {
         caller_error error { .code = error_code::no_upstream, .message = "no upstream of service '" + record.service + "' can take the request", .ran = record.ran, .retryAfter = retryAfterNoUpstream };
         fail(record, record.lastError ? *record.lastError : error);
@@ -124,7 +133,10 @@
     attempt.sidecarIncarnation = chosen->lastReport->from.incarnation;
     record.attempt = std::move(attempt);
     chosen->ownInFlight++;
-    chosen->sentSinceReport++;
+    auto& sent = chosen->sentSinceReport[record.requestClass.tierRank];
+    sent.requests++;
+    sent.tokens += record.expectedTokens;
+    chosen->prefixes.remember(record.prefixHashes);
     sendOffer(record);
 }
 
@@ -203,6 +215,8 @@
     auto* record = findCurrent(message.header);
     if (!record)
         return;
+    if (!record->attempt->started)
+        record->attempt->lastProgress = m_now;
     record->attempt->started = true;
     record->ran = ran_state::yes;
 }
@@ -212,6 +226,7 @@
     auto* record = findCurrent(message.header);
     if (!record)
         return;
+    observeSpeed(*record->attempt, message);
     record->attempt->started = true;
     record->ran = ran_state::yes;
     for (const auto& piece : record->attempt->chunks.accept(message))
@@ -219,6 +234,19 @@
     finishWhenComplete(*record);
 }
 
+// Learns from chunks that arrive in order; a repaired gap says nothing about the upstream.
+void entry_reducer::observeSpeed(live_attempt& attempt, const output_chunk& chunk)
+{
+    if (chunk.sequence != attempt.chunks.nextChunk())
+        return;
+    auto* upstream = m_directory.find(attempt.upstreamId);
+    if (upstream && attempt.lastProgress && chunk.sequence == 0)
+        upstream->speed.observeFirstChunk(m_now - *attempt.lastProgress, m_now);
+    if (upstream && attempt.lastProgress && chunk.sequence > 0)
+        upstream->speed.observeGap((m_now - *attempt.lastProgress) / std::max(1U, chunk.tokens), m_now);
+    attempt.lastProgress = m_now;
+}
+
 void entry_reducer::deliver(request_record& record, const answer_assembler::piece& piece)
 {
     if (!record.firstTokenAt) {
--- a/servers/entry/entry_reducer.h
+++ b/servers/entry/entry_reducer.h
@@ -5,6 +5,7 @@
 #include "servers/entry/entry_options.h"
 #include "servers/entry/request_record.h"
 #include "servers/entry/upstream_directory.h"
+#include "servers/entry/upstream_selector.h"
 
 #include <map>
 #include <optional>
@@ -61,6 +62,7 @@
     // Tries another upstream when that is safe, else fails the request.
     void retryOrFail(request_record&, caller_error);
     bool mayRetry(const request_record&) const;
+    void observeSpeed(live_attempt&, const output_chunk&);
     void deliver(request_record&, const answer_assembler::piece&);
     void begin(request_record&, int status, const std::string& contentType);
     void finishWhenComplete(request_record&);
@@ -77,6 +79,7 @@
     entry_options m_options;
     document_ptr m_document;
     upstream_directory m_directory;
+    upstream_selector m_selector;
     std::map<std::string, request_record> m_requests;
     std::unordered_map<channel_id, std::string> m_channels;
     timer_queue<std::string> m_timers;
--- /dev/null
+++ b/servers/entry/expected_wait.cpp
@@ -0,0 +1,68 @@
+#include "servers/entry/expected_wait.h"
+
+#include <algorithm>
+
+namespace kumquat {
+
+namespace {
+
+    // Assumed until an upstream or its peers have reported a rate.
+    constexpr double assumedTokensPerSecond = 30;
+
+    double seconds(duration span)
+    {
+        return std::chrono::duration<double>(span).count();
+    }
+
+    // A straggler is credited with a share of its peers' speed, which fades in as the evidence against it grows old.
+    double tokensPerSecondOf(const upstream_state& upstream)
+    {
+        const double own = upstream.speed.rate().value_or(assumedTokensPerSecond);
+        if (upstream.serviceRate <= 0)
+            return own;
+        const double credited = upstream.serviceRate * upstream.speed.weight();
+        return own < stragglerRatio * upstream.serviceRate ? credited : std::min(own, credited);
+    }
+
+} // namespace
+
+upstream_load estimateLoad(const upstream_state& upstream, std::uint32_t tierRank, instant now)
+{
+    const auto& last = *upstream.lastReport;
+    upstream_load load;
+    load.slots = std::max(1U, last.slots);
+    load.tokensPerSecond = tokensPerSecondOf(upstream);
+    std::uint32_t running = 0;
+    double allTokens = 0;
+    for (const auto& tier : last.tiers) {
+        running += tier.running;
+        load.requests += tier.running + tier.queued;
+        allTokens += static_cast<double>(tier.expectedTokens);
+        if (tier.rank <= tierRank) {
+            load.tokensAhead += static_cast<double>(tier.expectedTokens);
+            continue;
+        }
+        load.lowerQueued += tier.queued;
+        load.lowerRunning += tier.running;
+    }
+    const double produced = seconds(now - upstream.reportedAt) * load.tokensPerSecond * running;
+    const double remaining = allTokens > 0 ? std::max(0.0, 1 - produced / allTokens) : 1;
+    load.tokensAhead *= remaining;
+    load.requests *= remaining;
+    for (const auto& [rank, sent] : upstream.sentSinceReport) {
+        load.requests += sent.requests;
+        if (rank <= tierRank)
+            load.tokensAhead += static_cast<double>(sent.tokens);
+    }
+    return load;
+}
+
+double expectedSeconds(const upstream_load& load, std::uint32_t expectedTokens)
+{
+    const double tokens = load.tokensAhead / load.slots + std::max(1U, expectedTokens);
+    // Without a free slot even the highest tier waits for one to end.
+    const double slotWait = load.hasRoom() ? 0 : expectedTokens / (load.tokensPerSecond * load.slots);
+    return tokens / load.tokensPerSecond + slotWait;
+}
+
+} // namespace kumquat
--- a/servers/entry/request_record.h
+++ b/servers/entry/request_record.h
@@ -25,6 +25,8 @@
     // Copies sent since the sidecar was last heard of about this attempt.
     std::uint32_t unanswered = 0;
     bool started = false;
+    // When the run started or last gave a chunk in order.
+    std::optional<instant> lastProgress;
     answer_assembler chunks;
     std::optional<offer_finished> finished;
 };
@@ -41,6 +43,7 @@
     answer_format format = answer_format::raw;
     work job;
     std::uint64_t fingerprint = 0;
+    std::vector<std::uint64_t> prefixHashes;
     std::uint32_t expectedTokens = 0;
     instant arrivedAt;
     instant deadline;
--- a/servers/entry/upstream_directory.cpp
+++ b/servers/entry/upstream_directory.cpp
@@ -1,5 +1,6 @@
 #include "servers/entry/upstream_directory.h"
 
+#include <algorithm>
 #include <set>
 
 namespace kumquat {
@@ -38,12 +39,35 @@
     auto* upstream = find(message.from.id);
     if (!upstream)
         return false;
+    if (upstream->lastReport && upstream->lastReport->from.incarnation != message.from.incarnation)
+        upstream->prefixes.clear();
     upstream->lastReport = message;
     upstream->reportedAt = now;
-    upstream->sentSinceReport = 0;
+    upstream->sentSinceReport.clear();
+    upstream->speed.observeRate(message.tokensPerSecond, now);
+    compareWithPeers(upstream->service, now);
     return true;
 }
 
+void upstream_directory::compareWithPeers(const std::string& service, instant now)
+{
+    const auto& members = m_byService[service];
+    std::vector<upstream_speed*> speeds;
+    std::vector<double> rates;
+    for (auto* member : members) {
+        speeds.push_back(&member->speed);
+        if (const auto rate = member->speed.rate())
+            rates.push_back(*rate);
+    }
+    compareSpeeds(speeds, now);
+    if (rates.empty())
+        return;
+    const auto middle = rates.begin() + static_cast<std::ptrdiff_t>(rates.size() / 2);
+    std::nth_element(rates.begin(), middle, rates.end());
+    for (auto* member : members)
+        member->serviceRate = *middle;
+}
+
 upstream_state* upstream_directory::find(const std::string& id)
 {
     const auto found = m_upstreams.find(id);
--- a/servers/entry/upstream_directory.h
+++ b/servers/entry/upstream_directory.h
@@ -3,6 +3,8 @@
 #include "core/clock.h"
 #include "core/instance.h"
 #include "core/peer_message.h"
+#include "servers/entry/prefix_memory.h"
+#include "servers/entry/upstream_speed.h"
 
 #include <chrono>
 #include <map>
@@ -12,6 +14,12 @@
 
 namespace kumquat {
 
+// Work that this entry has sent since a report and that the report therefore lacks.
+struct sent_load {
+    std::uint32_t requests = 0;
+    std::uint64_t tokens = 0;
+};
+
 // What an entry knows of one upstream.
 struct upstream_state {
     std::string id;
@@ -23,8 +31,12 @@
     instant reportedAt;
     // Requests that this entry has sent there and that have not ended.
     std::uint32_t ownInFlight = 0;
-    // Of those, the ones sent since the last report.
-    std::uint32_t sentSinceReport = 0;
+    // Requests sent since the last report, by tier rank.
+    std::map<std::uint32_t, sent_load> sentSinceReport;
+    upstream_speed speed;
+    // Median tokens per second of one request among the service's upstreams; zero while unknown.
+    double serviceRate = 0;
+    prefix_memory prefixes;
 };
 
 // Joins the platform's late list of instances with the sidecars' fresh reports.
@@ -43,6 +55,7 @@
     const std::map<std::string, upstream_state>& all() const { return m_upstreams; }
 
 private:
+    void compareWithPeers(const std::string& service, instant now);
     bool isUsable(const upstream_state&, instant now) const;
 
     std::chrono::milliseconds m_reportTimeout;
--- a/servers/entry/upstream_selector.cpp
+++ b/servers/entry/upstream_selector.cpp
@@ -1,12 +1,22 @@
 #include "servers/entry/upstream_selector.h"
 
+#include "servers/entry/expected_wait.h"
+
+#include <algorithm>
+#include <limits>
+
 namespace kumquat {
 
 namespace {
 
+    // Prefilling one prompt block that the engine has not cached; see prefixBlockBytes in the completion codec.
+    constexpr double secondsPerPrefixBlock = 0.03;
+
     double loadFor(const upstream_state& upstream, std::uint32_t tierRank)
     {
-        std::uint32_t ahead = upstream.sentSinceReport;
+        std::uint32_t ahead = 0;
+        for (const auto& [rank, sent] : upstream.sentSinceReport)
+            ahead += sent.requests;
         for (const auto& load : upstream.lastReport->tiers) {
             if (load.rank <= tierRank)
                 ahead += load.running + load.queued;
@@ -14,22 +24,133 @@
         return static_cast<double>(ahead) / std::max(1U, upstream.lastReport->slots);
     }
 
+    // After a refusal the request goes where it can displace: 0 is queued lower work, 1 a free slot, 2 running lower work, 3 neither.
+    int displacementRank(const upstream_load& load)
+    {
+        if (load.lowerQueued > 0)
+            return 0;
+        if (load.hasRoom())
+            return 1;
+        return load.lowerRunning > 0 ? 2 : 3;
+    }
+
+    upstream_state* selectForDisplacement(const std::vector<upstream_state*>& candidates, const selection_request& request, instant now)
+    {
+        upstream_state* best = nullptr;
+        std::pair<int, double> bestKey;
+        for (auto* candidate : candidates) {
+            const auto load = estimateLoad(*candidate, request.tierRank, now);
+            const std::pair key { displacementRank(load), expectedSeconds(load, request.expectedTokens) };
+            if (best && key >= bestKey)
+                continue;
+            best = candidate;
+            bestKey = key;
+        }
+        return best;
+    }
+
+    upstream_state* longestMatch(const std::vector<upstream_state*>& candidates, const selection_request& request)
+    {
+        if (!request.prefixHashes || request.prefixHashes->empty())
+            return nullptr;
+        upstream_state* best = nullptr;
+        std::size_t longest = 0;
+        for (auto* candidate : candidates) {
+            const auto length = candidate->prefixes.matchLength(*request.prefixHashes);
+            if (length <= longest)
+                continue;
+            best = candidate;
+            longest = length;
+        }
+        return best;
+    }
+
 } // namespace
 
-upstream_state* selectUpstream(const std::vector<upstream_state*>& candidates, const selection_request& request)
+upstream_selector::upstream_selector(routing_policy policy, std::string dataCentre, std::uint64_t seed)
+    : m_policy(policy)
+    , m_dataCentre(std::move(dataCentre))
+    , m_random(seed)
 {
-    upstream_state* best = nullptr;
-    double bestLoad = 0;
+}
+
+upstream_state* upstream_selector::select(const std::vector<upstream_state*>& candidates, const selection_request& request, instant now)
+{
+    std::vector<upstream_state*> untried;
     for (auto* candidate : candidates) {
-        if (request.tried && request.tried->contains(candidate->id))
-            continue;
-        const double load = loadFor(*candidate, request.tierRank);
-        if (best && load >= bestLoad)
+        if (!request.tried || !request.tried->contains(candidate->id))
+            untried.push_back(candidate);
+    }
+    if (untried.empty())
+        return nullptr;
+    return std::visit([&](const auto& policy) { return choose(policy, untried, request, now); }, m_policy);
+}
+
+upstream_state* upstream_selector::choose(const round_robin_routing&, const candidates& untried, const selection_request& request, instant)
+{
+    auto& last = m_lastTurn[request.service];
+    upstream_state* first = nullptr;
+    upstream_state* next = nullptr;
+    for (auto* candidate : untried) {
+        if (!first || candidate->id < first->id)
+            first = candidate;
+        if (candidate->id > last && (!next || candidate->id < next->id))
+            next = candidate;
+    }
+    auto* chosen = next ? next : first;
+    last = chosen->id;
+    return chosen;
+}
+
+upstream_state* upstream_selector::choose(const least_loaded_routing&, const candidates& untried, const selection_request& request, instant)
+{
+    return *std::min_element(untried.begin(), untried.end(), [&](const auto* left, const auto* right) {
+        return loadFor(*left, request.tierRank) < loadFor(*right, request.tierRank);
+    });
+}
+
+upstream_state* upstream_selector::choose(const expected_wait_routing& policy, const candidates& untried, const selection_request& request, instant now)
+{
+    if (request.refusedForLoad)
+        return selectForDisplacement(untried, request, now);
+    candidates withRoom;
+    for (auto* candidate : untried) {
+        if (estimateLoad(*candidate, request.tierRank, now).hasRoom())
+            withRoom.push_back(candidate);
+    }
+    // One draw looks for a free slot; the others come from all, so that a lone straggler with room is compared with the rest.
+    candidates drawn { drawFrom(withRoom.empty() ? untried : withRoom) };
+    while (drawn.size() < policy.choices)
+        drawn.push_back(drawFrom(untried));
+    if (auto* cached = longestMatch(untried, request))
+        drawn.push_back(cached);
+    upstream_state* best = nullptr;
+    double bestCost = std::numeric_limits<double>::infinity();
+    for (auto* candidate : drawn) {
+        const double cost = costOf(policy, *candidate, request, now);
+        if (cost >= bestCost)
             continue;
         best = candidate;
-        bestLoad = load;
+        bestCost = cost;
     }
     return best;
 }
 
+double upstream_selector::costOf(const expected_wait_routing& policy, const upstream_state& candidate, const selection_request& request, instant now) const
+{
+    double cost = expectedSeconds(estimateLoad(candidate, request.tierRank, now), request.expectedTokens);
+    if (candidate.dataCentre != m_dataCentre)
+        cost += std::chrono::duration<double>(policy.remotePenalty).count();
+    if (!request.prefixHashes)
+        return cost;
+    const double saved = secondsPerPrefixBlock * static_cast<double>(candidate.prefixes.matchLength(*request.prefixHashes));
+    return cost - std::min(saved, std::chrono::duration<double>(policy.prefixBonusLimit).count());
+}
+
+upstream_state* upstream_selector::drawFrom(const candidates& from)
+{
+    std::uniform_int_distribution<std::size_t> distribution(0, from.size() - 1);
+    return from[distribution(m_random)];
+}
+
 } // namespace kumquat
--- /dev/null
+++ b/servers/entry/upstream_speed.cpp
@@ -0,0 +1,99 @@
+#include "servers/entry/upstream_speed.h"
+
+#include <algorithm>
+
+namespace kumquat {
+
+namespace {
+
+    constexpr double smoothing = 0.2;
+    // An upstream below this share of the median speed is a straggler.
+    constexpr std::size_t fewestPeers = 3;
+    constexpr double evidenceHoldSeconds = 10;
+    constexpr double evidenceFadeSeconds = 30;
+    constexpr double returnSeconds = 30;
+
+    double toSeconds(duration span)
+    {
+        return std::chrono::duration<double>(span).count();
+    }
+
+    void smoothInto(std::optional<double>& value, double sample)
+    {
+        value = value ? *value + smoothing * (sample - *value) : sample;
+    }
+
+    using reader = std::optional<double> (upstream_speed::*)() const;
+
+    std::optional<double> medianOf(const std::vector<upstream_speed*>& speeds, reader read)
+    {
+        std::vector<double> values;
+        for (const auto* speed : speeds) {
+            if (const auto value = (speed->*read)())
+                values.push_back(*value);
+        }
+        if (values.size() < fewestPeers)
+            return std::nullopt;
+        const auto middle = values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
+        std::nth_element(values.begin(), middle, values.end());
+        return *middle;
+    }
+
+    // Old evidence lets a straggler be probed, but not yet trusted like its peers.
+    double fade(double ratio, instant evidence, instant now)
+    {
+        const double age = toSeconds(now - evidence) - evidenceHoldSeconds;
+        const double faded = std::clamp(age / evidenceFadeSeconds, 0.0, 1.0);
+        return ratio + (stragglerRatio - ratio) * faded;
+    }
+
+} // namespace
+
+void upstream_speed::observeRate(double tokensPerSecond, instant now)
+{
+    if (tokensPerSecond <= 0 || tokensPerSecond == m_rate)
+        return;
+    m_rate = tokensPerSecond;
+    m_lastEvidence = now;
+}
+
+void upstream_speed::observeGap(duration perToken, instant now)
+{
+    smoothInto(m_gap, toSeconds(perToken));
+    m_lastEvidence = now;
+}
+
+void upstream_speed::observeFirstChunk(duration span, instant now)
+{
+    smoothInto(m_firstChunk, toSeconds(span));
+    m_lastEvidence = now;
+}
+
+void upstream_speed::moveWeight(double target, instant now)
+{
+    const double rise = std::max(0.0, toSeconds(now - m_weightMovedAt)) / returnSeconds;
+    m_weight = std::min(target, m_weight + rise);
+    m_weightMovedAt = now;
+}
+
+void compareSpeeds(const std::vector<upstream_speed*>& speeds, instant now)
+{
+    if (speeds.size() < fewestPeers)
+        return;
+    const auto rate = medianOf(speeds, &upstream_speed::rate);
+    const auto gap = medianOf(speeds, &upstream_speed::gapSeconds);
+    const auto firstChunk = medianOf(speeds, &upstream_speed::firstChunkSeconds);
+    for (auto* speed : speeds) {
+        double ratio = 1;
+        if (rate && *rate > 0 && speed->rate())
+            ratio = std::min(ratio, *speed->rate() / *rate);
+        if (gap && speed->gapSeconds().value_or(0) > 0)
+            ratio = std::min(ratio, *gap / *speed->gapSeconds());
+        if (firstChunk && speed->firstChunkSeconds().value_or(0) > 0)
+            ratio = std::min(ratio, *firstChunk / *speed->firstChunkSeconds());
+        const double target = ratio < stragglerRatio ? fade(ratio, speed->lastEvidence(), now) : 1;
+        speed->moveWeight(std::max(minimumSpeedWeight, target), now);
+    }
+}
+
+} // namespace kumquat
