--- a/core/caller_error.h
+++ b/core/caller_error.h
@@ -34,6 +34,7 @@
     draining,
     timeout,
     not_configured,
+    answer_not_kept,
 };
 
 // An error as the caller sees it.
--- a/core/peer_message.h
+++ b/core/peer_message.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/caller_error.h"
+#include "core/claim_message.h"
 #include "core/clock.h"
 #include "core/document.h"
 
@@ -176,6 +177,19 @@
     std::vector<std::uint64_t> refusedFingerprints;
 };
 
-using peer_message = std::variant<offer, withdraw, acknowledge, subscribe, offer_refused, offer_queued, offer_started, output_chunk, offer_finished, offer_failed, offer_withdrawn, wrong_incarnation, report>;
+// Asks what became of the request that holds an idempotency key. Entries ask its claimant, then the sidecars.
+struct claim_query {
+    peer_identity from;
+    std::string requestId;
+};
+
+struct claim_status {
+    std::string requestId;
+    claim_state state = claim_state::unknown;
+    // Set when the state is finished.
+    kept_answer answer;
+};
+
+using peer_message = std::variant<offer, withdraw, acknowledge, subscribe, offer_refused, offer_queued, offer_started, output_chunk, offer_finished, offer_failed, offer_withdrawn, wrong_incarnation, report, claim_query, claim_status>;
 
 } // namespace kumquat
--- /dev/null
+++ b/core/stored_object.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <variant>
+
+namespace kumquat {
+
+// An object of the platform's API. Version 0 means that it does not exist.
+struct stored_object {
+    std::string key;
+    std::uint64_t version = 0;
+    std::string value;
+};
+
+// The version named in a conditional update is no longer the present one.
+struct version_conflict {
+    std::uint64_t presentVersion = 0;
+};
+
+// No answer came: the update may have taken effect, or may still do so.
+struct outcome_lost {
+    std::string message;
+};
+
+using update_outcome = std::variant<stored_object, version_conflict, outcome_lost>;
+
+} // namespace kumquat
--- a/drivers/http/object_api_client.cpp
+++ b/drivers/http/object_api_client.cpp
@@ -69,6 +69,23 @@
     return outcome_lost { "the object API answered an update of '" + key + "' with status " + std::to_string(answer->status) };
 }
 
+void object_api_client::remove(const std::string& key, std::uint64_t expectedVersion) const
+{
+    auto client = makeClient(m_options, m_options.timeout);
+    client.Delete("/objects/" + key, httplib::Headers { { "If-Match", std::to_string(expectedVersion) } });
+}
+
+result<std::vector<stored_object>> object_api_client::list(const std::string& prefix) const
+{
+    auto client = makeClient(m_options, m_options.timeout);
+    const auto answer = client.Get("/objects?prefix=" + prefix);
+    if (!answer)
+        return unreachable("a listing of '" + prefix + "'", answer.error());
+    if (answer->status != 200)
+        return error { "the object API answered a listing of '" + prefix + "' with status " + std::to_string(answer->status) };
+    return parseStoredObjects(answer->body);
+}
+
 result<std::vector<instance>> object_api_client::listInstances() const
 {
     auto client = makeClient(m_options, m_options.timeout);
--- a/drivers/http/object_api_client.h
+++ b/drivers/http/object_api_client.h
@@ -2,6 +2,7 @@
 
 #include "core/instance.h"
 #include "core/result.h"
+#include "core/stored_object.h"
 
 #include <chrono>
 #include <cstdint>
@@ -15,25 +16,6 @@
 
 namespace kumquat {
 
-// An object of the platform's API. Version 0 means that it does not exist.
-struct stored_object {
-    std::string key;
-    std::uint64_t version = 0;
-    std::string value;
-};
-
-// The version named in a conditional update is no longer the present one.
-struct version_conflict {
-    std::uint64_t presentVersion = 0;
-};
-
-// No answer came: the update may have taken effect, or may still do so.
-struct outcome_lost {
-    std::string message;
-};
-
-using update_outcome = std::variant<stored_object, version_conflict, outcome_lost>;
-
 // Speaks to the platform's object API and instance list. Calls block, so they run on threads of their own.
 class object_api_client {
 public:
@@ -50,6 +32,10 @@
     result<stored_object> watch(const std::string& key, std::uint64_t after, std::chrono::milliseconds longest) const;
     // Writes the value if the present version is the expected one; 0 creates the object.
     update_outcome update(const std::string& key, std::uint64_t expectedVersion, const std::string& value) const;
+    // Removes the object if its version is the expected one; the outcome of a lost call is not known.
+    void remove(const std::string& key, std::uint64_t expectedVersion) const;
+    // Returns every object whose key begins with the prefix, in order of their keys.
+    result<std::vector<stored_object>> list(const std::string& prefix) const;
     result<std::vector<instance>> listInstances() const;
 
 private:
--- a/drivers/json/object_api_codec.cpp
+++ b/drivers/json/object_api_codec.cpp
@@ -25,6 +25,18 @@
     }
 }
 
+result<std::vector<stored_object>> parseStoredObjects(const std::string& body)
+{
+    try {
+        std::vector<stored_object> objects;
+        for (const auto& item : json::parse(body).at("objects"))
+            objects.push_back({ .key = item.at("key"), .version = item.at("version"), .value = item.at("value") });
+        return objects;
+    } catch (const json::exception& failure) {
+        return unreadable(failure);
+    }
+}
+
 result<std::uint64_t> parseVersion(const std::string& body)
 {
     try {
--- a/drivers/json/object_api_codec.h
+++ b/drivers/json/object_api_codec.h
@@ -12,6 +12,7 @@
 
 // Reads the bodies of the platform's object API.
 result<stored_object> parseStoredObject(const std::string& key, const std::string& body);
+result<std::vector<stored_object>> parseStoredObjects(const std::string& body);
 result<std::uint64_t> parseVersion(const std::string& body);
 result<std::vector<instance>> parseInstances(const std::string& body);
 
--- a/drivers/json/peer_codec.cpp
+++ b/drivers/json/peer_codec.cpp
@@ -35,6 +35,9 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(wrong_incarnation, header, namedIncarnation)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(tier_load, rank, running, queued, expectedTokens)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(report, from, service, dataCentre, generation, leaving, healthy, slots, freeSlots, tokensPerSecond, tiers, suspects, refusedFingerprints)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(kept_answer, whole, status, contentType, text, finishReason, promptTokens, outputTokens)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(claim_query, from, requestId)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(claim_status, requestId, state, answer)
 
 namespace {
 
--- a/drivers/json/settings_codec.cpp
+++ b/drivers/json/settings_codec.cpp
@@ -3,6 +3,8 @@
 #include "drivers/json/embedded_schemas.h"
 #include "drivers/json/schema_check.h"
 
+#include <algorithm>
+
 namespace kumquat {
 
 namespace {
@@ -43,6 +45,26 @@
         value = std::chrono::milliseconds(root.value(name, value.count()));
     }
 
+    void readClaims(const json& root, claim_options& claims)
+    {
+        claims.shards = root.value("shards", claims.shards);
+        claims.answerLimitBytes = root.value("answer_limit_bytes", claims.answerLimitBytes);
+        readMilliseconds(root, "timeout_ms", claims.claimTimeout);
+        readMilliseconds(root, "commit_interval_ms", claims.commitInterval);
+        readMilliseconds(root, "store_retry_interval_ms", claims.storeRetryInterval);
+        readMilliseconds(root, "query_timeout_ms", claims.queryTimeout);
+        readMilliseconds(root, "retention_ms", claims.retention);
+    }
+
+    // A key that is forgotten while its request may still be running could run again.
+    std::optional<error> checkRetention(const std::string& source, const entry_options& options)
+    {
+        const auto shortest = 4 * std::max(options.requestTimeout, options.claims.claimTimeout);
+        if (options.claims.retention >= shortest)
+            return std::nullopt;
+        return error { source + ": at /claims/retention_ms: " + std::to_string(options.claims.retention.count()) + " is below four times the longest life of a request, " + std::to_string(shortest.count()) };
+    }
+
     std::optional<error> checkSources(const std::string& source, const common_settings& settings)
     {
         if (settings.documentFile.empty() && settings.objectApi.host.empty())
@@ -77,6 +99,7 @@
     readMilliseconds(root, "resend_interval_ms", options.resendInterval);
     readMilliseconds(root, "drain_grace_ms", options.drainGrace);
     readMilliseconds(root, "drain_limit_ms", options.drainLimit);
+    readClaims(root.value("claims", json::object()), options.claims);
     for (const auto& item : root.value("upstreams", json::array())) {
         settings.upstreams.push_back({ .id = item.at("id"),
             .role = "sidecar",
@@ -84,6 +107,8 @@
             .dataCentre = item.value("data_centre", options.dataCentre),
             .address = item.at("peer_address") });
     }
+    if (const auto failure = checkRetention(source, options))
+        return *failure;
     return settings;
 }
 
--- a/misc/lint.sh
+++ b/misc/lint.sh
@@ -15,7 +15,7 @@
 mkdir -p "$stamps"
 headers=$(git ls-files --cached --others --exclude-standard '*.h' .clang-tidy CMakeLists.txt | xargs cat | sha256sum | cut -c1-16)
 todo=()
-changed=$(git diff --name-only main; git ls-files --others --exclude-standard)
+changed=$(git diff --name-only main --; git ls-files --others --exclude-standard)
 for file in "${files[@]}"; do
     [[ $file = *.cpp ]] || continue
     if [ "${1:-}" = --changed ] && ! grep -qxF "$file" <<<"$changed"; then
--- /dev/null
+++ b/servers/claims/claim_index.cpp
@@ -0,0 +1,67 @@
+#include "servers/claims/claim_index.h"
+
+#include "core/overloaded.h"
+
+namespace kumquat {
+
+claim_index::claim_index(duration retention)
+    : m_retention(retention)
+{
+}
+
+void claim_index::apply(std::uint64_t number, const claim_segment& segment, instant now)
+{
+    const auto writtenAt = now - segment.age;
+    for (const auto& record : segment.records) {
+        if (wouldApply(record))
+            std::visit([&](const auto& concrete) { applyRecord(concrete, number, writtenAt); }, record);
+    }
+}
+
+bool claim_index::wouldApply(const claim_record& record) const
+{
+    const auto* holder = find(keyOf(record));
+    const auto isOpenFor = [&](const std::string& requestId) { return holder && !holder->answeredIn && holder->requestId == requestId; };
+    const auto visitor = overloaded {
+        [&](const claim_made& made) { return !holder || (!made.replaces.empty() && isOpenFor(made.replaces)); },
+        [&](const claim_finished& finished) { return isOpenFor(finished.requestId); },
+        [&](const claim_released& released) { return isOpenFor(released.requestId); },
+    };
+    return std::visit(visitor, record);
+}
+
+const claim_holder* claim_index::find(const std::string& key) const
+{
+    const auto found = m_holders.find(key);
+    return found == m_holders.end() ? nullptr : &found->second;
+}
+
+void claim_index::applyRecord(const claim_made& made, std::uint64_t, instant writtenAt)
+{
+    m_holders[made.key] = { made.requestId, made.fingerprint, made.service, made.claimant, std::nullopt, writtenAt };
+    m_order.emplace_back(writtenAt, made.key);
+}
+
+void claim_index::applyRecord(const claim_finished& finished, std::uint64_t number, instant)
+{
+    m_holders.at(finished.key).answeredIn = number;
+}
+
+void claim_index::applyRecord(const claim_released& released, std::uint64_t, instant)
+{
+    m_holders.erase(released.key);
+}
+
+void claim_index::expire(instant now)
+{
+    while (!m_order.empty() && m_order.front().first + m_retention <= now) {
+        const auto [claimedAt, key] = m_order.front();
+        m_order.pop_front();
+        const auto found = m_holders.find(key);
+        // The key may have been claimed anew since.
+        if (found != m_holders.end() && found->second.claimedAt == claimedAt)
+            m_holders.erase(found);
+    }
+}
+
+} // namespace kumquat
--- /dev/null
+++ b/servers/claims/claim_journal.cpp
@@ -0,0 +1,192 @@
+#include "servers/claims/claim_journal.h"
+
+#include <algorithm>
+
+namespace kumquat {
+
+namespace {
+
+    // Segments removed after one commit; two keep pace with the one that was added.
+    constexpr int dropsPerCommit = 2;
+
+} // namespace
+
+claim_journal::claim_journal(std::uint32_t shard, const claim_options& options)
+    : m_shard(shard)
+    , m_options(options)
+    , m_index(options.retention)
+{
+}
+
+void claim_journal::append(claim_record record)
+{
+    m_pending.push_back(std::move(record));
+}
+
+void claim_journal::dropClaim(const std::string& requestId)
+{
+    std::erase_if(m_pending, [&](const claim_record& record) {
+        const auto* made = std::get_if<claim_made>(&record);
+        return made && made->requestId == requestId;
+    });
+}
+
+void claim_journal::expire(instant now)
+{
+    m_index.expire(now);
+    // Segments may have come and gone unseen, so that a number seems free that has been used.
+    if (m_loaded && m_call == call::none && now - m_knownAt > m_options.retention / 2)
+        m_loaded = false;
+}
+
+void claim_journal::pump(instant now, claim_effects& effects)
+{
+    if (m_call != call::none || isUnavailable(now))
+        return;
+    if (!m_loaded) {
+        if (!m_loadWanted && m_pending.empty())
+            return;
+        beginCall(call::list, now);
+        effects.emplace_back(claim_store_call { list_claim_segments { m_shard } });
+        return;
+    }
+    if (m_catchUp) {
+        beginCall(call::read, now);
+        effects.emplace_back(claim_store_call { read_claim_segment { m_shard, m_next } });
+        return;
+    }
+    if (m_pending.empty() || now < m_nextCommit)
+        return;
+    beginCall(call::write, now);
+    m_nextCommit = now + m_options.commitInterval;
+    m_written = nextSegment();
+    effects.emplace_back(claim_store_call { write_claim_segment { m_shard, m_next, m_written } });
+    effects.emplace_back(count_metric { "kumquat_claim_writes_total", {} });
+}
+
+std::optional<instant> claim_journal::nextDeadline(instant now) const
+{
+    if (m_call != call::none || (m_loaded && m_pending.empty() && !m_catchUp))
+        return std::nullopt;
+    if (!m_loaded && !m_loadWanted && m_pending.empty())
+        return std::nullopt;
+    if (isUnavailable(now))
+        return m_unavailableUntil;
+    return std::max(now, m_nextCommit);
+}
+
+void claim_journal::beginCall(call kind, instant now)
+{
+    m_call = kind;
+    m_calledAt = now;
+}
+
+claim_segment claim_journal::nextSegment()
+{
+    claim_segment segment;
+    segment.writeId = m_options.self.id + "-" + std::to_string(m_options.self.incarnation) + "-" + std::to_string(++m_writes);
+    std::size_t bytes = 0;
+    for (const auto& record : m_pending) {
+        bytes += sizeOf(record);
+        if (bytes > m_options.segmentLimitBytes && !segment.records.empty())
+            break;
+        segment.records.push_back(record);
+    }
+    return segment;
+}
+
+void claim_journal::apply(const numbered_segment& segment, instant now, news& result)
+{
+    m_index.apply(segment.number, segment.contents, now);
+    m_segments.push_back({ segment.number, segment.version, now - segment.contents.age });
+    m_next = segment.number + 1;
+    std::erase_if(m_pending, [this](const claim_record& record) { return !m_index.wouldApply(record); });
+    result.applied.push_back(segment.contents);
+}
+
+claim_journal::news claim_journal::failCall(const std::string& message, instant now, claim_effects& effects)
+{
+    m_unavailableUntil = now + m_options.storeRetryInterval;
+    effects.emplace_back(log_event { log_level::warning, "claim_store_failed", { { "shard", std::to_string(m_shard) }, { "message", message } } });
+    return { .failed = true };
+}
+
+claim_journal::news claim_journal::handle(const claim_segments_listed& event, instant now, claim_effects& effects)
+{
+    if (m_call != call::list)
+        return {};
+    m_call = call::none;
+    if (const auto* failure = errorOf(event.segments))
+        return failCall(failure->message, now, effects);
+    m_index = claim_index(m_options.retention);
+    m_segments.clear();
+    m_next = 1;
+    news result { .caughtUp = true };
+    for (const auto& segment : valueOf(event.segments))
+        apply(segment, now, result);
+    m_index.expire(now);
+    m_loaded = true;
+    m_loadWanted = m_catchUp = m_conflict = false;
+    m_knownAt = m_calledAt;
+    return result;
+}
+
+claim_journal::news claim_journal::handle(const claim_segment_read& event, instant now, claim_effects& effects)
+{
+    if (m_call != call::read || event.number != m_next)
+        return {};
+    m_call = call::none;
+    if (const auto* failure = errorOf(event.segment))
+        return failCall(failure->message, now, effects);
+    news result;
+    if (const auto& segment = valueOf(event.segment)) {
+        if (segment->contents.writeId == m_written.writeId)
+            effects.emplace_back(log_event { log_level::info, "claim_write_recovered", { { "shard", std::to_string(m_shard) }, { "write", m_written.writeId } } });
+        m_conflict = false;
+        apply(*segment, now, result);
+        return result;
+    }
+    m_catchUp = false;
+    // The segment that took the number has been dropped already, so this index is too old.
+    if (m_conflict)
+        m_loaded = false;
+    m_loadWanted = m_conflict;
+    m_conflict = false;
+    result.caughtUp = m_loaded;
+    m_knownAt = m_calledAt;
+    return result;
+}
+
+claim_journal::news claim_journal::handle(const claim_segment_written& event, instant now, claim_effects& effects)
+{
+    if (m_call != call::write || event.number != m_next)
+        return {};
+    m_call = call::none;
+    if (event.outcome != claim_write_outcome::written) {
+        m_catchUp = true;
+        m_conflict = event.outcome == claim_write_outcome::conflict;
+        effects.emplace_back(count_metric { m_conflict ? "kumquat_claim_conflicts_total" : "kumquat_claim_lost_total", {} });
+        return {};
+    }
+    news result;
+    // The segment is as old as the call, so that a pause of this process shows.
+    m_written.age = std::chrono::duration_cast<std::chrono::milliseconds>(now - m_calledAt);
+    apply({ event.number, event.version, m_written }, now, result);
+    m_knownAt = m_calledAt;
+    dropOldSegments(now, effects);
+    return result;
+}
+
+// The last segment stays, since its number is the only record of how far the journal has come.
+void claim_journal::dropOldSegments(instant now, claim_effects& effects)
+{
+    for (int count = 0; count < dropsPerCommit && m_segments.size() > 1; ++count) {
+        const auto& oldest = m_segments.front();
+        if (oldest.writtenAt + m_options.retention > now)
+            return;
+        effects.emplace_back(claim_store_call { drop_claim_segment { m_shard, oldest.number, oldest.version } });
+        m_segments.pop_front();
+    }
+}
+
+} // namespace kumquat
--- /dev/null
+++ b/servers/claims/claim_reducer.h
@@ -0,0 +1,112 @@
+#pragma once
+
+#include "core/timer_queue.h"
+#include "servers/claims/claim_effect.h"
+#include "servers/claims/claim_event.h"
+#include "servers/claims/claim_journal.h"
+#include "servers/claims/claim_options.h"
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace kumquat {
+
+// Settles which request may run under an idempotency key. A request is granted at most once over the whole fleet and
+// retention; one that has been denied is never granted afterwards, even if its claim lands late in the object API.
+class claim_reducer {
+public:
+    explicit claim_reducer(claim_options);
+    claim_reducer(const claim_reducer&) = delete;
+    claim_reducer& operator=(const claim_reducer&) = delete;
+
+    void step(const claim_event&, instant now, claim_effects&);
+    std::optional<instant> nextDeadline() const;
+
+    const claim_options& options() const { return m_options; }
+    // Keys in the indexes of this entry.
+    std::size_t keyCount() const;
+    // Answers that are not yet in the object API.
+    std::size_t unstoredAnswers() const;
+
+private:
+    // Progress of a request that has neither been granted nor denied.
+    enum class waiting_state { claiming,
+        refreshing,
+        fetching_answer,
+        asking_claimant,
+        asking_sidecars };
+
+    struct waiting_claim {
+        claim_wanted request;
+        waiting_state state = waiting_state::claiming;
+        instant deadline;
+        // Whether the claim is in the journal's queue, and the abandoned holder that it replaces.
+        bool appended = false;
+        std::string replaces;
+        // Holder whose claimant or sidecars are being asked.
+        std::string askedFor;
+        // Whether the journal has been read to its end since the key was found held.
+        bool refreshed = false;
+    };
+
+    // A request of this entry that has been granted.
+    struct granted_run {
+        std::string key;
+        claim_state state = claim_state::in_progress;
+        // Kept until it is in the object API.
+        std::optional<kept_answer> answer;
+        instant grantedAt;
+    };
+
+    void handle(const claim_wanted&);
+    void handle(const claimed_request_finished&);
+    void handle(const claimed_request_failed&);
+    void handle(const claim_peer_received&);
+    void handle(const claim_segments_listed&);
+    void handle(const claim_segment_read&);
+    void handle(const claim_segment_written&);
+    void handle(const claim_timer_due&);
+    void receive(const claim_query&);
+    void receive(const claim_status&);
+
+    void review(waiting_claim&);
+    void reviewHeld(waiting_claim&, const claim_holder&);
+    void claim(waiting_claim&, std::string replaces);
+    void fetchAnswer(waiting_claim&, const claim_holder&);
+    void deliverFetched(const claim_segment_read&);
+    void askClaimant(waiting_claim&, const claim_holder&);
+    void askSidecars(waiting_claim&, const claim_holder&);
+    void settle(waiting_claim&, const claim_holder&, const claim_status&);
+    void grant(waiting_claim&);
+    void answer(waiting_claim&, const kept_answer&);
+    void deny(waiting_claim&, caller_error);
+    void denyInProgress(waiting_claim&);
+    void giveUp(waiting_claim&);
+    void onTimer(waiting_claim&);
+    void setDeadline(waiting_claim&, duration);
+    void apply(std::uint32_t shard, const claim_journal::news&);
+    void releaseAbandoned(claim_journal&, const claim_segment&);
+    void forgetStored(const claim_segment&);
+    void forgetOldRuns();
+    claim_status statusOf(const std::string& requestId) const;
+    bool isOwn(const peer_identity&) const;
+    std::uint32_t shardOf(const std::string& key) const;
+    claim_journal& journalOf(const std::string& key) { return m_journals[shardOf(key)]; }
+
+    const claim_options m_options;
+    std::deque<claim_journal> m_journals;
+    std::map<std::string, waiting_claim> m_waiting;
+    std::unordered_map<std::string, granted_run> m_granted;
+    std::deque<std::pair<instant, std::string>> m_grantOrder;
+    timer_queue<std::string> m_timers;
+
+    // Valid during step() only, except m_now, which is the time of the last step.
+    instant m_now;
+    claim_effects* m_effects = nullptr;
+};
+
+} // namespace kumquat
--- a/servers/entry/entry_event.h
+++ b/servers/entry/entry_event.h
@@ -4,6 +4,7 @@
 #include "core/document_index.h"
 #include "core/instance.h"
 #include "core/peer_message.h"
+#include "servers/claims/claim_event.h"
 
 #include <cstdint>
 #include <variant>
@@ -42,6 +43,11 @@
 
 struct entry_timer_due { };
 
-using entry_event = std::variant<caller_arrived, caller_gone, entry_peer_received, entry_document_received, instances_listed, entry_drain_requested, entry_timer_due>;
+// An answer of the object API to a call for the claims.
+struct entry_claim_answered {
+    claim_event answer;
+};
+
+using entry_event = std::variant<caller_arrived, caller_gone, entry_peer_received, entry_document_received, instances_listed, entry_drain_requested, entry_timer_due, entry_claim_answered>;
 
 } // namespace kumquat
--- a/servers/entry/entry_options.h
+++ b/servers/entry/entry_options.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "servers/claims/claim_options.h"
 #include "servers/entry/routing_policy.h"
 
 #include <chrono>
@@ -29,6 +30,8 @@
     std::chrono::milliseconds drainLimit { 600000 };
     std::uint64_t seed = 1;
     routing_policy policy;
+    // The identity inside is taken from this entry.
+    claim_options claims;
 };
 
 } // namespace kumquat
--- a/servers/entry/entry_reducer.cpp
+++ b/servers/entry/entry_reducer.cpp
@@ -1,6 +1,7 @@
 #include "servers/entry/entry_reducer.h"
 
 #include "core/hash.h"
+#include "core/request_id.h"
 #include "servers/entry/classifier.h"
 #include "servers/entry/upstream_selector.h"
 
@@ -17,13 +18,11 @@
         return hashBytes(body, hashBytes(service, hashBytes(organisation)));
     }
 
-    std::string hexadecimal(std::uint64_t value)
+    claim_options claimOptionsOf(const entry_options& options)
     {
-        constexpr char digits[] = "0123456789abcdef";
-        std::string text;
-        for (int shift = 60; shift >= 0; shift -= 4)
-            text += digits[(value >> shift) & 0xf];
-        return text;
+        auto claims = options.claims;
+        claims.self = { options.id, options.address, options.incarnation };
+        return claims;
     }
 
     double seconds(duration span)
@@ -36,6 +35,7 @@
 entry_reducer::entry_reducer(entry_options options)
     : m_options(std::move(options))
     , m_directory(m_options.reportTimeout)
+    , m_claims(claimOptionsOf(m_options))
 {
 }
 
@@ -51,7 +51,7 @@
 std::optional<instant> entry_reducer::nextDeadline() const
 {
     std::optional<instant> next;
-    for (const auto& candidate : { m_timers.nextDeadline(), m_nextSubscribe, m_listenDeadline, m_drainDeadline }) {
+    for (const auto& candidate : { m_timers.nextDeadline(), m_nextSubscribe, m_listenDeadline, m_drainDeadline, m_claims.nextDeadline() }) {
         if (candidate && (!next || *candidate < *next))
             next = candidate;
     }
@@ -65,7 +65,7 @@
 
 void entry_reducer::handle(const caller_arrived& event)
 {
-    const auto id = m_options.id + "-" + hexadecimal(m_options.incarnation) + "-" + std::to_string(m_nextRequest++);
+    const auto id = requestIdPrefix({ m_options.id, m_options.address, m_options.incarnation }) + std::to_string(m_nextRequest++);
     const auto reject = [&](const caller_error& error) {
         m_effects->push_back(fail_answer { event.channel, id, error });
         m_effects->push_back(log_event { log_level::info, "request_rejected", { { "request", id }, { "code", toString(error.code) }, { "message", error.message } } });
@@ -103,6 +103,10 @@
     m_channels.emplace(event.channel, id);
     auto& kept = m_requests.emplace(id, std::move(record)).first->second;
     log(log_level::info, "request_accepted", kept, { { "organisation", kept.organisation }, { "class", kept.requestClass.name }, { "service", kept.service } });
+    if (!kept.requestClass.repeatable && !event.request.idempotencyKey.empty()) {
+        claimKey(kept, event.request);
+        return;
+    }
     dispatch(kept);
 }
 
@@ -160,6 +164,12 @@
     auto& record = m_requests.at(found->second);
     log(log_level::info, "caller_gone", record, { { "delivered_tokens", std::to_string(record.deliveredTokens) } });
     m_effects->push_back(count_metric { "kumquat_entry_abandoned_total", { { "class", record.requestClass.name } } });
+    // A repeat with the same idempotency key may still ask for the answer.
+    if (record.claimed) {
+        m_channels.erase(found);
+        record.channel = 0;
+        return;
+    }
     withdrawAttempt(record);
     forget(record);
 }
@@ -231,6 +241,8 @@
         record.deliveredText += piece.text;
         return;
     }
+    if (record.claimed)
+        record.claimedText += piece.text;
     begin(record, 200, "");
     m_effects->push_back(append_answer { record.channel, piece.text, piece.tokens });
 }
@@ -266,6 +278,10 @@
     if (record.kind == service_kind::plain)
         m_effects->push_back(append_answer { record.channel, record.deliveredText, 0 });
     m_effects->push_back(finish_answer { record.channel, finished.finishReason, finished.promptTokens, record.deliveredTokens });
+    if (record.claimed) {
+        const auto& text = record.kind == service_kind::plain ? record.deliveredText : record.claimedText;
+        stepClaims(claimed_request_finished { record.id, { true, finished.status, finished.contentType, text, finished.finishReason, finished.promptTokens, record.deliveredTokens } });
+    }
     log(log_level::info, "request_finished", record, { { "upstream", attempt.upstreamId }, { "tokens", std::to_string(record.deliveredTokens) } });
     m_effects->push_back(count_metric { "kumquat_entry_finished_total", { { "class", record.requestClass.name } } });
     m_effects->push_back(observe_metric { "kumquat_total_seconds", { { "class", record.requestClass.name } }, seconds(m_now - record.arrivedAt) });
@@ -311,6 +327,83 @@
     m_directory.applyReport(message, m_now);
 }
 
+void entry_reducer::receive(const claim_query& message)
+{
+    stepClaims(claim_peer_received { message });
+}
+
+void entry_reducer::receive(const claim_status& message)
+{
+    stepClaims(claim_peer_received { message });
+}
+
+void entry_reducer::handle(const entry_claim_answered& event)
+{
+    stepClaims(event.answer);
+}
+
+void entry_reducer::claimKey(request_record& record, const caller_request& request)
+{
+    const auto fingerprint = hashBytes(request.path, hashBytes(request.method, record.fingerprint));
+    stepClaims(claim_wanted { record.id, record.organisation + "/" + request.idempotencyKey, fingerprint, record.service });
+}
+
+void entry_reducer::stepClaims(const claim_event& event)
+{
+    claim_effects effects;
+    m_claims.step(event, m_now, effects);
+    for (const auto& effect : effects)
+        std::visit([this](const auto& concrete) { apply(concrete); }, effect);
+}
+
+void entry_reducer::apply(const claim_granted& effect)
+{
+    const auto found = m_requests.find(effect.requestId);
+    // The caller has left while the claim was being made.
+    if (found == m_requests.end()) {
+        stepClaims(claimed_request_failed { effect.requestId, false });
+        return;
+    }
+    found->second.claimed = true;
+    dispatch(found->second);
+}
+
+void entry_reducer::apply(const claim_answered& effect)
+{
+    const auto found = m_requests.find(effect.requestId);
+    if (found == m_requests.end())
+        return;
+    auto& record = found->second;
+    const auto& kept = effect.answer;
+    begin(record, kept.status, kept.contentType);
+    m_effects->push_back(append_answer { record.channel, kept.text, kept.outputTokens });
+    m_effects->push_back(finish_answer { record.channel, kept.finishReason, kept.promptTokens, kept.outputTokens });
+    log(log_level::info, "request_answered_again", record);
+    forget(record);
+}
+
+void entry_reducer::apply(const claim_denied& effect)
+{
+    const auto found = m_requests.find(effect.requestId);
+    if (found == m_requests.end())
+        return;
+    found->second.ran = effect.error.ran;
+    fail(found->second, effect.error);
+}
+
+void entry_reducer::apply(const send_claim_message& effect)
+{
+    m_effects->push_back(send_to_sidecar { effect.address, effect.message });
+}
+
+void entry_reducer::apply(const ask_sidecars& effect)
+{
+    for (const auto& [id, upstream] : m_directory.all()) {
+        if (upstream.service == effect.service)
+            m_effects->push_back(send_to_sidecar { upstream.address, effect.query });
+    }
+}
+
 void entry_reducer::attemptEnded(request_record& record)
 {
     if (!record.attempt)
@@ -344,6 +437,8 @@
 void entry_reducer::fail(request_record& record, caller_error error)
 {
     error.ran = record.ran;
+    if (record.claimed)
+        stepClaims(claimed_request_failed { record.id, record.ran != ran_state::no });
     log(log_level::warning, "request_failed", record, { { "code", toString(error.code) }, { "ran", toString(error.ran) }, { "message", error.message } });
     m_effects->push_back(count_metric { "kumquat_entry_failed_total", { { "class", record.requestClass.name }, { "code", toString(error.code) } } });
     m_effects->push_back(fail_answer { record.channel, record.id, std::move(error) });
@@ -425,6 +520,7 @@
 {
     while (const auto id = m_timers.popDue(m_now))
         onRequestTimer(m_requests.at(*id));
+    stepClaims(claim_timer_due {});
     if (m_nextSubscribe && *m_nextSubscribe <= m_now)
         subscribeToAll();
     if (m_listenDeadline && *m_listenDeadline <= m_now) {
@@ -437,7 +533,8 @@
 {
     if (!draining() || m_listenDeadline || m_stopped)
         return;
-    if (!m_requests.empty() && m_now < *m_drainDeadline)
+    const bool isBusy = !m_requests.empty() || m_claims.unstoredAnswers() > 0;
+    if (isBusy && m_now < *m_drainDeadline)
         return;
     m_stopped = true;
     m_effects->push_back(log_event { log_level::info, "drain_finished", { { "requests", std::to_string(m_requests.size()) } } });
--- a/servers/entry/entry_reducer.h
+++ b/servers/entry/entry_reducer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/timer_queue.h"
+#include "servers/claims/claim_reducer.h"
 #include "servers/entry/entry_effect.h"
 #include "servers/entry/entry_options.h"
 #include "servers/entry/request_record.h"
@@ -27,6 +28,7 @@
     // State for the dump and for tests.
     const entry_options& options() const { return m_options; }
     const std::map<std::string, request_record>& requests() const { return m_requests; }
+    const claim_reducer& claims() const { return m_claims; }
     const upstream_directory& upstreams() const { return m_directory; }
     bool draining() const { return m_drainDeadline.has_value(); }
     std::uint64_t generation() const;
@@ -41,6 +43,7 @@
     void handle(const instances_listed&);
     void handle(const entry_drain_requested&);
     void handle(const entry_timer_due&);
+    void handle(const entry_claim_answered&);
 
     void receive(const offer_refused&);
     void receive(const offer_queued&);
@@ -51,10 +54,24 @@
     void receive(const offer_withdrawn&);
     void receive(const wrong_incarnation&);
     void receive(const report&);
+    void receive(const claim_query&);
+    void receive(const claim_status&);
     // Requests of entries are never addressed to an entry.
     template <typename Other>
     void receive(const Other&) { }
 
+    // Not-repeatable requests with an idempotency key hold a claim before they are dispatched.
+    void claimKey(request_record&, const caller_request&);
+    void stepClaims(const claim_event&);
+    void apply(const claim_granted&);
+    void apply(const claim_answered&);
+    void apply(const claim_denied&);
+    void apply(const send_claim_message&);
+    void apply(const ask_sidecars&);
+    // Store calls, log lines and metrics are passed on.
+    template <typename Other>
+    void apply(const Other& effect) { m_effects->push_back(effect); }
+
     void dispatch(request_record&);
     void sendOffer(request_record&);
     void attemptEnded(request_record&);
@@ -77,6 +94,7 @@
     entry_options m_options;
     document_ptr m_document;
     upstream_directory m_directory;
+    claim_reducer m_claims;
     std::map<std::string, request_record> m_requests;
     std::unordered_map<channel_id, std::string> m_channels;
     timer_queue<std::string> m_timers;
--- a/servers/entry/request_record.h
+++ b/servers/entry/request_record.h
@@ -55,6 +55,9 @@
     std::string deliveredText;
     std::uint32_t deliveredTokens = 0;
     std::optional<instant> firstTokenAt;
+    // Whether an idempotency key is held for the request; its whole text is then kept for repeats.
+    bool claimed = false;
+    std::string claimedText;
 };
 
 } // namespace kumquat
--- a/servers/sidecar/attempt_record.h
+++ b/servers/sidecar/attempt_record.h
@@ -58,6 +58,8 @@
     std::string contentType;
     std::vector<kept_chunk> chunks;
     std::uint32_t producedTokens = 0;
+    // The entry has the whole answer; that of not-repeatable work is kept for claim queries all the same.
+    bool acknowledged = false;
 };
 
 } // namespace kumquat
--- a/servers/sidecar/sidecar_reducer.cpp
+++ b/servers/sidecar/sidecar_reducer.cpp
@@ -234,6 +234,9 @@
     const auto known = m_attempts.find(request.attempt);
     if (known == m_attempts.end() || !hasEnded(known->second.state))
         return;
+    known->second.acknowledged = true;
+    if (!known->second.request.repeatable)
+        return;
     known->second.chunks.clear();
     known->second.chunks.shrink_to_fit();
 }
@@ -250,6 +253,33 @@
         m_nextReport = m_now + m_options.reportInterval;
 }
 
+// Says how a not-repeatable request fared whose entry is gone. Silence means that it is not known here.
+void sidecar_reducer::receive(const claim_query& query)
+{
+    for (auto position = m_attempts.lower_bound({ query.requestId, 0 }); position != m_attempts.end() && position->first.requestId == query.requestId; ++position) {
+        const auto status = claimStatusOf(position->second);
+        if (status.state != claim_state::unknown)
+            send(query.from.address, status);
+    }
+}
+
+claim_status sidecar_reducer::claimStatusOf(const attempt_record& record) const
+{
+    claim_status status { .requestId = record.request.attempt.requestId };
+    if (!hasEnded(record.state)) {
+        status.state = claim_state::in_progress;
+        return status;
+    }
+    const auto* finished = std::get_if<attempt_finished>(&record.state);
+    if (!finished || record.request.repeatable)
+        return status;
+    status.state = claim_state::finished;
+    status.answer = { true, record.status, record.contentType, {}, finished->finishReason, finished->promptTokens, record.producedTokens };
+    for (const auto& chunk : record.chunks)
+        status.answer.text += chunk.text;
+    return status;
+}
+
 void sidecar_reducer::handle(const run_head& event)
 {
     auto* record = findRunning(event.run);
@@ -414,7 +444,7 @@
 {
     return std::any_of(m_attempts.begin(), m_attempts.end(), [this](const auto& item) {
         const auto& record = item.second;
-        return !record.chunks.empty() && m_subscribers.contains(record.request.from.id);
+        return !record.chunks.empty() && !record.acknowledged && m_subscribers.contains(record.request.from.id);
     });
 }
 
--- a/servers/sidecar/sidecar_reducer.h
+++ b/servers/sidecar/sidecar_reducer.h
@@ -55,6 +55,7 @@
     void receive(const withdraw&);
     void receive(const acknowledge&);
     void receive(const subscribe&);
+    void receive(const claim_query&);
     // Answers of sidecars are never addressed to a sidecar.
     template <typename Other>
     void receive(const Other&) { }
@@ -73,6 +74,7 @@
     void publishReportOnSharpChange();
     void stopWhenDrained();
     bool hasUnacknowledgedAnswers() const;
+    claim_status claimStatusOf(const attempt_record&) const;
     attempt_record* findRunning(run_id);
     answer_header headerOf(const attempt_record&) const;
     void send(const std::string& address, peer_message);
--- /dev/null
+++ b/tests/drivers/claim_codec_test.cpp
@@ -0,0 +1,40 @@
+#include "drivers/json/claim_codec.h"
+
+#include <catch2/catch.hpp>
+
+using namespace kumquat;
+
+TEST_CASE("claim segment survives the object API")
+{
+    claim_segment segment { .writeId = "entry-a-3-1" };
+    segment.records.push_back(claim_made { "osu/k1", "r1", 5, "dwumadie", { "entry-a", "tcp://e", 3 }, "r0" });
+    segment.records.push_back(claim_finished { "osu/k1", "r1", { .status = 201, .contentType = "text/plain", .text = "ok\n" } });
+    segment.records.push_back(claim_released { "osu/k2", "r2" });
+    const auto key = claimSegmentKey(3, 42);
+    CHECK(key.starts_with(claimShardPrefix(3)));
+    CHECK(claimSegmentKey(3, 9) < claimSegmentKey(3, 10));
+    const auto decoded = decodeClaimSegment({ key, 7, encodeClaimSegment(segment) });
+    REQUIRE_FALSE(errorOf(decoded));
+    const auto& read = valueOf(decoded);
+    CHECK(read.number == 42);
+    CHECK(read.version == 7);
+    CHECK(read.contents.writeId == "entry-a-3-1");
+    REQUIRE(read.contents.records.size() == 3);
+    const auto& made = std::get<claim_made>(read.contents.records[0]);
+    CHECK(made.claimant.incarnation == 3);
+    CHECK(made.replaces == "r0");
+    const auto& finished = std::get<claim_finished>(read.contents.records[1]);
+    CHECK(finished.answer.status == 201);
+    CHECK(finished.answer.text == "ok\n");
+    CHECK(std::get<claim_released>(read.contents.records[2]).requestId == "r2");
+}
+
+TEST_CASE("unreadable claim segments are errors that name the object")
+{
+    for (const auto* text : { "", "[]", "{\"write_id\":\"x\"}", "{\"write_id\":\"x\",\"written_at_ms\":1,\"records\":[{}]}" }) {
+        const auto decoded = decodeClaimSegment({ "claims/00/1", 1, text });
+        REQUIRE(errorOf(decoded));
+        CHECK(errorOf(decoded)->message.find("claims/00/1") != std::string::npos);
+    }
+    CHECK(errorOf(decodeClaimSegment({ "claims/00/x", 1, "{\"write_id\":\"x\",\"written_at_ms\":1,\"records\":[]}" })));
+}
--- /dev/null
+++ b/tests/servers/claim_reducer_test.cpp
@@ -0,0 +1,272 @@
+#include "tests/support/claim_site.h"
+
+#include <catch2/catch.hpp>
+#include <random>
+
+using namespace kumquat;
+using namespace std::chrono_literals;
+using kumquat_test::claim_site;
+using kumquat_test::store_fault;
+
+namespace {
+
+const kept_answer pass { .contentType = "application/json", .text = "{\"pass\":1}" };
+
+} // namespace
+
+TEST_CASE("claim is granted once its segment is in the object API, and not before")
+{
+    claim_site site(1);
+    const auto id = site.want(0, "osu/k1");
+    CHECK(site.granted() == 0);
+    site.execute(0);
+    CHECK(site.granted() == 0);
+    site.execute(0);
+    CHECK(site.isGranted(0, id));
+}
+
+TEST_CASE("claims that arrive during a write are committed together by the next one")
+{
+    claim_site site(1);
+    site.want(0, "osu/k0");
+    site.execute(0);
+    for (int number = 1; number <= 50; ++number)
+        site.want(0, "osu/k" + std::to_string(number));
+    site.run(100ms);
+    CHECK(site.granted() == 51);
+    CHECK(site.writes() == 2);
+}
+
+TEST_CASE("two entries race for one key and one of them is granted")
+{
+    claim_site site(2);
+    const auto first = site.want(0, "osu/k1");
+    const auto second = site.want(1, "osu/k1");
+    site.run(500ms);
+    CHECK(site.granted() == 1);
+    CHECK(site.denialOf(site.isGranted(0, first) ? 1 : 0, site.isGranted(0, first) ? second : first) == "in_progress ran unknown");
+}
+
+TEST_CASE("a repeat gets the stored answer through any entry, and another body an error")
+{
+    claim_site site(2);
+    const auto first = site.want(0, "osu/k1");
+    site.run(100ms);
+    site.step(0, claimed_request_finished { first, pass });
+    site.run(100ms);
+    CHECK(site.at(0).reducer->unstoredAnswers() == 0);
+    site.want(0, "osu/k1");
+    site.want(1, "osu/k1");
+    const auto other = site.want(1, "osu/k1", 2);
+    site.run(200ms);
+    CHECK(site.granted() == 1);
+    for (int index : { 0, 1 }) {
+        REQUIRE(site.seen<claim_answered>(index).size() == 1);
+        CHECK(site.seen<claim_answered>(index)[0].answer.text == pass.text);
+    }
+    CHECK(site.denialOf(1, other) == "key_reused ran no");
+}
+
+TEST_CASE("a lost answer is resolved by reading back")
+{
+    claim_site site(1);
+    const auto id = site.want(0, "osu/k1");
+    site.execute(0);
+    const bool tookEffect = GENERATE(true, false);
+    site.execute(0, tookEffect ? store_fault::lose_answer : store_fault::lose_call);
+    CHECK_FALSE(site.isGranted(0, id));
+    site.run(200ms);
+    CHECK(site.isGranted(0, id));
+    CHECK(site.writes() == (tookEffect ? 1U : 2U));
+}
+
+TEST_CASE("object API down: refused at once, certainly not run, and recovered afterwards")
+{
+    claim_site site(1);
+    const auto first = site.want(0, "osu/k1");
+    site.execute(0, store_fault::lose_call);
+    CHECK(site.denialOf(0, first) == "claim_unavailable ran no");
+    const auto second = site.want(0, "osu/k1");
+    CHECK(site.denialOf(0, second) == "claim_unavailable ran no");
+    site.run(300ms);
+    const auto third = site.want(0, "osu/k1");
+    site.run(100ms);
+    CHECK(site.isGranted(0, third));
+    CHECK(site.granted() == 1);
+}
+
+TEST_CASE("object API slow: a claim that lands after its request was refused is never granted and does not block the key")
+{
+    claim_site site(2);
+    const auto first = site.want(0, "osu/k1");
+    site.execute(0);
+    site.now += 1001ms;
+    site.step(0, claim_timer_due {});
+    CHECK(site.denialOf(0, first) == "claim_unavailable ran no");
+    const int repeatAt = GENERATE(0, 1);
+    site.execute(0, store_fault::lose_answer);
+    const auto second = site.want(repeatAt, "osu/k1", 2);
+    site.run(500ms);
+    CHECK_FALSE(site.isGranted(0, first));
+    CHECK(site.isGranted(repeatAt, second));
+}
+
+TEST_CASE("an answer that arrives after the claim's deadline grants nothing, even before the timer has run")
+{
+    claim_site site(1);
+    const auto id = site.want(0, "osu/k1");
+    site.execute(0);
+    site.now += 1001ms;
+    site.execute(0);
+    CHECK_FALSE(site.isGranted(0, id));
+    CHECK(site.denialOf(0, id) == "claim_unavailable ran no");
+}
+
+TEST_CASE("a write that lands late behind another one's segment is met and asked about")
+{
+    claim_site site(2);
+    const auto first = site.want(0, "osu/k1");
+    site.execute(0);
+    site.execute(0, store_fault::land_late);
+    site.execute(0, store_fault::lose_call);
+    CHECK(site.denialOf(0, first) == "claim_unavailable ran no");
+    const auto second = site.want(1, "osu/k1");
+    site.execute(1);
+    site.landLateWrites();
+    site.run(500ms);
+    CHECK(site.isGranted(1, second));
+    CHECK(site.granted() == 1);
+}
+
+TEST_CASE("the claimant is gone: the sidecars are asked, and without them the outcome stays unknown")
+{
+    claim_site site(2);
+    const auto first = site.want(0, "osu/k1");
+    site.run(100ms);
+    REQUIRE(site.isGranted(0, first));
+    const bool isReplaced = GENERATE(true, false);
+    if (isReplaced)
+        site.start(0, 2);
+    site.at(0).reachable = isReplaced;
+    const auto second = site.want(1, "osu/k1");
+    site.run(1s);
+    REQUIRE(site.seen<ask_sidecars>(1).size() == 1);
+    CHECK(site.seen<ask_sidecars>(1)[0].query.requestId == first);
+    CHECK(site.denialOf(1, second) == "outcome_unknown ran unknown");
+    site.want(1, "osu/k1");
+    for (int tries = 0; tries < 100 && site.seen<ask_sidecars>(1).size() < 2; ++tries)
+        site.run(10ms);
+    site.step(1, claim_peer_received { claim_status { first, claim_state::finished, pass } });
+    site.run(100ms);
+    REQUIRE(site.seen<claim_answered>(1).size() == 1);
+    // The answer is in the object API now, so nobody is asked again.
+    site.start(1, 2);
+    site.want(1, "osu/k1");
+    site.run(100ms);
+    CHECK(site.seen<claim_answered>(1).size() == 1);
+    CHECK(site.seen<ask_sidecars>(1).empty());
+}
+
+TEST_CASE("a granted request that certainly did not run frees its key, one that may have run does not")
+{
+    claim_site site(1);
+    const auto first = site.want(0, "osu/k1");
+    site.run(100ms);
+    const bool mayHaveRun = GENERATE(true, false);
+    site.step(0, claimed_request_failed { first, mayHaveRun });
+    site.run(100ms);
+    const auto second = site.want(0, "osu/k1");
+    site.run(500ms);
+    CHECK(site.isGranted(0, second) == !mayHaveRun);
+    if (mayHaveRun)
+        CHECK(site.denialOf(0, second) == "outcome_unknown ran unknown");
+}
+
+TEST_CASE("an answer above the limit is not kept, but the run is")
+{
+    claim_site site(1, { .shards = 1, .answerLimitBytes = 4 });
+    const auto first = site.want(0, "osu/k1");
+    site.run(100ms);
+    site.step(0, claimed_request_finished { first, pass });
+    site.run(100ms);
+    const auto second = site.want(0, "osu/k1");
+    site.run(100ms);
+    CHECK(site.denialOf(0, second) == "answer_not_kept ran yes");
+}
+
+TEST_CASE("keys and segments are forgotten after the retention, and the numbers go on")
+{
+    claim_site site(1, { .shards = 1, .retention = 1min });
+    for (int number = 0; number < 20; ++number) {
+        site.want(0, "osu/k" + std::to_string(number));
+        site.run(50ms);
+    }
+    CHECK(site.segments() == 20);
+    site.run(61s);
+    CHECK(site.at(0).reducer->keyCount() == 0);
+    for (int number = 0; number < 20; ++number) {
+        site.want(0, "osu/k" + std::to_string(number));
+        site.run(50ms);
+    }
+    CHECK(site.granted() == 40);
+    CHECK(site.segments() <= 21);
+}
+
+TEST_CASE("an entry that slept through the retention reads the journal anew before it writes")
+{
+    claim_site site(2, { .shards = 1, .retention = 1min });
+    site.want(1, "osu/k0");
+    site.run(50ms);
+    site.now += 50s;
+    site.want(0, "osu/k1");
+    site.run(100ms);
+    site.now += 30s;
+    site.want(0, "osu/k2");
+    site.run(100ms);
+    // Entry 1 last saw the journal 80 s ago; the number that it would use has been taken by the claim of k1.
+    site.want(1, "osu/k1");
+    site.run(500ms);
+    CHECK(site.granted() == 3);
+}
+
+TEST_CASE("whatever the object API loses or delays, a key is granted to one request at a time")
+{
+    std::mt19937_64 random(GENERATE(range(1, 41)));
+    const auto draw = [&](int limit) { return static_cast<int>(random() % static_cast<unsigned>(limit)); };
+    claim_site site(3);
+    std::map<std::string, std::string> holders;
+    std::map<int, std::size_t> grantsSeen;
+    std::uint64_t incarnation = 1;
+    std::size_t grants = 0;
+    for (int round = 0; round < 400; ++round) {
+        const int index = draw(3);
+        if (draw(3) == 0)
+            site.want(index, "osu/k" + std::to_string(draw(3)));
+        while (!site.at(index).calls.empty() && draw(4) > 0)
+            site.execute(index, static_cast<store_fault>(std::max(0, draw(7) - 3)));
+        if (draw(10) == 0)
+            site.landLateWrites();
+        if (draw(40) == 0) {
+            site.start(index, ++incarnation);
+            grantsSeen[index] = 0;
+        }
+        site.now += std::chrono::milliseconds(draw(100));
+        site.step(index, claim_timer_due {});
+        for (int entry = 0; entry < 3; ++entry) {
+            const auto granted = site.seen<claim_granted>(entry);
+            for (; grantsSeen[entry] < granted.size(); ++grantsSeen[entry]) {
+                const auto& id = granted[grantsSeen[entry]].requestId;
+                CHECK(site.denialOf(entry, id).empty());
+                grants++;
+                // Half of the requests may have run and hold their key for ever.
+                const auto made = site.keyOf(id);
+                CHECK_FALSE(holders.contains(made));
+                if (draw(2) == 0)
+                    holders[made] = id;
+                else
+                    site.step(entry, claimed_request_failed { id, false });
+            }
+        }
+    }
+    CHECK(grants > 0);
+}
--- a/tests/servers/entry_reducer_test.cpp
+++ b/tests/servers/entry_reducer_test.cpp
@@ -49,13 +49,14 @@
 
     entry_effects receive(peer_message message) { return step(entry_peer_received { std::move(message) }); }
 
-    entry_effects ask(const std::string& path = "/v1/chat/completions")
+    entry_effects ask(const std::string& path = "/v1/chat/completions", const std::string& key = "")
     {
         caller_request request;
         request.method = "POST";
         request.path = path;
         request.keyDigest = "key-osu";
         request.body = "{}";
+        request.idempotencyKey = key;
         request.completion = completion_summary { .model = "kasa-8b", .streaming = true };
         request.format = path.starts_with("/v1/") ? answer_format::chat_stream : answer_format::raw;
         return step(caller_arrived { nextChannel++, request });
@@ -192,3 +193,39 @@
     CHECK(only<stop_entry>(listening).empty());
     CHECK(only<stop_entry>(fixture.receive(offer_finished { .header = header, .chunkCount = 0 })).size() == 1);
 }
+
+TEST_CASE("entry dispatches a not-repeatable request with a key only when its claim is granted")
+{
+    entry_fixture fixture;
+    const auto arrived = fixture.ask("/services/dwumadie/passes", "k1");
+    CHECK(offersIn(arrived).empty());
+    const auto list = std::get<list_claim_segments>(only<claim_store_call>(arrived).at(0));
+    const auto listed = fixture.step(entry_claim_answered { claim_segments_listed { list.shard, std::vector<numbered_segment> {} } });
+    CHECK(offersIn(listed).empty());
+    const auto write = std::get<write_claim_segment>(only<claim_store_call>(listed).at(0));
+    const auto granted = fixture.step(entry_claim_answered { claim_segment_written { write.shard, write.number, claim_write_outcome::written, 1 } });
+    REQUIRE(offersIn(granted).size() == 1);
+    // The answer is wanted for repeats, so a caller that leaves does not end the run.
+    CHECK(only<send_to_sidecar>(fixture.step(caller_gone { 1 })).empty());
+    const auto header = headerFor(granted);
+    fixture.receive(output_chunk { header, 0, 0, "ok" });
+    fixture.now += 1s;
+    const auto finished = fixture.receive(offer_finished { .header = header, .chunkCount = 1 });
+    const auto outcome = std::get<write_claim_segment>(only<claim_store_call>(finished).at(0));
+    CHECK(std::get<claim_finished>(outcome.contents.records.at(0)).answer.text == "ok");
+    const auto repeated = fixture.ask("/services/dwumadie/passes", "k1");
+    CHECK(offersIn(repeated).empty());
+    CHECK(textOf(repeated) == "ok");
+}
+
+TEST_CASE("entry refuses a not-repeatable request with a key when the object API is down")
+{
+    entry_fixture fixture;
+    const auto list = std::get<list_claim_segments>(only<claim_store_call>(fixture.ask("/services/dwumadie/passes", "k1")).at(0));
+    const auto refused = fixture.step(entry_claim_answered { claim_segments_listed { list.shard, error { "down" } } });
+    REQUIRE(only<fail_answer>(refused).size() == 1);
+    CHECK(only<fail_answer>(refused)[0].error.code == error_code::claim_unavailable);
+    CHECK(only<fail_answer>(refused)[0].error.ran == ran_state::no);
+    // A request without a key needs no claim.
+    CHECK(offersIn(fixture.ask("/services/dwumadie/passes")).size() == 1);
+}
--- a/tests/servers/sidecar_reducer_test.cpp
+++ b/tests/servers/sidecar_reducer_test.cpp
@@ -169,3 +169,27 @@
     CHECK(only<cancel_run>(effects).size() == 1);
     CHECK(fixture.reducer.runningCount() == 1);
 }
+
+TEST_CASE("sidecar keeps the answer of not-repeatable work for claim queries after its entry died")
+{
+    sidecar_fixture fixture;
+    auto request = fixture.makeOffer("r1");
+    request.repeatable = false;
+    const auto run = only<start_run>(fixture.receive(request)).at(0).run;
+    const claim_query query { { "entry-b", "tcp://b", 4 }, "r1" };
+    const auto during = sent<claim_status>(fixture.receive(query));
+    REQUIRE(during.size() == 1);
+    CHECK(during[0].state == claim_state::in_progress);
+    fixture.step(run_output { run, "{}", 0 });
+    fixture.step(run_finished { run });
+    fixture.now += 60s;
+    fixture.step(timer_due {});
+    const bool wasAcknowledged = GENERATE(true, false);
+    if (wasAcknowledged)
+        fixture.receive(acknowledge { request.attempt, 7 });
+    const auto after = sent<claim_status>(fixture.receive(query));
+    REQUIRE(after.size() == 1);
+    CHECK(after[0].state == claim_state::finished);
+    CHECK(after[0].answer.text == "{}");
+    CHECK(sent<claim_status>(fixture.receive(claim_query { query.from, "r2" })).empty());
+}
