--- a/servers/sidecar/attempt_record.h
+++ b/servers/sidecar/attempt_record.h
@@ -63,6 +63,8 @@
     std::string contentType;
     std::vector<kept_chunk> chunks;
     std::uint32_t producedTokens = 0;
+    // The entry has the whole answer; that of not-repeatable work is kept for claim queries all the same.
+    bool acknowledged = false;
     // Where the attempt is counted in the load, and the expected tokens that still count there.
     load_stage counted = load_stage::none;
     std::uint32_t remainingTokens = 0;
