--- /dev/null
+++ b/core/held_document.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "core/document_index.h"
+#include "core/document_version.h"
+
+#include <memory>
+#include <string>
+
+namespace kumquat {
+
+// A checked document together with the canonical text in which it travels between nodes.
+struct held_document {
+    document_version version;
+    document_ptr contents;
+    std::string text;
+    // Empty for a document that was read from a file and never published.
+    std::string submissionId;
+};
+
+using held_document_ptr = std::shared_ptr<const held_document>;
+
+} // namespace kumquat
--- a/core/peer_message.h
+++ b/core/peer_message.h
@@ -3,6 +3,7 @@
 #include "core/caller_error.h"
 #include "core/clock.h"
 #include "core/document.h"
+#include "core/document_version.h"
 
 #include <chrono>
 #include <cstdint>
@@ -80,7 +81,9 @@
 // Asks for reports and proves that the entry lives.
 struct subscribe {
     peer_identity from;
+    // Version of the document that the entry has in force.
     std::uint64_t generation = 0;
+    std::uint64_t documentHash = 0;
 };
 
 // Common part of a sidecar's answers about one attempt.
@@ -162,7 +165,9 @@
     peer_identity from;
     std::string service;
     std::string dataCentre;
+    // Version of the document that the sidecar has in force.
     std::uint64_t generation = 0;
+    std::uint64_t documentHash = 0;
     bool leaving = false;
     bool healthy = true;
     std::uint32_t slots = 0;
@@ -176,6 +181,35 @@
     std::vector<std::uint64_t> refusedFingerprints;
 };
 
-using peer_message = std::variant<offer, withdraw, acknowledge, subscribe, offer_refused, offer_queued, offer_started, output_chunk, offer_finished, offer_failed, offer_withdrawn, wrong_incarnation, report>;
+// Changes one version of the document into the next.
+struct document_step {
+    document_version from;
+    document_version to;
+    // JSON patch (RFC 6902) between the canonical texts.
+    std::string patch;
+};
+
+// States the sender's version of the document. A receiver that is ahead answers with what the sender lacks; a receiver
+// that is behind asks in return. Always answered, so it also proves that the receiver lives.
+struct document_request {
+    peer_identity from;
+    document_version version;
+};
+
+// Consecutive steps that lead to the sender's version; no steps when the receiver has that version already.
+struct document_difference {
+    peer_identity from;
+    document_version version;
+    std::vector<document_step> steps;
+};
+
+// The whole canonical text, for a receiver to which no kept step applies.
+struct document_whole {
+    peer_identity from;
+    document_version version;
+    std::string text;
+};
+
+using peer_message = std::variant<offer, withdraw, acknowledge, subscribe, offer_refused, offer_queued, offer_started, output_chunk, offer_finished, offer_failed, offer_withdrawn, wrong_incarnation, report, document_request, document_difference, document_whole>;
 
 } // namespace kumquat
--- /dev/null
+++ b/drivers/json/document_text.cpp
@@ -0,0 +1,160 @@
+#include "drivers/json/document_text.h"
+
+#include "drivers/json/document_codec.h"
+#include "drivers/openssl/digest.h"
+
+#include <nlohmann/json.hpp>
+
+namespace kumquat {
+
+namespace {
+
+    using nlohmann::json;
+
+    constexpr const char* namedLists[] = { "tiers", "classes", "services", "organisations" };
+    constexpr std::size_t hashDigits = 16;
+
+    json toKeyed(json contents)
+    {
+        for (const char* name : namedLists) {
+            if (!contents.contains(name))
+                continue;
+            json items = json::object();
+            for (auto& item : contents.at(name)) {
+                const std::string key = item.at("name");
+                item.erase("name");
+                items[key] = std::move(item);
+            }
+            contents[name] = std::move(items);
+        }
+        return contents;
+    }
+
+    json fromKeyed(json contents)
+    {
+        for (const char* name : namedLists) {
+            if (!contents.contains(name))
+                continue;
+            json items = json::array();
+            for (auto& [key, item] : contents.at(name).items()) {
+                item["name"] = key;
+                items.push_back(std::move(item));
+            }
+            contents[name] = std::move(items);
+        }
+        return contents;
+    }
+
+    std::uint64_t hashOf(const std::string& text)
+    {
+        return std::stoull(sha256Hex(text).substr(0, hashDigits), nullptr, 16);
+    }
+
+    // A bare document counts as a publication that nobody has submitted.
+    json asPublication(json root)
+    {
+        if (root.is_object() && root.contains("document"))
+            return root;
+        const auto generation = root.is_object() ? root.value("generation", json(1)) : json(1);
+        return { { "generation", generation }, { "document", std::move(root) } };
+    }
+
+    std::optional<error> checkPublication(const std::string& source, const json& root)
+    {
+        if (!root.at("document").is_object())
+            return error { source + ": at /document: no JSON object" };
+        if (!root.contains("generation") || !root.at("generation").is_number_unsigned() || root.at("generation") == json(0U))
+            return error { source + ": at /generation: no number above 0" };
+        for (const char* name : { "submission_id", "operator" }) {
+            if (root.contains(name) && !root.at(name).is_string())
+                return error { source + ": at /" + std::string(name) + ": no string" };
+        }
+        if (root.contains("history") && !root.at("history").is_object())
+            return error { source + ": at /history: no JSON object" };
+        return std::nullopt;
+    }
+
+    // The publication's document has its lists as arrays.
+    result<held_document_ptr> openPublication(const std::string& source, json root)
+    {
+        if (const auto failure = checkPublication(source, root))
+            return *failure;
+        root["document"]["generation"] = root.at("generation");
+        auto parsed = parseDocument(source, root.at("document").dump());
+        if (const auto* failure = errorOf(parsed))
+            return *failure;
+        root["document"].erase("generation");
+        auto held = std::make_shared<held_document>();
+        held->submissionId = root.value("submission_id", "");
+        root["document"] = toKeyed(std::move(root["document"]));
+        held->text = root.dump();
+        held->version = { root.at("generation").get<std::uint64_t>(), hashOf(held->text) };
+        held->contents = std::make_shared<const document_index>(std::move(valueOf(parsed)));
+        return held_document_ptr(std::move(held));
+    }
+
+    result<held_document_ptr> openKeyed(json root)
+    {
+        if (!root.is_object() || !root.contains("document") || !root.at("document").is_object())
+            return error { "a peer's document has no object 'document'" };
+        root["document"] = fromKeyed(std::move(root["document"]));
+        return openPublication("a peer's document", std::move(root));
+    }
+
+    error cannotRead(const std::string& source, const json::exception& failure)
+    {
+        return { source + ": " + failure.what() };
+    }
+
+} // namespace
+
+result<held_document_ptr> openPublishedDocument(const std::string& source, const std::string& text)
+{
+    try {
+        return openPublication(source, asPublication(json::parse(text)));
+    } catch (const json::exception& failure) {
+        return cannotRead(source, failure);
+    }
+}
+
+result<held_document_ptr> openCanonicalDocument(const std::string& text)
+{
+    try {
+        return openKeyed(json::parse(text));
+    } catch (const json::exception& failure) {
+        return cannotRead("a peer's document", failure);
+    }
+}
+
+result<held_document_ptr> applyDocumentSteps(const held_document& base, const std::vector<document_step>& steps)
+{
+    try {
+        json root = json::parse(base.text);
+        auto version = base.version;
+        for (const auto& step : steps) {
+            if (step.from != version)
+                return error { "a step to generation " + std::to_string(step.to.generation) + " does not continue generation " + std::to_string(version.generation) };
+            root = root.patch(json::parse(step.patch));
+            version = step.to;
+            if (hashOf(root.dump()) != version.hash)
+                return error { "the step to generation " + std::to_string(version.generation) + " leads to another text than announced" };
+        }
+        return openKeyed(std::move(root));
+    } catch (const json::exception& failure) {
+        return cannotRead("a peer's difference", failure);
+    }
+}
+
+document_step makeDocumentStep(const held_document& from, const held_document& to)
+{
+    return { from.version, to.version, json::diff(json::parse(from.text), json::parse(to.text)).dump() };
+}
+
+std::string formatPublication(const held_document& held)
+{
+    json root = json::parse(held.text);
+    root["document"] = fromKeyed(std::move(root["document"]));
+    return root.dump();
+}
+
+} // namespace kumquat
--- /dev/null
+++ b/drivers/json/document_text.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "core/held_document.h"
+#include "core/peer_message.h"
+#include "core/result.h"
+
+#include <string>
+#include <vector>
+
+namespace kumquat {
+
+// The canonical text of a document is its publication with named lists written as objects, so that a patch between two
+// texts stays small when an item is added or removed in the middle of a list. Equal publications have equal texts.
+
+// Reads what operators and the store hold: a publication, or a bare document.
+result<held_document_ptr> openPublishedDocument(const std::string& source, const std::string& text);
+
+// Reads a canonical text from a peer.
+result<held_document_ptr> openCanonicalDocument(const std::string& text);
+
+// Applies consecutive steps and verifies the version before and after each.
+result<held_document_ptr> applyDocumentSteps(const held_document& base, const std::vector<document_step>& steps);
+
+document_step makeDocumentStep(const held_document& from, const held_document& to);
+
+// Writes the publication in the form that the store holds.
+std::string formatPublication(const held_document&);
+
+} // namespace kumquat
--- a/drivers/json/dump_codec.cpp
+++ b/drivers/json/dump_codec.cpp
@@ -65,7 +65,7 @@
 
 std::string dumpEntry(const entry_reducer& reducer, instant now)
 {
-    json root = { { "version", dumpVersion }, { "role", "entry" }, { "id", reducer.options().id }, { "data_centre", reducer.options().dataCentre }, { "incarnation", std::to_string(reducer.options().incarnation) }, { "generation", reducer.generation() }, { "draining", reducer.draining() }, { "requests", json::array() }, { "upstreams", json::array() } };
+    json root = { { "version", dumpVersion }, { "role", "entry" }, { "id", reducer.options().id }, { "data_centre", reducer.options().dataCentre }, { "incarnation", std::to_string(reducer.options().incarnation) }, { "generation", reducer.generation() }, { "document_hash", std::to_string(reducer.keeper().version().hash) }, { "watches_store", reducer.keeper().watching() }, { "draining", reducer.draining() }, { "requests", json::array() }, { "upstreams", json::array() } };
     for (const auto& [id, record] : reducer.requests())
         root["requests"].push_back(dumpRequest(record, now));
     for (const auto& [id, upstream] : reducer.upstreams().all())
@@ -76,7 +76,7 @@
 std::string dumpSidecar(const sidecar_reducer& reducer, instant now)
 {
     const auto& options = reducer.options();
-    json root = { { "version", dumpVersion }, { "role", "sidecar" }, { "id", options.id }, { "data_centre", options.dataCentre }, { "service", options.service }, { "incarnation", std::to_string(options.incarnation) }, { "generation", reducer.generation() }, { "leaving", reducer.leaving() }, { "healthy", reducer.healthy() }, { "slots", options.slots }, { "running", reducer.runningCount() }, { "queued", reducer.queuedCount() }, { "attempts", json::array() } };
+    json root = { { "version", dumpVersion }, { "role", "sidecar" }, { "id", options.id }, { "data_centre", options.dataCentre }, { "service", options.service }, { "incarnation", std::to_string(options.incarnation) }, { "generation", reducer.generation() }, { "document_hash", std::to_string(reducer.keeper().version().hash) }, { "leaving", reducer.leaving() }, { "healthy", reducer.healthy() }, { "slots", options.slots }, { "running", reducer.runningCount() }, { "queued", reducer.queuedCount() }, { "attempts", json::array() } };
     for (const auto& [id, record] : reducer.attempts())
         root["attempts"].push_back(dumpAttempt(record, now));
     return root.dump(2, ' ', false, json::error_handler_t::replace);
--- a/drivers/json/peer_codec.cpp
+++ b/drivers/json/peer_codec.cpp
@@ -23,7 +23,7 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(offer, from, attempt, sidecarIncarnation, tierRank, className, organisation, timeLeft, expectedTokens, fingerprint, repeatable, suspect, streaming, nextChunk, deliveredPrefix, deliveredTokens, job)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(withdraw, from, attempt, sidecarIncarnation)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(acknowledge, attempt, sidecarIncarnation)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(subscribe, from, generation)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(subscribe, from, generation, documentHash)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(answer_header, attempt, sidecarId, sidecarIncarnation)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(offer_refused, header, reason, message, retryAfter)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(offer_queued, header, position)
@@ -34,7 +34,12 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(offer_withdrawn, header, started)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(wrong_incarnation, header, namedIncarnation)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(tier_load, rank, running, queued, expectedTokens)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(report, from, service, dataCentre, generation, leaving, healthy, slots, freeSlots, tokensPerSecond, tiers, suspects, refusedFingerprints)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(report, from, service, dataCentre, generation, documentHash, leaving, healthy, slots, freeSlots, tokensPerSecond, tiers, suspects, refusedFingerprints)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(document_version, generation, hash)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(document_step, from, to, patch)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(document_request, from, version)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(document_difference, from, version, steps)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(document_whole, from, version, text)
 
 namespace {
 
--- a/drivers/json/settings_codec.cpp
+++ b/drivers/json/settings_codec.cpp
@@ -76,6 +76,7 @@
     readMilliseconds(root, "report_timeout_ms", options.reportTimeout);
     readMilliseconds(root, "resend_interval_ms", options.resendInterval);
     readMilliseconds(root, "drain_grace_ms", options.drainGrace);
+    options.documentPeers = root.value("document_peers", options.documentPeers);
     readMilliseconds(root, "drain_limit_ms", options.drainLimit);
     for (const auto& item : root.value("upstreams", json::array())) {
         settings.upstreams.push_back({ .id = item.at("id"),
@@ -95,8 +96,6 @@
     const auto& root = valueOf(parsed);
     sidecar_settings settings;
     settings.common = readCommon(root);
-    if (const auto failure = checkSources(source, settings.common))
-        return *failure;
     settings.bodyLimitBytes = root.value("body_limit_bytes", settings.bodyLimitBytes);
     const auto& upstream = root.at("upstream");
     settings.upstream = readListen(upstream);
@@ -111,6 +110,7 @@
     readMilliseconds(root, "report_interval_ms", options.reportInterval);
     readMilliseconds(root, "entry_timeout_ms", options.entryTimeout);
     readMilliseconds(root, "tombstone_retention_ms", options.tombstoneRetention);
+    options.documentPeers = root.value("document_peers", options.documentPeers);
     readMilliseconds(root, "drain_limit_ms", options.drainLimit);
     return settings;
 }
--- /dev/null
+++ b/servers/config/document_keeper.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "core/clock.h"
+#include "servers/config/keeper_effect.h"
+#include "servers/config/keeper_event.h"
+#include "servers/config/keeper_options.h"
+#include "servers/config/step_journal.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace kumquat {
+
+// Keeps the document in force on one node: it never returns to a smaller version, learns of greater ones from the store
+// (on the few nodes that watch it) or from peers, and helps peers that are behind. Both reducers contain one.
+class document_keeper {
+public:
+    explicit document_keeper(keeper_options);
+
+    // Applies one event and appends what has to be done about it.
+    void step(const keeper_event&, instant now, keeper_effects&);
+
+    // Returns when the next keeper_timer_due event is wanted, or nothing.
+    std::optional<instant> nextDeadline() const;
+
+    document_version version() const;
+    const held_document_ptr& held() const { return m_held; }
+    bool watching() const { return m_watching; }
+
+private:
+    // A request that waits for its answer.
+    struct pending_request {
+        std::string peer;
+        instant expiresAt;
+    };
+
+    void handle(const document_opened&);
+    void handle(const document_rejected&);
+    void handle(const store_document_read&);
+    void handle(const step_made&);
+    void handle(const peer_version_seen&);
+    void handle(const document_request&);
+    void handle(const document_difference&);
+    void handle(const document_whole&);
+    void handle(const keeper_peers_listed&);
+    void handle(const keeper_timer_due&);
+
+    void adopt(const held_document_ptr&);
+    void assemble(assemble_document);
+    void requestFrom(const peer_identity&);
+    void answerPeer(const peer_identity&, const document_version& theirs);
+    void pushStep(const document_step&);
+    void heardFrom(const std::string& peer);
+    void updateRole();
+    void pollWatcher();
+    void askBootstrapPeer();
+    void suspectSilentWatcher();
+    void repairStore();
+    std::set<std::string> suspects() const;
+    std::vector<instance> pushTargets() const;
+    void send(const std::string& address, peer_message);
+    void log(log_level, std::string name, std::vector<std::pair<std::string, std::string>> fields);
+
+    keeper_options m_options;
+    held_document_ptr m_held;
+    step_journal m_journal;
+    std::vector<instance> m_entries;
+    std::vector<instance> m_watchers;
+    bool m_watching = false;
+    bool m_assembling = false;
+    std::optional<pending_request> m_request;
+    std::optional<pending_request> m_poll;
+    std::optional<instant> m_nextPoll;
+    std::size_t m_pollCount = 0;
+    std::size_t m_bootstrapCount = 0;
+    std::map<std::string, instant> m_suspectedUntil;
+    // Version of the store's object while its document is older than the one in force.
+    std::optional<std::uint64_t> m_staleStoreVersion;
+    std::optional<instant> m_nextRepair;
+
+    // Valid during step() only.
+    instant m_now;
+    keeper_effects* m_effects = nullptr;
+};
+
+} // namespace kumquat
--- a/servers/entry/entry_effect.h
+++ b/servers/entry/entry_effect.h
@@ -5,6 +5,7 @@
 #include "core/log_event.h"
 #include "core/metric.h"
 #include "core/peer_message.h"
+#include "servers/config/keeper_effect.h"
 #include "servers/entry/entry_event.h"
 
 #include <string>
@@ -54,7 +55,7 @@
 // Ends the process with exit code 0.
 struct stop_entry { };
 
-using entry_effect = std::variant<send_to_sidecar, begin_answer, append_answer, finish_answer, fail_answer, stop_listening, stop_entry, log_event, count_metric, gauge_metric, observe_metric>;
+using entry_effect = std::variant<send_to_sidecar, begin_answer, append_answer, finish_answer, fail_answer, stop_listening, stop_entry, log_event, count_metric, gauge_metric, observe_metric, assemble_document, make_step, watch_store, repair_store>;
 using entry_effects = std::vector<entry_effect>;
 
 } // namespace kumquat
--- a/servers/entry/entry_event.h
+++ b/servers/entry/entry_event.h
@@ -4,6 +4,7 @@
 #include "core/document_index.h"
 #include "core/instance.h"
 #include "core/peer_message.h"
+#include "servers/config/keeper_event.h"
 
 #include <cstdint>
 #include <variant>
@@ -42,6 +43,11 @@
 
 struct entry_timer_due { };
 
-using entry_event = std::variant<caller_arrived, caller_gone, entry_peer_received, entry_document_received, instances_listed, entry_drain_requested, entry_timer_due>;
+// News for the document keeper.
+struct entry_keeper_event {
+    keeper_event event;
+};
+
+using entry_event = std::variant<caller_arrived, caller_gone, entry_peer_received, entry_document_received, instances_listed, entry_drain_requested, entry_timer_due, entry_keeper_event>;
 
 } // namespace kumquat
--- a/servers/entry/entry_options.h
+++ b/servers/entry/entry_options.h
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace kumquat {
 
@@ -29,6 +30,8 @@
     std::chrono::milliseconds drainLimit { 600000 };
     std::uint64_t seed = 1;
     routing_policy policy;
+    // Peers that are asked for the document while this entry has none.
+    std::vector<std::string> documentPeers;
 };
 
 } // namespace kumquat
--- a/servers/entry/entry_reducer.cpp
+++ b/servers/entry/entry_reducer.cpp
@@ -1,6 +1,7 @@
 #include "servers/entry/entry_reducer.h"
 
 #include "core/hash.h"
+#include "core/overloaded.h"
 #include "servers/entry/classifier.h"
 #include "servers/entry/upstream_selector.h"
 
@@ -35,6 +36,7 @@
 
 entry_reducer::entry_reducer(entry_options options)
     : m_options(std::move(options))
+    , m_keeper({ .self = { m_options.id, m_options.address, m_options.incarnation }, .dataCentre = m_options.dataCentre, .mayWatch = true, .bootstrapPeers = m_options.documentPeers })
     , m_directory(m_options.reportTimeout)
 {
 }
@@ -51,7 +53,7 @@
 std::optional<instant> entry_reducer::nextDeadline() const
 {
     std::optional<instant> next;
-    for (const auto& candidate : { m_timers.nextDeadline(), m_nextSubscribe, m_listenDeadline, m_drainDeadline }) {
+    for (const auto& candidate : { m_timers.nextDeadline(), m_nextSubscribe, m_listenDeadline, m_drainDeadline, m_keeper.nextDeadline() }) {
         if (candidate && (!next || *candidate < *next))
             next = candidate;
     }
@@ -309,6 +311,40 @@
 void entry_reducer::receive(const report& message)
 {
     m_directory.applyReport(message, m_now);
+    stepKeeper(peer_version_seen { message.from, { message.generation, message.documentHash } });
+}
+
+void entry_reducer::receive(const document_request& message)
+{
+    stepKeeper(message);
+}
+
+void entry_reducer::receive(const document_difference& message)
+{
+    stepKeeper(message);
+}
+
+void entry_reducer::receive(const document_whole& message)
+{
+    stepKeeper(message);
+}
+
+void entry_reducer::handle(const entry_keeper_event& event)
+{
+    stepKeeper(event.event);
+}
+
+void entry_reducer::stepKeeper(const keeper_event& event)
+{
+    keeper_effects effects;
+    m_keeper.step(event, m_now, effects);
+    const auto visitor = overloaded {
+        [this](send_to_keeper& send) { m_effects->push_back(send_to_sidecar { std::move(send.address), std::move(send.message) }); },
+        [this](adopt_document& adopt) { handle(entry_document_received { adopt.document->contents }); },
+        [this](auto& other) { m_effects->push_back(std::move(other)); },
+    };
+    for (auto& effect : effects)
+        std::visit(visitor, effect);
 }
 
 void entry_reducer::attemptEnded(request_record& record)
@@ -392,7 +428,8 @@
 
 void entry_reducer::handle(const entry_document_received& event)
 {
-    if (event.contents->generation() <= generation())
+    // The keeper decides between documents of one generation.
+    if (event.contents->generation() < generation())
         return;
     m_document = event.contents;
     m_effects->push_back(log_event { log_level::info, "document_adopted", { { "generation", std::to_string(generation()) } } });
@@ -401,6 +438,7 @@
 void entry_reducer::handle(const instances_listed& event)
 {
     m_directory.applyList(event.instances);
+    stepKeeper(keeper_peers_listed { event.instances });
     subscribeToAll();
 }
 
@@ -408,7 +446,7 @@
 {
     const peer_identity self { m_options.id, m_options.address, m_options.incarnation };
     for (const auto& [id, upstream] : m_directory.all())
-        m_effects->push_back(send_to_sidecar { upstream.address, subscribe { self, generation() } });
+        m_effects->push_back(send_to_sidecar { upstream.address, subscribe { self, generation(), m_keeper.version().hash } });
     m_nextSubscribe = m_now + m_options.subscribeInterval;
 }
 
@@ -423,6 +461,7 @@
 
 void entry_reducer::handle(const entry_timer_due&)
 {
+    stepKeeper(keeper_timer_due {});
     while (const auto id = m_timers.popDue(m_now))
         onRequestTimer(m_requests.at(*id));
     if (m_nextSubscribe && *m_nextSubscribe <= m_now)
--- a/servers/entry/entry_reducer.h
+++ b/servers/entry/entry_reducer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/timer_queue.h"
+#include "servers/config/document_keeper.h"
 #include "servers/entry/entry_effect.h"
 #include "servers/entry/entry_options.h"
 #include "servers/entry/request_record.h"
@@ -28,6 +29,7 @@
     const entry_options& options() const { return m_options; }
     const std::map<std::string, request_record>& requests() const { return m_requests; }
     const upstream_directory& upstreams() const { return m_directory; }
+    const document_keeper& keeper() const { return m_keeper; }
     bool draining() const { return m_drainDeadline.has_value(); }
     std::uint64_t generation() const;
     // Whether new callers can be served.
@@ -41,6 +43,7 @@
     void handle(const instances_listed&);
     void handle(const entry_drain_requested&);
     void handle(const entry_timer_due&);
+    void handle(const entry_keeper_event&);
 
     void receive(const offer_refused&);
     void receive(const offer_queued&);
@@ -51,6 +54,9 @@
     void receive(const offer_withdrawn&);
     void receive(const wrong_incarnation&);
     void receive(const report&);
+    void receive(const document_request&);
+    void receive(const document_difference&);
+    void receive(const document_whole&);
     // Requests of entries are never addressed to an entry.
     template <typename Other>
     void receive(const Other&) { }
@@ -69,12 +75,14 @@
     void withdrawAttempt(request_record&);
     void onRequestTimer(request_record&);
     void subscribeToAll();
+    void stepKeeper(const keeper_event&);
     void stopWhenDrained();
     // Returns the request whose current attempt the answer belongs to, or null for answers of old attempts.
     request_record* findCurrent(const answer_header&);
     void log(log_level, std::string name, const request_record&, std::vector<std::pair<std::string, std::string>> more = {});
 
     entry_options m_options;
+    document_keeper m_keeper;
     document_ptr m_document;
     upstream_directory m_directory;
     std::map<std::string, request_record> m_requests;
--- a/servers/sidecar/sidecar_event.h
+++ b/servers/sidecar/sidecar_event.h
@@ -2,6 +2,7 @@
 
 #include "core/document_index.h"
 #include "core/peer_message.h"
+#include "servers/config/keeper_event.h"
 
 #include <cstdint>
 #include <string>
@@ -64,6 +65,11 @@
 // Time has reached the deadline that the reducer asked for.
 struct timer_due { };
 
-using sidecar_event = std::variant<peer_received, run_head, run_output, run_finished, run_failed, upstream_probed, document_received, drain_requested, timer_due>;
+// News for the document keeper.
+struct sidecar_keeper_event {
+    keeper_event event;
+};
+
+using sidecar_event = std::variant<peer_received, run_head, run_output, run_finished, run_failed, upstream_probed, document_received, drain_requested, timer_due, sidecar_keeper_event>;
 
 } // namespace kumquat
--- a/servers/sidecar/sidecar_options.h
+++ b/servers/sidecar/sidecar_options.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace kumquat {
 
@@ -30,6 +31,8 @@
     std::chrono::milliseconds drainLimit { 600000 };
     std::uint64_t seed = 1;
     scheduling_policy policy;
+    // Peers that are asked for the document while this sidecar has none.
+    std::vector<std::string> documentPeers;
 };
 
 } // namespace kumquat
--- a/servers/sidecar/sidecar_reducer.cpp
+++ b/servers/sidecar/sidecar_reducer.cpp
@@ -29,6 +29,7 @@
 
 sidecar_reducer::sidecar_reducer(sidecar_options options)
     : m_options(std::move(options))
+    , m_keeper({ .self = { m_options.id, m_options.address, m_options.incarnation }, .dataCentre = m_options.dataCentre, .bootstrapPeers = m_options.documentPeers })
 {
 }
 
@@ -47,6 +48,7 @@
 {
     auto next = earlier(m_queue.nextDeadline(), m_tombstones.nextDeadline());
     next = earlier(next, m_nextReport);
+    next = earlier(next, m_keeper.nextDeadline());
     return earlier(next, m_drainDeadline);
 }
 
@@ -248,6 +250,43 @@
         send(request.from.address, makeReport());
     if (!m_nextReport)
         m_nextReport = m_now + m_options.reportInterval;
+    stepKeeper(peer_version_seen { request.from, { request.generation, request.documentHash } });
+}
+
+void sidecar_reducer::receive(const document_request& message)
+{
+    stepKeeper(message);
+}
+
+void sidecar_reducer::receive(const document_difference& message)
+{
+    stepKeeper(message);
+}
+
+void sidecar_reducer::receive(const document_whole& message)
+{
+    stepKeeper(message);
+}
+
+void sidecar_reducer::handle(const sidecar_keeper_event& event)
+{
+    stepKeeper(event.event);
+}
+
+void sidecar_reducer::stepKeeper(const keeper_event& event)
+{
+    keeper_effects effects;
+    m_keeper.step(event, m_now, effects);
+    const auto visitor = overloaded {
+        [this](send_to_keeper& message) { send(message.address, std::move(message.message)); },
+        [this](adopt_document& adopt) { handle(document_received { adopt.document->contents }); },
+        // Only entries watch the store.
+        [](watch_store&) {},
+        [](repair_store&) {},
+        [this](auto& other) { m_effects->push_back(std::move(other)); },
+    };
+    for (auto& effect : effects)
+        std::visit(visitor, effect);
 }
 
 void sidecar_reducer::handle(const run_head& event)
@@ -308,7 +347,8 @@
 
 void sidecar_reducer::handle(const document_received& event)
 {
-    if (event.contents->generation() <= generation())
+    // The keeper decides between documents of one generation.
+    if (event.contents->generation() < generation())
         return;
     m_document = event.contents;
     m_effects->push_back(log_event { log_level::info, "document_adopted", { { "generation", std::to_string(generation()) } } });
@@ -328,6 +368,7 @@
 
 void sidecar_reducer::handle(const timer_due&)
 {
+    stepKeeper(keeper_timer_due {});
     for (const auto& expired : m_queue.removeExpired(m_now))
         refuse(m_attempts.at(expired.attempt), error_code::timeout, "no slot became free in time", retryAfterOverload);
     while (const auto attempt = m_tombstones.popDue(m_now))
@@ -360,6 +401,7 @@
     result.service = m_options.service;
     result.dataCentre = m_options.dataCentre;
     result.generation = generation();
+    result.documentHash = m_keeper.version().hash;
     result.leaving = m_leaving;
     result.healthy = m_healthy;
     result.slots = m_options.slots;
--- a/servers/sidecar/sidecar_reducer.h
+++ b/servers/sidecar/sidecar_reducer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/timer_queue.h"
+#include "servers/config/document_keeper.h"
 #include "servers/sidecar/admission_queue.h"
 #include "servers/sidecar/attempt_record.h"
 #include "servers/sidecar/sidecar_effect.h"
@@ -30,6 +31,7 @@
     const std::map<attempt_id, attempt_record>& attempts() const { return m_attempts; }
     std::uint32_t runningCount() const { return static_cast<std::uint32_t>(m_runs.size()); }
     std::size_t queuedCount() const { return m_queue.size(); }
+    const document_keeper& keeper() const { return m_keeper; }
     bool leaving() const { return m_leaving; }
     bool healthy() const { return m_healthy; }
     std::uint64_t generation() const;
@@ -50,11 +52,15 @@
     void handle(const document_received&);
     void handle(const drain_requested&);
     void handle(const timer_due&);
+    void handle(const sidecar_keeper_event&);
 
     void receive(const offer&);
     void receive(const withdraw&);
     void receive(const acknowledge&);
     void receive(const subscribe&);
+    void receive(const document_request&);
+    void receive(const document_difference&);
+    void receive(const document_whole&);
     // Answers of sidecars are never addressed to a sidecar.
     template <typename Other>
     void receive(const Other&) { }
@@ -71,6 +77,7 @@
     void cancelWorkOfSilentEntries();
     void publishReport();
     void publishReportOnSharpChange();
+    void stepKeeper(const keeper_event&);
     void stopWhenDrained();
     bool hasUnacknowledgedAnswers() const;
     attempt_record* findRunning(run_id);
@@ -79,6 +86,7 @@
     void log(log_level, std::string name, const attempt_record&, std::vector<std::pair<std::string, std::string>> more = {});
 
     sidecar_options m_options;
+    document_keeper m_keeper;
     document_ptr m_document;
     std::map<attempt_id, attempt_record> m_attempts;
     std::unordered_map<run_id, attempt_id> m_runs;
--- /dev/null
+++ b/tests/drivers/document_text_test.cpp
@@ -0,0 +1,155 @@
+#include "drivers/json/document_text.h"
+
+#include "platform/document_loader.h"
+#include "platform/file_reader.h"
+
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <functional>
+#include <iostream>
+#include <nlohmann/json.hpp>
+
+using namespace kumquat;
+using nlohmann::json;
+
+namespace {
+
+json example()
+{
+    return json::parse(std::get<std::string>(readFile(KUMQUAT_SOURCE_DIR "/examples/consortium.json")));
+}
+
+json publication(std::uint64_t generation, json contents)
+{
+    contents.erase("generation");
+    return { { "generation", generation }, { "submission_id", "s" + std::to_string(generation) }, { "operator", "ama" }, { "history", json::object() }, { "document", std::move(contents) } };
+}
+
+held_document_ptr open(const json& root)
+{
+    const auto opened = openPublishedDocument("doc", root.dump());
+    const auto* failure = errorOf(opened);
+    INFO((failure ? failure->message : ""));
+    REQUIRE(failure == nullptr);
+    return valueOf(opened);
+}
+
+// A document of the size that is expected in two years.
+json largeDocument(int organisations, int models)
+{
+    auto root = example();
+    auto items = json::array();
+    for (int number = 0; number < organisations; ++number) {
+        auto item = root["organisations"][0];
+        item["name"] = "organisation-" + std::to_string(10000 + number);
+        char digest[65];
+        std::snprintf(digest, sizeof digest, "%064x", number + 1);
+        item["keys"] = { std::string("sha256:") + digest };
+        items.push_back(item);
+    }
+    root["organisations"] = items;
+    for (int number = 0; number < models; ++number)
+        root["services"][0]["models"].push_back("model-" + std::to_string(number));
+    root["rules"] = json::array();
+    return root;
+}
+
+} // namespace
+
+TEST_CASE("a step between two documents leads to the same text and stays small in the middle of a list")
+{
+    const auto from = open(publication(1, example()));
+    auto changed = example();
+    changed["organisations"].erase(1);
+    changed["classes"][0]["targets"]["total_ms"] = 1500;
+    changed["organisations"].push_back({ { "name", "aburi-watch" }, { "keys", json::array() } });
+    const auto to = open(publication(2, changed));
+    const auto step = makeDocumentStep(*from, *to);
+    const auto applied = applyDocumentSteps(*from, { step });
+    REQUIRE(errorOf(applied) == nullptr);
+    CHECK(valueOf(applied)->version == to->version);
+    CHECK(valueOf(applied)->text == to->text);
+    CHECK(valueOf(applied)->submissionId == "s2");
+    CHECK(valueOf(applied)->contents->generation() == 2);
+    CHECK(valueOf(applied)->contents->findClass("gate-pass")->targets.total == std::chrono::milliseconds(1500));
+    CHECK(step.patch.size() < from->text.size() / 4);
+}
+
+TEST_CASE("steps that do not fit are refused")
+{
+    const auto from = open(publication(1, example()));
+    auto changed = example();
+    changed["classes"][0]["tier"] = "bulk";
+    const auto to = open(publication(2, changed));
+    auto step = makeDocumentStep(*from, *to);
+    SECTION("another base") { CHECK(errorOf(applyDocumentSteps(*to, { step })) != nullptr); }
+    SECTION("another result")
+    {
+        step.to.hash++;
+        CHECK_THAT(errorOf(applyDocumentSteps(*from, { step }))->message, Catch::Contains("another text"));
+    }
+    SECTION("no patch")
+    {
+        step.patch = "{";
+        CHECK(errorOf(applyDocumentSteps(*from, { step })) != nullptr);
+    }
+    SECTION("a patch of nothing")
+    {
+        step.patch = R"([{"op":"remove","path":"/no/such"}])";
+        CHECK(errorOf(applyDocumentSteps(*from, { step })) != nullptr);
+    }
+}
+
+TEST_CASE("a publication survives the way through a peer and back into the store")
+{
+    const auto held = open(publication(4, example()));
+    const auto received = openCanonicalDocument(held->text);
+    REQUIRE(errorOf(received) == nullptr);
+    CHECK(valueOf(received)->version == held->version);
+    const auto repaired = openPublishedDocument("store", formatPublication(*valueOf(received)));
+    REQUIRE(errorOf(repaired) == nullptr);
+    CHECK(valueOf(repaired)->version == held->version);
+}
+
+TEST_CASE("text from a peer that is no document is refused")
+{
+    for (const char* text : { "", "[]", "{}", R"({"document":[]})", R"({"document":{"organisations":[1]}})", R"({"generation":1,"document":{"tiers":{"a":1}}})" })
+        CHECK(errorOf(openCanonicalDocument(text)) != nullptr);
+    for (const char* text : { "7", "[]", R"({"document":{}})", R"({"generation":0,"document":{}})", R"({"generation":1,"operator":1,"document":{}})" })
+        CHECK(errorOf(openPublishedDocument("doc", text)) != nullptr);
+}
+
+// Run with "[measure]". Prints sizes and times; nothing is asserted of them.
+TEST_CASE("sizes of documents and steps", "[.][measure]")
+{
+    for (const int organisations : { 10, 1000, 3100 }) {
+        const auto base = largeDocument(organisations, 29);
+        const auto from = open(publication(1, base));
+        const auto print = [&](const char* change, const json& to) {
+            std::cout << "organisations=" << organisations << " text_bytes=" << from->text.size() << " change=" << change << " step_bytes=" << makeDocumentStep(*from, *open(publication(2, to))).patch.size() << "\n";
+        };
+        auto changed = base;
+        changed["organisations"][5]["limits"]["burst"] = 123;
+        print("limit", changed);
+        changed = base;
+        changed["organisations"].erase(5);
+        print("organisation_removed", changed);
+        changed = base;
+        changed["organisations"].push_back(base["organisations"][0]);
+        changed["organisations"].back()["name"] = "another";
+        changed["organisations"].back()["keys"] = json::array();
+        print("organisation_added", changed);
+        changed = base;
+        changed["classes"][0]["targets"]["total_ms"] = 5;
+        print("class_target", changed);
+        const auto step = makeDocumentStep(*from, *open(publication(2, changed)));
+        const auto time = [&](const char* what, const std::function<void()>& task) {
+            const auto begin = std::chrono::steady_clock::now();
+            task();
+            std::cout << "organisations=" << organisations << " operation=" << what << " milliseconds=" << std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now() - begin).count() << "\n";
+        };
+        time("open_published", [&] { openPublishedDocument("doc", publication(1, base).dump()); });
+        time("apply_step", [&] { applyDocumentSteps(*from, { step }); });
+        time("make_step", [&] { makeDocumentStep(*from, *from); });
+    }
+}
--- /dev/null
+++ b/tests/servers/config_keeper_test.cpp
@@ -0,0 +1,237 @@
+#include "servers/config/watcher_election.h"
+
+#include "tests/support/document_network.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+using namespace kumquat;
+using namespace std::chrono_literals;
+using kumquat_test::document_network;
+using kumquat_test::namedDocument;
+
+namespace {
+
+// Time within which a publication has to be in force on every node.
+constexpr auto forceLimit = 5s;
+
+const std::vector<std::string> dataCentres { "east-legon", "tema", "spintex" };
+
+// Three data centres with four entries and three sidecars each, and generation 1 in the store and in force.
+struct fleet {
+    document_network network;
+    held_document_ptr first = namedDocument(1, "one", 11);
+
+    fleet()
+    {
+        for (const auto& dataCentre : dataCentres) {
+            for (const char* number : { "1", "2", "3", "4" })
+                network.add("entry-" + dataCentre + "-" + number, dataCentre, true);
+            for (const char* number : { "1", "2", "3" })
+                network.add("sidecar-" + dataCentre + "-" + number, dataCentre, false);
+        }
+        network.store(first);
+        network.list();
+        network.run(forceLimit);
+    }
+
+    std::vector<std::string> watchersOf(const std::string& dataCentre)
+    {
+        std::vector<std::string> found;
+        for (const auto& [id, item] : network.nodes()) {
+            if (item->dataCentre == dataCentre && item->alive && item->watches)
+                found.push_back(id);
+        }
+        return found;
+    }
+
+    held_document_ptr publish(std::uint64_t generation, const std::string& name, std::uint64_t hash)
+    {
+        auto document = namedDocument(generation, name, hash);
+        network.store(document);
+        return document;
+    }
+
+    void stop(const std::string& id)
+    {
+        network.at(id).alive = false;
+        network.at(id).watches = false;
+    }
+};
+
+} // namespace
+
+TEST_CASE("keepers spread a publication from two watchers per data centre to every node")
+{
+    fleet fixture;
+    REQUIRE(fixture.network.inForceEverywhere(fixture.first->version));
+    CHECK(fixture.network.watchers() == 2 * dataCentres.size());
+    for (const auto& [id, item] : fixture.network.nodes())
+        CHECK_FALSE((!item->isEntry && item->watches));
+    const auto wholesBefore = fixture.network.at("sidecar-tema-1").wholesReceived;
+    const auto second = fixture.publish(2, "two", 22);
+    fixture.network.run(forceLimit);
+    CHECK(fixture.network.inForceEverywhere(second->version));
+    CHECK(fixture.network.neverReverted());
+    // A node that is one step behind receives the step and not the whole document.
+    CHECK(fixture.network.at("sidecar-tema-1").wholesReceived == wholesBefore);
+}
+
+TEST_CASE("keepers ignore and repair a store that was restored to an older version")
+{
+    fleet fixture;
+    const auto second = fixture.publish(2, "two", 22);
+    fixture.network.run(forceLimit);
+    fixture.network.store(fixture.first);
+    fixture.network.run(forceLimit);
+    CHECK(fixture.network.inForceEverywhere(second->version));
+    CHECK(fixture.network.neverReverted());
+    CHECK(fixture.network.storeDocument->version == second->version);
+    CHECK(fixture.network.storeWrites == 1);
+}
+
+TEST_CASE("keepers finish a publication although the store goes down after accepting it")
+{
+    fleet fixture;
+    const auto second = fixture.publish(2, "two", 22);
+    // One watcher in one data centre reads it before the outage.
+    fixture.network.storeDown = true;
+    fixture.network.step(fixture.watchersOf("tema").front(), store_document_read { second, fixture.network.storeVersion });
+    fixture.network.run(forceLimit);
+    CHECK(fixture.network.inForceEverywhere(second->version));
+}
+
+TEST_CASE("a node that starts while the store is down takes the document from a peer")
+{
+    fleet fixture;
+    fixture.network.storeDown = true;
+    SECTION("entry that has the list")
+    {
+        fixture.network.add("entry-tema-9", "tema", true);
+        fixture.network.list();
+    }
+    SECTION("entry without a list")
+    {
+        fixture.network.add("entry-tema-9", "tema", true, { document_network::addressOf("gone"), document_network::addressOf("entry-spintex-1") });
+        // Its settings name two peers, of which one is gone; no version exchange reaches it.
+        for (const auto& [id, item] : fixture.network.nodes())
+            fixture.network.cut.insert({ "entry-tema-9", id });
+        fixture.network.cut.erase({ "entry-tema-9", "entry-spintex-1" });
+        fixture.network.step("entry-tema-9", keeper_peers_listed {});
+    }
+    SECTION("sidecar") { fixture.network.add("sidecar-tema-9", "tema", false); }
+    fixture.network.run(forceLimit);
+    CHECK(fixture.network.inForceEverywhere(fixture.first->version));
+}
+
+TEST_CASE("successors watch when both watchers of a data centre die before the list says so")
+{
+    fleet fixture;
+    const auto dead = fixture.watchersOf("tema");
+    REQUIRE(dead.size() == 2);
+    for (const auto& id : dead)
+        fixture.stop(id);
+    // The others cannot help: the data centre is parted from them.
+    for (const auto& [left, leftNode] : fixture.network.nodes()) {
+        for (const auto& [right, rightNode] : fixture.network.nodes()) {
+            if (leftNode->dataCentre == "tema" && rightNode->dataCentre != "tema")
+                fixture.network.cut.insert({ left, right });
+        }
+    }
+    const auto second = fixture.publish(2, "two", 22);
+    fixture.network.run(forceLimit);
+    CHECK(fixture.network.inForceEverywhere(second->version));
+    CHECK(fixture.watchersOf("tema").size() == 2);
+}
+
+TEST_CASE("a data centre without the store learns from the watchers of the others")
+{
+    fleet fixture;
+    for (const auto& [id, item] : fixture.network.nodes())
+        item->reachesStore = item->dataCentre != "tema";
+    const auto second = fixture.publish(2, "two", 22);
+    fixture.network.run(forceLimit);
+    CHECK(fixture.network.inForceEverywhere(second->version));
+}
+
+TEST_CASE("an entry parted from the other entries of its data centre learns from a sidecar")
+{
+    fleet fixture;
+    const std::string parted = "entry-tema-1";
+    fixture.network.at(parted).reachesStore = false;
+    for (const auto& [id, item] : fixture.network.nodes()) {
+        if (id != parted && id != "sidecar-spintex-2")
+            fixture.network.cut.insert({ parted, id });
+    }
+    const auto second = fixture.publish(2, "two", 22);
+    fixture.network.run(forceLimit);
+    CHECK(fixture.network.inForceEverywhere(second->version));
+}
+
+TEST_CASE("two documents of one generation end in the same one everywhere")
+{
+    fleet fixture;
+    // One data centre read the first before the store was restored and written again.
+    const auto left = fixture.publish(2, "left", 22);
+    fixture.network.step("entry-tema-1", document_opened { left });
+    const auto right = fixture.publish(2, "right", 33);
+    fixture.network.step("entry-spintex-1", document_opened { right });
+    fixture.network.run(forceLimit);
+    CHECK(fixture.network.inForceEverywhere(right->version));
+    CHECK(fixture.network.neverReverted());
+    CHECK(fixture.network.storeDocument->version == right->version);
+}
+
+TEST_CASE("keeper rejects a difference that leads elsewhere and asks again")
+{
+    fleet fixture;
+    const auto second = namedDocument(2, "two", 22);
+    fixture.network.step("sidecar-tema-1", document_difference { { "x", "tcp://x", 1 }, second->version, { { fixture.first->version, second->version, "garbage" } } });
+    fixture.network.run(10ms);
+    CHECK(fixture.network.at("sidecar-tema-1").keeper.version() == fixture.first->version);
+    fixture.network.store(second);
+    fixture.network.run(forceLimit);
+    CHECK(fixture.network.inForceEverywhere(second->version));
+}
+
+TEST_CASE("keeper sends the whole document when the steps are no longer kept")
+{
+    step_journal journal(2, 1000);
+    const auto step = [](std::uint64_t from) { return document_step { { from, from }, { from + 1, from + 1 }, "p" }; };
+    for (std::uint64_t generation = 1; generation < 5; ++generation)
+        journal.append(step(generation));
+    CHECK(journal.between({ 3, 3 }, { 5, 5 })->size() == 2);
+    CHECK_FALSE(journal.between({ 2, 2 }, { 5, 5 }));
+    CHECK_FALSE(journal.between({ 3, 4 }, { 5, 5 }));
+    journal.append({ { 9, 9 }, { 10, 10 }, "p" });
+    CHECK_FALSE(journal.between({ 3, 3 }, { 5, 5 }));
+    CHECK(journal.between({ 9, 9 }, { 10, 10 })->size() == 1);
+}
+
+TEST_CASE("a document that was never published is not written to the store")
+{
+    document_network network;
+    network.add("entry-1", "tema", true);
+    auto file = *namedDocument(7, "file", 77);
+    file.submissionId.clear();
+    network.step("entry-1", document_opened { std::make_shared<const held_document>(file) });
+    network.store(namedDocument(3, "stored", 33));
+    network.step("entry-1", keeper_peers_listed {});
+    network.run(forceLimit);
+    CHECK(network.storeDocument->version.generation == 3);
+    CHECK(network.at("entry-1").keeper.version().generation == 7);
+}
+
+TEST_CASE("every node elects the same watchers and passes over the suspected")
+{
+    std::vector<instance> entries;
+    entries.reserve(50);
+    for (int number = 0; number < 50; ++number)
+        entries.push_back({ .id = "entry-" + std::to_string(number), .role = "entry", .dataCentre = number % 2 ? "tema" : "spintex" });
+    const auto chosen = chooseWatchers(entries, "tema", {}, 2);
+    REQUIRE(chosen.size() == 2);
+    std::reverse(entries.begin(), entries.end());
+    CHECK(chooseWatchers(entries, "tema", {}, 2).front().id == chosen.front().id);
+    const auto next = chooseWatchers(entries, "tema", { chosen.front().id }, 2);
+    CHECK(next.front().id == chosen.back().id);
+}
--- /dev/null
+++ b/tests/support/document_network.h
@@ -0,0 +1,259 @@
+#pragma once
+
+#include "servers/config/document_keeper.h"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace kumquat_test {
+
+// A document whose canonical text is its name, so that tests need no JSON.
+inline kumquat::held_document_ptr namedDocument(std::uint64_t generation, const std::string& name, std::uint64_t hash)
+{
+    kumquat::document contents;
+    contents.generation = generation;
+    auto held = std::make_shared<kumquat::held_document>();
+    held->version = { generation, hash };
+    held->contents = std::make_shared<const kumquat::document_index>(contents);
+    held->text = name;
+    held->submissionId = "submission-" + name;
+    return held;
+}
+
+// Keepers, the links between them and the store, in virtual time. Messages arrive after one millisecond.
+class document_network {
+public:
+    struct node {
+        explicit node(kumquat::keeper_options options)
+            : keeper(std::move(options))
+        {
+        }
+
+        kumquat::document_keeper keeper;
+        std::string dataCentre;
+        bool isEntry = true;
+        bool alive = true;
+        bool reachesStore = true;
+        bool watches = false;
+        std::uint64_t storeVersionSeen = ~0ULL;
+        // Every generation that was in force here, in order.
+        std::vector<kumquat::document_version> adopted;
+        std::size_t bytesReceived = 0;
+        std::size_t wholesReceived = 0;
+    };
+
+    static std::string addressOf(const std::string& id) { return "tcp://" + id; }
+
+    node& add(const std::string& id, const std::string& dataCentre, bool isEntry, std::vector<std::string> bootstrap = {})
+    {
+        kumquat::keeper_options options;
+        options.self = { id, addressOf(id), 1 };
+        options.dataCentre = dataCentre;
+        options.mayWatch = isEntry;
+        options.bootstrapPeers = std::move(bootstrap);
+        auto& added = *m_nodes.insert_or_assign(id, std::make_unique<node>(options)).first->second;
+        added.dataCentre = dataCentre;
+        added.isEntry = isEntry;
+        return added;
+    }
+
+    node& at(const std::string& id) { return *m_nodes.at(id); }
+    std::map<std::string, std::unique_ptr<node>>& nodes() { return m_nodes; }
+    kumquat::instant now() const { return m_now; }
+
+    // Hands every living entry the list of all nodes, dead ones too, since the platform's list is late.
+    void list()
+    {
+        std::vector<kumquat::instance> instances;
+        for (const auto& [id, item] : m_nodes)
+            instances.push_back({ .id = id, .role = item->isEntry ? "entry" : "sidecar", .dataCentre = item->dataCentre, .address = addressOf(id) });
+        for (auto& [id, item] : m_nodes) {
+            if (item->isEntry && item->alive)
+                step(id, kumquat::keeper_peers_listed { instances });
+        }
+    }
+
+    void store(const kumquat::held_document_ptr& document)
+    {
+        storeDocument = document;
+        storeVersion++;
+        known[document->text] = document;
+    }
+
+    void step(const std::string& id, const kumquat::keeper_event& event)
+    {
+        auto& target = at(id);
+        if (!target.alive)
+            return;
+        kumquat::keeper_effects effects;
+        target.keeper.step(event, m_now, effects);
+        for (auto& effect : effects)
+            execute(id, target, effect);
+    }
+
+    // Lets time pass in steps of a millisecond. Once a second every entry exchanges versions with every sidecar.
+    void run(std::chrono::milliseconds span)
+    {
+        for (auto left = span; left.count() > 0; left--)
+            tick();
+    }
+
+    bool inForceEverywhere(const kumquat::document_version& version) const
+    {
+        for (const auto& [id, item] : m_nodes) {
+            if (item->alive && item->keeper.version() != version)
+                return false;
+        }
+        return true;
+    }
+
+    bool neverReverted() const
+    {
+        for (const auto& [id, item] : m_nodes) {
+            for (std::size_t index = 1; index < item->adopted.size(); ++index) {
+                if (item->adopted[index] <= item->adopted[index - 1])
+                    return false;
+            }
+        }
+        return true;
+    }
+
+    std::size_t watchers() const
+    {
+        std::size_t count = 0;
+        for (const auto& [id, item] : m_nodes)
+            count += item->alive && item->watches;
+        return count;
+    }
+
+    kumquat::held_document_ptr storeDocument;
+    std::uint64_t storeVersion = 0;
+    bool storeDown = false;
+    std::size_t storeReads = 0;
+    std::size_t storeWrites = 0;
+    // Documents by text, so that assembling is a look-up.
+    std::map<std::string, kumquat::held_document_ptr> known;
+    // Pairs of nodes whose link is cut, in both directions.
+    std::set<std::pair<std::string, std::string>> cut;
+
+private:
+    static constexpr std::size_t requestBytes = 80;
+
+    struct parcel {
+        std::string from;
+        std::string to;
+        kumquat::peer_message message;
+    };
+
+    bool isCut(const std::string& left, const std::string& right) const { return cut.contains({ left, right }) || cut.contains({ right, left }); }
+
+    void execute(const std::string& id, node& self, kumquat::keeper_effect& effect)
+    {
+        if (auto* send = std::get_if<kumquat::send_to_keeper>(&effect))
+            m_parcels.push_back({ id, send->address.substr(addressOf("").size()), std::move(send->message) });
+        else if (const auto* adopt = std::get_if<kumquat::adopt_document>(&effect))
+            self.adopted.push_back(adopt->document->version);
+        else if (const auto* watch = std::get_if<kumquat::watch_store>(&effect))
+            self.watches = watch->enabled;
+        else if (const auto* job = std::get_if<kumquat::assemble_document>(&effect))
+            m_done.emplace_back(id, assembled(*job));
+        else if (const auto* make = std::get_if<kumquat::make_step>(&effect))
+            m_done.emplace_back(id, kumquat::step_made { { make->from->version, make->to->version, make->to->text } });
+        else if (const auto* repair = std::get_if<kumquat::repair_store>(&effect))
+            write(self, *repair);
+    }
+
+    kumquat::keeper_event assembled(const kumquat::assemble_document& job) const
+    {
+        if (job.base && job.steps.front().from != job.base->version)
+            return kumquat::document_rejected { "a step does not continue the base" };
+        const auto found = known.find(job.base ? job.steps.back().patch : job.whole);
+        if (found == known.end() || found->second->version != job.wanted)
+            return kumquat::document_rejected { "unknown text" };
+        return kumquat::document_opened { found->second, job.steps };
+    }
+
+    void write(const node& self, const kumquat::repair_store& repair)
+    {
+        if (storeDown || !self.reachesStore || repair.storeVersion != storeVersion)
+            return;
+        storeWrites++;
+        storeDocument = repair.document;
+        storeVersion++;
+    }
+
+    void tick()
+    {
+        m_now += std::chrono::milliseconds(1);
+        auto parcels = std::move(m_parcels);
+        m_parcels.clear();
+        for (auto& item : parcels)
+            deliver(item);
+        auto done = std::move(m_done);
+        m_done.clear();
+        for (const auto& [id, event] : done)
+            step(id, event);
+        for (auto& [id, item] : m_nodes)
+            readStore(id, *item);
+        for (auto& [id, item] : m_nodes) {
+            const auto due = item->keeper.nextDeadline();
+            if (due && *due <= m_now)
+                step(id, kumquat::keeper_timer_due {});
+        }
+        if (++m_ticks % 1000 == 0)
+            exchangeVersions();
+    }
+
+    void deliver(parcel& item)
+    {
+        const auto found = m_nodes.find(item.to);
+        if (found == m_nodes.end() || !found->second->alive || isCut(item.from, item.to))
+            return;
+        auto& target = *found->second;
+        target.bytesReceived += requestBytes;
+        if (const auto* whole = std::get_if<kumquat::document_whole>(&item.message)) {
+            target.bytesReceived += whole->text.size();
+            target.wholesReceived++;
+        }
+        if (const auto* request = std::get_if<kumquat::document_request>(&item.message))
+            step(item.to, *request);
+        else if (const auto* difference = std::get_if<kumquat::document_difference>(&item.message))
+            step(item.to, *difference);
+        else if (const auto* whole = std::get_if<kumquat::document_whole>(&item.message))
+            step(item.to, *whole);
+    }
+
+    void readStore(const std::string& id, node& item)
+    {
+        if (!item.alive || !item.watches || storeDown || !item.reachesStore || item.storeVersionSeen == storeVersion)
+            return;
+        storeReads++;
+        item.storeVersionSeen = storeVersion;
+        step(id, kumquat::store_document_read { storeDocument, storeVersion });
+    }
+
+    void exchangeVersions()
+    {
+        for (const auto& [entryId, entry] : m_nodes) {
+            if (!entry->isEntry || !entry->alive)
+                continue;
+            for (const auto& [sidecarId, sidecar] : m_nodes) {
+                if (sidecar->isEntry || !sidecar->alive || isCut(entryId, sidecarId))
+                    continue;
+                step(sidecarId, kumquat::peer_version_seen { { entryId, addressOf(entryId), 1 }, entry->keeper.version() });
+                step(entryId, kumquat::peer_version_seen { { sidecarId, addressOf(sidecarId), 1 }, sidecar->keeper.version() });
+            }
+        }
+    }
+
+    kumquat::instant m_now { std::chrono::hours(1) };
+    std::uint64_t m_ticks = 0;
+    std::map<std::string, std::unique_ptr<node>> m_nodes;
+    std::vector<parcel> m_parcels;
+    std::vector<std::pair<std::string, kumquat::keeper_event>> m_done;
+};
+
+} // namespace kumquat_test
