--- a/tests/servers/config_keeper_test.cpp
+++ b/tests/servers/config_keeper_test.cpp
@@ -90,6 +90,41 @@
     CHECK(fixture.network.storeWrites == 1);
 }
 
+TEST_CASE("keeper ignores a smaller version from every source")
+{
+    fleet fixture;
+    const auto second = fixture.publish(2, "two", 22);
+    fixture.network.run(forceLimit);
+    const std::string id = "entry-tema-1";
+    const peer_identity peer { "x", "tcp://x", 1 };
+    fixture.network.step(id, document_opened { fixture.first });
+    fixture.network.step(id, document_whole { peer, fixture.first->version, fixture.first->text });
+    fixture.network.step(id, store_document_read { fixture.first, 1 });
+    fixture.network.run(10ms);
+    CHECK(fixture.network.at(id).keeper.version() == second->version);
+}
+
+TEST_CASE("a watcher pushes a publication to its data centre at once")
+{
+    fleet fixture;
+    const auto second = fixture.publish(2, "two", 22);
+    // Shorter than the interval at which nodes ask.
+    fixture.network.run(100ms);
+    for (const auto& [id, item] : fixture.network.nodes()) {
+        INFO(id);
+        CHECK((!item->isEntry || item->keeper.version() == second->version));
+    }
+}
+
+TEST_CASE("keeper asks a peer whose own request shows a greater version")
+{
+    fleet fixture;
+    fixture.network.add("sidecar-x", "tema", false);
+    fixture.network.step("sidecar-x", document_request { { "entry-tema-1", document_network::addressOf("entry-tema-1"), 1 }, fixture.first->version });
+    fixture.network.run(10ms);
+    CHECK(fixture.network.at("sidecar-x").keeper.version() == fixture.first->version);
+}
+
 TEST_CASE("keepers finish a publication although the store goes down after accepting it")
 {
     fleet fixture;
