--- a/tests/servers/config_keeper_test.cpp
+++ b/tests/servers/config_keeper_test.cpp
@@ -102,6 +102,7 @@
     fixture.network.step(id, store_document_read { fixture.first, 1 });
     fixture.network.run(10ms);
     CHECK(fixture.network.at(id).keeper.version() == second->version);
+    CHECK(fixture.network.neverReverted());
 }
 
 TEST_CASE("a watcher pushes a publication to its data centre at once")
