--- a/servers/entry/entry_options.h
+++ b/servers/entry/entry_options.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace kumquat {
 
@@ -32,6 +33,8 @@
     routing_policy policy;
     // The identity inside is taken from this entry.
     claim_options claims;
+    // Peers that are asked for the document while this entry has none.
+    std::vector<std::string> documentPeers;
 };
 
 } // namespace kumquat
