Resume broken streams, budget retries, and hold crash suspects to two upstreams

Cause: a failed attempt was dispatched again at once and only before any output; withdrawals were sent once; a deadline before a start was told as unknown; nothing was known of requests that crash upstreams; a flowing stream was asked about every 500 ms with its whole body. Change: retry_budget (a tenth of successes), retry_backoff (full jitter) in a waiting state; a resumable engine answer continues behind the delivered prefix, one that is kept for its end restarts, a shown one that can do neither ends with an error; withdrawal_list resends; a request that must not run twice waits 1 s for the sidecar's word. suspect_registry with notices between entries; a suspect goes to one home upstream, one copy at a time; a crash while running as a suspect refuses its fingerprint for 10 minutes. After two refusals a request is offered only where reports show room or lower work. The test 'repeats only what may be repeated' expected the copy at once; it now expects it within the first backoff ceiling.

--- a/core/caller_request.h
+++ b/core/caller_request.h
@@ -24,6 +24,8 @@
     // Hashes of growing prefixes of the prompt, shortest first; equal hashes mean a prefix that an engine may have cached.
     std::vector<std::uint64_t> prefixHashes;
     std::uint32_t promptBytes = 0;
+    // Whether an engine can continue the answer behind a given beginning of it.
+    bool resumable = true;
 };
 
 // A request as it arrives from a caller, before authentication.
--- a/core/peer_message.h
+++ b/core/peer_message.h
@@ -176,6 +176,48 @@
     std::vector<std::uint64_t> refusedFingerprints;
 };
 
-using peer_message = std::variant<offer, withdraw, acknowledge, subscribe, offer_refused, offer_queued, offer_started, output_chunk, offer_finished, offer_failed, offer_withdrawn, wrong_incarnation, report>;
+// What one entry knows of a request that crashed an upstream.
+struct suspect_fact {
+    std::uint64_t fingerprint = 0;
+    // Whether it crashed an upstream while it ran as a suspect; nobody runs it then.
+    bool refused = false;
+    // How long the fact holds; a peer never extends it.
+    std::chrono::milliseconds timeLeft { 0 };
+};
+
+// Tells the other entries at once of requests that crashed an upstream.
+struct suspect_notice {
+    peer_identity from;
+    std::vector<suspect_fact> facts;
+};
+
+// How much one organisation asks of one entry.
+struct lease_demand {
+    std::string organisation;
+    double requestsPerSecond = 0;
+    std::uint32_t inFlight = 0;
+};
+
+// Asks the entry that keeps an organisation's limits for a share of them.
+struct lease_request {
+    peer_identity from;
+    std::vector<lease_demand> demands;
+};
+
+// A share of one organisation's limits.
+struct lease_share {
+    std::string organisation;
+    double requestsPerSecond = 0;
+    double burst = 0;
+    std::uint32_t concurrency = 0;
+};
+
+struct lease_grant {
+    peer_identity from;
+    std::vector<lease_share> shares;
+    std::chrono::milliseconds validFor { 0 };
+};
+
+using peer_message = std::variant<offer, withdraw, acknowledge, subscribe, offer_refused, offer_queued, offer_started, output_chunk, offer_finished, offer_failed, offer_withdrawn, wrong_incarnation, report, suspect_notice, lease_request, lease_grant>;
 
 } // namespace kumquat
--- a/drivers/json/completion_codec.cpp
+++ b/drivers/json/completion_codec.cpp
@@ -47,6 +47,18 @@
         return std::nullopt;
     }
 
+    // A prefix can be appended to a conversation or to a prompt of one text, unless an option changes where the answer begins.
+    bool isResumable(const std::string& path, const json& root)
+    {
+        if (path != chatPath && !root.at("prompt").is_string())
+            return false;
+        for (const char* name : { "echo", "suffix", "best_of", "response_format" }) {
+            if (root.contains(name) && !root.at(name).is_null() && root.at(name) != json(false))
+                return false;
+        }
+        return true;
+    }
+
     result<completion_summary> readSummary(const std::string& path, const json& root)
     {
         if (!root.is_object())
@@ -75,6 +87,7 @@
         const auto prompt = dump(root.at(promptField));
         summary.promptBytes = static_cast<std::uint32_t>(prompt.size());
         summary.prefixHashes = hashPrefixes(prompt);
+        summary.resumable = isResumable(path, root);
         return summary;
     }
 
--- a/drivers/json/peer_codec.cpp
+++ b/drivers/json/peer_codec.cpp
@@ -35,6 +35,12 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(wrong_incarnation, header, namedIncarnation)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(tier_load, rank, running, queued, expectedTokens)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(report, from, service, dataCentre, generation, leaving, healthy, slots, freeSlots, tokensPerSecond, tiers, suspects, refusedFingerprints)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(suspect_fact, fingerprint, refused, timeLeft)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(suspect_notice, from, facts)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(lease_demand, organisation, requestsPerSecond, inFlight)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(lease_request, from, demands)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(lease_share, organisation, requestsPerSecond, burst, concurrency)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(lease_grant, from, shares, validFor)
 
 namespace {
 
--- a/servers/entry/entry_effect.h
+++ b/servers/entry/entry_effect.h
@@ -18,6 +18,11 @@
     peer_message message;
 };
 
+struct send_to_entry {
+    std::string address;
+    peer_message message;
+};
+
 // Starts the answer to a caller.
 struct begin_answer {
     channel_id channel = 0;
@@ -54,7 +59,7 @@
 // Ends the process with exit code 0.
 struct stop_entry { };
 
-using entry_effect = std::variant<send_to_sidecar, begin_answer, append_answer, finish_answer, fail_answer, stop_listening, stop_entry, log_event, count_metric, gauge_metric, observe_metric>;
+using entry_effect = std::variant<send_to_sidecar, send_to_entry, begin_answer, append_answer, finish_answer, fail_answer, stop_listening, stop_entry, log_event, count_metric, gauge_metric, observe_metric>;
 using entry_effects = std::vector<entry_effect>;
 
 } // namespace kumquat
--- a/servers/entry/entry_options.h
+++ b/servers/entry/entry_options.h
@@ -1,6 +1,9 @@
 #pragma once
 
+#include "servers/entry/retry_backoff.h"
+#include "servers/entry/retry_budget.h"
 #include "servers/entry/routing_policy.h"
+#include "servers/entry/suspect_registry.h"
 
 #include <chrono>
 #include <cstdint>
@@ -23,7 +26,15 @@
     std::chrono::milliseconds resendInterval { 500 };
     // Copies of an offer that may stay unanswered before the attempt is given up.
     std::uint32_t resendLimit = 6;
+    // Attempts that may fail before the request does; refusals count apart.
     std::uint32_t maximumAttempts = 4;
+    // Refusals for load after which a request is offered only where reports show room or lower work.
+    std::uint32_t refusalLimit = 2;
+    // How long a withdrawn request that must not run twice waits for the sidecar's word on whether it ran.
+    std::chrono::milliseconds withdrawWait { 1000 };
+    retry_budget::options retryBudget;
+    retry_backoff::options retryBackoff;
+    suspect_registry::options suspects;
     // Time between the drain request and the end of listening, so that the balancer notices.
     std::chrono::milliseconds drainGrace { 2000 };
     std::chrono::milliseconds drainLimit { 600000 };
--- a/servers/entry/entry_reducer.h
+++ b/servers/entry/entry_reducer.h
@@ -4,9 +4,12 @@
 #include "servers/entry/entry_effect.h"
 #include "servers/entry/entry_options.h"
 #include "servers/entry/request_record.h"
+#include "servers/entry/suspect_registry.h"
 #include "servers/entry/upstream_directory.h"
 #include "servers/entry/upstream_selector.h"
+#include "servers/entry/withdrawal_list.h"
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -52,24 +55,50 @@
     void receive(const offer_withdrawn&);
     void receive(const wrong_incarnation&);
     void receive(const report&);
-    // Requests of entries are never addressed to an entry.
+    void receive(const suspect_notice&);
+    // The remaining messages are addressed to sidecars only.
     template <typename Other>
     void receive(const Other&) { }
 
+    void accept(request_record);
     void dispatch(request_record&);
+    // Returns null when the request cannot be offered anywhere now.
+    upstream_state* chooseUpstream(request_record&);
+    void startAttempt(request_record&, upstream_state&);
     void sendOffer(request_record&);
     void attemptEnded(request_record&);
-    // Tries another upstream when that is safe, else fails the request.
-    void retryOrFail(request_record&, caller_error);
-    bool mayRetry(const request_record&) const;
+
+    // Ends the attempt in the knowledge that it did not run: another upstream is tried at once.
+    void retryRefused(request_record&, caller_error);
+    // Ends the attempt without that knowledge: it is retried after a pause when that is safe and the budget allows.
+    void retryFailed(request_record&, caller_error);
+    bool mayRepeat(const request_record&) const;
+    // Drops what was kept but not shown when an engine cannot continue behind it.
+    void prepareRepeat(request_record&);
+    bool finishAtTokenLimit(request_record&);
+    void failUndeliverable(request_record&);
+    // Withdraws the attempt and, when the caller needs the truth, waits for the sidecar's word.
+    void giveUpAttempt(request_record&, caller_error);
+    void settled(request_record&, bool mayHaveRun);
+    instant nextAskAt(const live_attempt&) const;
+
+    void handleCrash(request_record&, const offer_failed&);
+    void tellEntries(const suspect_fact&);
+    // Returns false while another copy of the same suspect is running.
+    bool claimSuspectTurn(const request_record&);
+    void passSuspectTurn(const request_record&);
+
     void observeSpeed(live_attempt&, const output_chunk&);
     void deliver(request_record&, const answer_assembler::piece&);
     void begin(request_record&, int status, const std::string& contentType);
     void finishWhenComplete(request_record&);
+    void complete(request_record&, const std::string& finishReason, std::uint32_t promptTokens);
     void fail(request_record&, caller_error);
     void forget(request_record&);
-    void withdrawAttempt(request_record&);
+    void withdrawAttempt(const request_record&);
+    peer_identity self() const { return { m_options.id, m_options.address, m_options.incarnation }; }
     void onRequestTimer(request_record&);
+    void resendWithdrawals();
     void subscribeToAll();
     void stopWhenDrained();
     // Returns the request whose current attempt the answer belongs to, or null for answers of old attempts.
@@ -83,6 +112,15 @@
     std::map<std::string, request_record> m_requests;
     std::unordered_map<channel_id, std::string> m_channels;
     timer_queue<std::string> m_timers;
+    withdrawal_list m_withdrawals;
+    retry_budget m_retryBudget;
+    retry_backoff m_retryBackoff;
+    suspect_registry m_suspects;
+    // The request whose attempt is the one running copy of a suspect, by fingerprint, and those that wait for it.
+    std::map<std::uint64_t, std::string> m_suspectTurns;
+    std::map<std::uint64_t, std::deque<std::string>> m_suspectWaiters;
+    // Addresses of the other entries.
+    std::vector<std::string> m_entryAddresses;
     std::optional<instant> m_nextSubscribe;
     std::optional<instant> m_listenDeadline;
     std::optional<instant> m_drainDeadline;
--- a/servers/entry/expected_wait.h
+++ b/servers/entry/expected_wait.h
@@ -21,6 +21,8 @@
     double tokensPerSecond = 1;
 
     bool hasRoom() const { return requests < slots; }
+    // Whether a request could take the place of lower work, queued or running.
+    bool hasLowerWork() const { return lowerQueued > 0 || lowerRunning > 0; }
 };
 
 upstream_load estimateLoad(const upstream_state&, std::uint32_t tierRank, instant now);
--- a/servers/entry/request_record.h
+++ b/servers/entry/request_record.h
@@ -24,11 +24,20 @@
     std::uint32_t copies = 0;
     // Copies sent since the sidecar was last heard of about this attempt.
     std::uint32_t unanswered = 0;
+    // When the sidecar was last heard of about this attempt.
+    std::optional<instant> heardAt;
     bool started = false;
     // When the run started or last gave a chunk in order.
     std::optional<instant> lastProgress;
+    // Whether it was offered as a request that has been running at a crash.
+    bool suspect = false;
+    // Part of the answer that earlier attempts had delivered when this one began.
+    std::size_t prefixBytes = 0;
+    std::uint32_t prefixTokens = 0;
     answer_assembler chunks;
     std::optional<offer_finished> finished;
+    // Set when the attempt has been withdrawn and the sidecar's word is awaited on whether it ran.
+    std::optional<caller_error> settling;
 };
 
 // Everything that an entry knows of one request until its answer has ended.
@@ -48,16 +57,32 @@
     instant arrivedAt;
     instant deadline;
     std::uint32_t attemptCount = 0;
+    // Attempts that ended otherwise than by a refusal.
+    std::uint32_t failures = 0;
+    std::uint32_t refusals = 0;
+    // Attempts that were running when their upstream crashed.
+    std::uint32_t crashes = 0;
     std::optional<live_attempt> attempt;
     std::set<std::string> tried;
     // Whether an upstream may have executed any of it.
     ran_state ran = ran_state::no;
-    // The most recent refusal, told to the caller when no upstream is left.
+    // The most recent failure, told to the caller when no upstream is left.
     std::optional<caller_error> lastError;
+    // The soonest time at which a refusing upstream expects room.
+    std::optional<std::chrono::milliseconds> retryAfter;
     bool begun = false;
+    // Whether an engine can continue the answer behind deliveredText.
+    bool resumable = false;
+    // Largest number of output tokens that the caller wants; zero without a limit.
+    std::uint32_t maximumTokens = 0;
+    // Text that has been shown to the caller, or is kept to be shown at the end.
     std::string deliveredText;
     std::uint32_t deliveredTokens = 0;
     std::optional<instant> firstTokenAt;
+
+    // Whether the answer is written to the caller as it arrives; otherwise it is kept and written at its end.
+    bool isShownEarly() const { return format == answer_format::chat_stream || format == answer_format::completion_stream; }
+    bool hasOutput() const { return deliveredTokens > 0 || !deliveredText.empty(); }
 };
 
 } // namespace kumquat
--- a/servers/entry/upstream_selector.cpp
+++ b/servers/entry/upstream_selector.cpp
@@ -1,5 +1,6 @@
 #include "servers/entry/upstream_selector.h"
 
+#include "core/hash.h"
 #include "servers/entry/expected_wait.h"
 
 #include <algorithm>
@@ -74,6 +75,20 @@
 {
 }
 
+upstream_state* upstream_selector::selectHome(const std::vector<upstream_state*>& candidates, std::uint64_t fingerprint, const std::set<std::string>& tried)
+{
+    upstream_state* best = nullptr;
+    std::uint64_t highest = 0;
+    for (auto* candidate : candidates) {
+        const auto weight = hashBytes(candidate->id, fingerprint);
+        if (tried.contains(candidate->id) || (best && weight <= highest))
+            continue;
+        best = candidate;
+        highest = weight;
+    }
+    return best;
+}
+
 upstream_state* upstream_selector::select(const std::vector<upstream_state*>& candidates, const selection_request& request, instant now)
 {
     std::vector<upstream_state*> untried;
--- a/servers/entry/upstream_selector.h
+++ b/servers/entry/upstream_selector.h
@@ -31,6 +31,10 @@
 public:
     upstream_selector(routing_policy, std::string dataCentre, std::uint64_t seed);
 
+    // Chooses the upstream that every entry with the same candidates chooses for a fingerprint, so that one sidecar can
+    // run the copies of a suspect one at a time. Returns null when no candidate is left untried.
+    static upstream_state* selectHome(const std::vector<upstream_state*>& candidates, std::uint64_t fingerprint, const std::set<std::string>& tried);
+
     // Returns null when no candidate is left untried.
     upstream_state* select(const std::vector<upstream_state*>& candidates, const selection_request&, instant now);
 
--- a/tests/drivers/completion_codec_test.cpp
+++ b/tests/drivers/completion_codec_test.cpp
@@ -62,3 +62,12 @@
     CHECK(end.promptTokens == 9);
     CHECK(errorOf(parseEngineChunk("{")) != nullptr);
 }
+
+TEST_CASE("only an answer whose beginning can be handed to the engine is resumable")
+{
+    const auto resumable = [](const std::string& path, const std::string& body) { return valueOf(parseCompletion(path, body)).resumable; };
+    CHECK(resumable(chatPath, R"({"model":"m","messages":[{"role":"user","content":"q"}]})"));
+    CHECK(resumable("/v1/completions", R"({"model":"m","prompt":"q","echo":false})"));
+    CHECK_FALSE(resumable("/v1/completions", R"({"model":"m","prompt":[1,2]})"));
+    CHECK_FALSE(resumable("/v1/completions", R"({"model":"m","prompt":"q","echo":true})"));
+}
--- /dev/null
+++ b/tests/servers/entry_retry_test.cpp
@@ -0,0 +1,189 @@
+#include "tests/support/entry_fixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace kumquat;
+using namespace std::chrono_literals;
+using kumquat_test::entry_fixture;
+using kumquat_test::headerFor;
+using kumquat_test::offersIn;
+using kumquat_test::only;
+using kumquat_test::textOf;
+
+namespace {
+
+entry_effects breakAfter(entry_fixture& fixture, const std::string& text, const answer_header& header)
+{
+    fixture.receive(output_chunk { header, 0, 3, text });
+    return fixture.receive(offer_failed { .header = header, .message = "connection broke" });
+}
+
+} // namespace
+
+TEST_CASE("a broken stream is resumed behind the delivered text, with no token missing or doubled")
+{
+    entry_fixture fixture;
+    const auto first = headerFor(fixture.ask());
+    CHECK(only<fail_answer>(breakAfter(fixture, "one two three ", first)).empty());
+    const auto resumed = fixture.wait(50ms);
+    REQUIRE(offersIn(resumed).size() == 1);
+    CHECK(offersIn(resumed).at(0).deliveredPrefix == "one two three ");
+    CHECK(offersIn(resumed).at(0).deliveredTokens == 3);
+    CHECK(offersIn(resumed).at(0).expectedTokens == 97);
+    const auto second = headerFor(resumed);
+    CHECK(textOf(fixture.receive(output_chunk { first, 1, 1, "stale " })).empty());
+    CHECK(textOf(fixture.receive(output_chunk { second, 0, 1, "four" })) == "four");
+    const auto last = only<finish_answer>(fixture.receive(offer_finished { .header = second, .chunkCount = 1, .promptTokens = 13 }));
+    REQUIRE(last.size() == 1);
+    CHECK(last.at(0).outputTokens == 4);
+    CHECK(last.at(0).promptTokens == 10);
+}
+
+TEST_CASE("the prefix of a resumed attempt does not grow with its own chunks")
+{
+    entry_fixture fixture;
+    breakAfter(fixture, "one ", headerFor(fixture.ask()));
+    fixture.wait(50ms);
+    const auto again = offersIn(fixture.wait(500ms));
+    REQUIRE_FALSE(again.empty());
+    CHECK(again.at(0).deliveredPrefix == "one ");
+}
+
+TEST_CASE("a shown stream that cannot be resumed ends with an error")
+{
+    entry_fixture fixture;
+    auto request = entry_fixture::request("/v1/completions");
+    valueOf(request.completion).resumable = false;
+    const auto header = headerFor(fixture.step(caller_arrived { 9, request }));
+    const auto failed = only<fail_answer>(breakAfter(fixture, "one ", header));
+    REQUIRE(failed.size() == 1);
+    CHECK(failed.at(0).error.ran == ran_state::unknown);
+}
+
+TEST_CASE("an answer that is not shown early restarts when it cannot be resumed")
+{
+    entry_fixture fixture;
+    auto request = entry_fixture::request("/v1/completions");
+    request.format = answer_format::completion_json;
+    valueOf(request.completion).resumable = false;
+    const auto header = headerFor(fixture.step(caller_arrived { 9, request }));
+    breakAfter(fixture, "one ", header);
+    const auto again = fixture.wait(50ms);
+    CHECK(offersIn(again).at(0).deliveredPrefix.empty());
+    fixture.receive(output_chunk { headerFor(again), 0, 1, "whole" });
+    CHECK(textOf(fixture.receive(offer_finished { .header = headerFor(again), .chunkCount = 1 })) == "whole");
+}
+
+TEST_CASE("a stream that broke behind its last wanted token is complete")
+{
+    entry_fixture fixture;
+    auto request = entry_fixture::request("/v1/chat/completions");
+    valueOf(request.completion).maximumTokens = 3;
+    const auto header = headerFor(fixture.step(caller_arrived { 9, request }));
+    const auto ended = breakAfter(fixture, "one two three ", header);
+    REQUIRE(only<finish_answer>(ended).size() == 1);
+    CHECK(only<finish_answer>(ended).at(0).finishReason == "length");
+}
+
+TEST_CASE("retries after failures stop when the service's budget is spent")
+{
+    entry_options options;
+    options.retryBudget = { .shareOfSuccesses = 0.5, .floorPerSecond = 0, .limit = 1 };
+    entry_fixture fixture(4, options);
+    CHECK(only<fail_answer>(fixture.receive(offer_failed { .header = headerFor(fixture.ask()) })).empty());
+    CHECK(only<fail_answer>(fixture.receive(offer_failed { .header = headerFor(fixture.ask()) })).size() == 1);
+    for (int success = 0; success < 2; ++success)
+        fixture.receive(offer_finished { .header = headerFor(fixture.ask()) });
+    CHECK(only<fail_answer>(fixture.receive(offer_failed { .header = headerFor(fixture.ask()) })).empty());
+    CHECK(only<fail_answer>(fixture.receive(offer_failed { .header = headerFor(fixture.ask()) })).size() == 1);
+}
+
+TEST_CASE("the backoff draws from the whole of a doubling range")
+{
+    retry_backoff backoff({ .base = 100ms, .limit = 400ms }, 1);
+    std::chrono::milliseconds shortest { 1h };
+    std::chrono::milliseconds longest { 0 };
+    for (int draw = 0; draw < 1000; ++draw) {
+        CHECK(backoff.draw(1) <= 100ms);
+        shortest = std::min(shortest, backoff.draw(9));
+        longest = std::max(longest, backoff.draw(9));
+    }
+    CHECK(shortest < 20ms);
+    CHECK(longest > 380ms);
+    CHECK(longest <= 400ms);
+}
+
+TEST_CASE("a refused request that can displace nobody is refused at once with the soonest time to return")
+{
+    entry_fixture fixture(6);
+    for (int index = 1; index <= 6; ++index)
+        fixture.reportLoad("kasa-" + std::to_string(index), { { .rank = 1, .running = 4, .queued = 9, .expectedTokens = 1300 } });
+    const auto second = fixture.receive(offer_refused { .header = headerFor(fixture.ask()), .retryAfter = 3s });
+    const auto failed = only<fail_answer>(fixture.receive(offer_refused { .header = headerFor(second), .retryAfter = 5s }));
+    REQUIRE(failed.size() == 1);
+    CHECK(failed.at(0).error.retryAfter == 3s);
+    CHECK(failed.at(0).error.ran == ran_state::no);
+}
+
+TEST_CASE("a refused request is offered wherever lower work is queued")
+{
+    entry_fixture fixture(6);
+    for (int index = 1; index <= 6; ++index)
+        fixture.reportLoad("kasa-" + std::to_string(index), { { .rank = 1, .running = 4, .expectedTokens = 300 }, { .rank = 2, .queued = 9, .expectedTokens = 1300 } });
+    auto effects = fixture.ask();
+    for (int refusal = 0; refusal < 5; ++refusal) {
+        effects = fixture.receive(offer_refused { .header = headerFor(effects), .retryAfter = 3s });
+        REQUIRE(offersIn(effects).size() == 1);
+    }
+    CHECK(only<fail_answer>(fixture.receive(offer_refused { .header = headerFor(effects) })).size() == 1);
+}
+
+TEST_CASE("a withdrawal is sent again until its sidecar answers")
+{
+    entry_fixture fixture;
+    const auto header = headerFor(fixture.ask());
+    fixture.step(caller_gone { 1 });
+    const auto resent = [&] { return kumquat_test::sent<withdraw, send_to_sidecar>(fixture.wait(500ms)).size(); };
+    CHECK(resent() == 1);
+    fixture.receive(offer_withdrawn { .header = header, .started = true });
+    CHECK(resent() == 0);
+}
+
+TEST_CASE("a request that must not run twice waits for the sidecar's word before its outcome is called unknown")
+{
+    entry_fixture fixture;
+    const auto header = headerFor(fixture.ask("/services/dwumadie/passes"));
+    const auto silent = fixture.wait(3s);
+    CHECK(kumquat_test::sent<withdraw, send_to_sidecar>(silent).size() == 1);
+    CHECK(only<fail_answer>(silent).empty());
+    SECTION("withdrawn before it ran")
+    {
+        const auto failed = only<fail_answer>(fixture.receive(offer_withdrawn { .header = header, .started = false }));
+        REQUIRE(failed.size() == 1);
+        CHECK(failed.at(0).error.ran == ran_state::no);
+    }
+    SECTION("finished after all")
+    {
+        CHECK(only<finish_answer>(fixture.receive(offer_finished { .header = header, .chunkCount = 0 })).size() == 1);
+    }
+    SECTION("still silent")
+    {
+        const auto failed = only<fail_answer>(fixture.wait(1s));
+        REQUIRE(failed.size() == 1);
+        CHECK(failed.at(0).error.ran == ran_state::unknown);
+    }
+}
+
+TEST_CASE("a stream that flows is not asked about, and a copy of an answered offer carries no body")
+{
+    entry_fixture fixture;
+    const auto header = headerFor(fixture.ask("/v1/chat/completions", "a long prompt"));
+    for (std::uint32_t sequence = 0; sequence < 10; ++sequence) {
+        fixture.receive(output_chunk { header, sequence, 1, "x" });
+        CHECK(offersIn(fixture.wait(100ms)).empty());
+    }
+    const auto asked = offersIn(fixture.wait(500ms));
+    REQUIRE(asked.size() == 1);
+    CHECK(asked.at(0).job.body.empty());
+    CHECK(asked.at(0).nextChunk == 10);
+}
