--- a/drivers/json/peer_codec.cpp
+++ b/drivers/json/peer_codec.cpp
@@ -43,6 +43,12 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(document_request, from, version)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(document_difference, from, version, steps)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(document_whole, from, version, text)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(suspect_fact, fingerprint, refused, timeLeft)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(suspect_notice, from, facts)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(lease_demand, organisation, requestsPerSecond, inFlight)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(lease_request, from, demands)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(lease_share, organisation, requestsPerSecond, burst, concurrency)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(lease_grant, from, shares, validFor)
 
 namespace {
 
