--- a/core/peer_message.h
+++ b/core/peer_message.h
@@ -62,6 +62,8 @@
     std::string deliveredPrefix;
     std::uint32_t deliveredTokens = 0;
     work job;
+    // Time since the request arrived at the entry, which counts against the targets of its class.
+    std::chrono::milliseconds waited { 0 };
 };
 
 // Ends the entry's interest in an attempt that it has not acknowledged.
--- a/drivers/json/peer_codec.cpp
+++ b/drivers/json/peer_codec.cpp
@@ -20,7 +20,7 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(peer_identity, id, address, incarnation)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(attempt_id, requestId, attempt)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(work, service, kind, method, path, contentType, body)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(offer, from, attempt, sidecarIncarnation, tierRank, className, organisation, timeLeft, expectedTokens, fingerprint, repeatable, suspect, streaming, nextChunk, deliveredPrefix, deliveredTokens, job)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(offer, from, attempt, sidecarIncarnation, tierRank, className, organisation, timeLeft, expectedTokens, fingerprint, repeatable, suspect, streaming, nextChunk, deliveredPrefix, deliveredTokens, job, waited)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(withdraw, from, attempt, sidecarIncarnation)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(acknowledge, attempt, sidecarIncarnation)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(subscribe, from, generation)
--- a/servers/sidecar/admission_queue.cpp
+++ b/servers/sidecar/admission_queue.cpp
@@ -2,82 +2,182 @@
 
 #include "core/overloaded.h"
 
+#include <algorithm>
+
 namespace kumquat {
 
-admission_queue::admission_queue(const scheduling_policy& policy)
+admission_queue::admission_queue(const scheduling_policy& policy, const class_terms_source& terms, duration starvationLimit)
     : m_policy(policy)
 {
     const auto chooseOrder = overloaded {
-        [this](const fair_scheduling&) { m_order.emplace<tiered_queue>(); },
-        [this](const priority_scheduling&) { m_order.emplace<tiered_queue>(); },
-        [this](const fifo_scheduling&) { m_order.emplace<fifo_queue>(); },
-        [this](const inverted_scheduling&) { m_order.emplace<inverted_queue>(); },
+        [&](const fair_scheduling&) { m_order.emplace<fair_queue>(terms, starvationLimit); },
+        [&](const priority_scheduling&) { m_order.emplace<tiered_queue>(); },
+        [&](const fifo_scheduling&) { m_order.emplace<fifo_queue>(); },
+        [&](const inverted_scheduling&) { m_order.emplace<inverted_queue>(); },
     };
     std::visit(chooseOrder, m_policy);
 }
 
-void admission_queue::push(queued_attempt attempt)
+void admission_queue::push(queued_attempt attempt, instant now)
 {
     if (attempt.sequence == 0)
         attempt.sequence = m_nextSequence++;
-    m_deadlines.set(attempt.attempt, attempt.deadline);
     const auto id = attempt.attempt;
     const auto& kept = m_waiting.insert_or_assign(id, std::move(attempt)).first->second;
-    std::visit([&](auto& order) { order.push(kept); }, m_order);
+    m_deadlines.set(id, kept.deadline);
+    if (kept.urgentAt != instant::max())
+        m_urgent.set(id, kept.urgentAt);
+    m_byTier.insert(&kept);
     if (!kept.resumes)
-        m_displaceable.insert(&kept);
+        m_unstarted.insert(&kept);
+    if (kept.suspect)
+        m_orderedSuspects.insert(&kept);
+    std::visit([&](auto& order) { order.push(kept, now); }, m_order);
 }
 
-queued_attempt admission_queue::take(const attempt_id& id)
+queued_attempt admission_queue::take(const attempt_id& id, instant now)
 {
     const auto position = m_waiting.find(id);
     const auto& waiting = position->second;
-    std::visit([&](auto& order) { order.remove(waiting); }, m_order);
-    m_displaceable.erase(&waiting);
+    if (m_parked.erase(&waiting) == 0)
+        std::visit([&](auto& order) { order.remove(waiting, now); }, m_order);
+    m_orderedSuspects.erase(&waiting);
+    m_byTier.erase(&waiting);
+    m_unstarted.erase(&waiting);
     m_deadlines.cancel(id);
+    m_urgent.cancel(id);
     return std::move(m_waiting.extract(position).mapped());
 }
 
-std::optional<queued_attempt> admission_queue::popNext(instant now)
+queue_choice admission_queue::choose(slot_cause cause, instant now)
+{
+    if (auto* fair = std::get_if<fair_queue>(&m_order); fair && cause == slot_cause::preempted)
+        return fair->nextByTier(now);
+    return std::visit([&](auto& order) { return order.next(now); }, m_order);
+}
+
+std::optional<popped_attempt> admission_queue::popNext(slot_cause cause, bool suspectRuns, instant now)
 {
-    const auto choice = std::visit([&](auto& order) { return order.next(now); }, m_order);
+    if (!suspectRuns && m_orderedSuspects.empty())
+        unparkOne(now);
+    auto choice = choose(cause, now);
+    while (choice.attempt && choice.attempt->suspect && suspectRuns) {
+        park(*choice.attempt, now);
+        choice = choose(cause, now);
+    }
     if (!choice.attempt)
         return std::nullopt;
-    return take(choice.attempt->attempt);
+    if (auto* fair = std::get_if<fair_queue>(&m_order))
+        fair->started(choice, cause == slot_cause::freed, now);
+    return popped_attempt { take(attempt_id(choice.attempt->attempt), now), choice.guaranteed };
 }
 
-std::optional<queued_attempt> admission_queue::displaceBelow(std::uint32_t tierRank)
+std::optional<queued_attempt> admission_queue::popOne(const attempt_id& id, instant now)
 {
-    if (m_displaceable.empty() || std::holds_alternative<fifo_scheduling>(m_policy))
+    const auto* attempt = find(id);
+    if (!attempt)
         return std::nullopt;
-    const bool isInverted = std::holds_alternative<inverted_scheduling>(m_policy);
-    const auto* candidate = isInverted ? *m_displaceable.begin() : *m_displaceable.rbegin();
-    if (!isInverted && candidate->tierRank <= tierRank)
+    // A parked suspect is in no order; it is put back before it is charged and taken.
+    if (m_parked.erase(attempt) > 0)
+        std::visit([&](auto& order) { order.push(*attempt, now); }, m_order);
+    if (auto* fair = std::get_if<fair_queue>(&m_order))
+        fair->started({ attempt, false }, false, now);
+    return take(id, now);
+}
+
+void admission_queue::park(const queued_attempt& attempt, instant now)
+{
+    std::visit([&](auto& order) { order.remove(attempt, now); }, m_order);
+    m_orderedSuspects.erase(&attempt);
+    m_parked.insert(&attempt);
+}
+
+void admission_queue::unparkOne(instant now)
+{
+    if (m_parked.empty())
+        return;
+    const auto* first = *m_parked.begin();
+    m_parked.erase(m_parked.begin());
+    m_orderedSuspects.insert(first);
+    std::visit([&](auto& order) { order.push(*first, now); }, m_order);
+}
+
+std::optional<queued_attempt> admission_queue::displaceFor(const queued_attempt& arrival, instant now)
+{
+    if (m_unstarted.empty() || std::holds_alternative<fifo_scheduling>(m_policy))
+        return std::nullopt;
+    if (std::holds_alternative<inverted_scheduling>(m_policy))
+        return take(attempt_id((*m_unstarted.begin())->attempt), now);
+    const auto* lowest = *m_unstarted.rbegin();
+    if (lowest->tierRank > arrival.tierRank)
+        return take(attempt_id(lowest->attempt), now);
+    const auto* fair = std::get_if<fair_queue>(&m_order);
+    const auto* surplus = fair ? fair->surplus(arrival.tierRank, arrival.organisation) : nullptr;
+    if (!surplus)
         return std::nullopt;
-    return take(candidate->attempt);
+    return take(attempt_id(surplus->attempt), now);
 }
 
-std::optional<queued_attempt> admission_queue::remove(const attempt_id& attempt)
+std::optional<queued_attempt> admission_queue::remove(const attempt_id& attempt, instant now)
 {
     if (!m_waiting.contains(attempt))
         return std::nullopt;
-    return take(attempt);
+    return take(attempt, now);
 }
 
 std::vector<queued_attempt> admission_queue::removeExpired(instant now)
 {
     std::vector<queued_attempt> expired;
     while (const auto attempt = m_deadlines.popDue(now))
-        expired.push_back(take(*attempt));
+        expired.push_back(take(*attempt, now));
     return expired;
 }
 
-std::vector<queued_attempt> admission_queue::removeAll()
+std::vector<queued_attempt> admission_queue::removeIf(const std::function<bool(const queued_attempt&)>& isSelected, instant now)
+{
+    std::vector<attempt_id> selected;
+    for (const auto* attempt : m_byTier) {
+        if (isSelected(*attempt))
+            selected.push_back(attempt->attempt);
+    }
+    std::vector<queued_attempt> removed;
+    removed.reserve(selected.size());
+    for (const auto& attempt : selected)
+        removed.push_back(take(attempt, now));
+    return removed;
+}
+
+const queued_attempt* admission_queue::find(const attempt_id& attempt) const
+{
+    const auto found = m_waiting.find(attempt);
+    return found == m_waiting.end() ? nullptr : &found->second;
+}
+
+std::optional<instant> admission_queue::nextDeadline() const
+{
+    const auto deadline = m_deadlines.nextDeadline();
+    const auto urgent = m_urgent.nextDeadline();
+    if (!deadline || !urgent)
+        return deadline ? deadline : urgent;
+    return std::min(*deadline, *urgent);
+}
+
+void admission_queue::charge(std::uint32_t tierRank, const std::string& organisation, double tokens)
+{
+    if (auto* fair = std::get_if<fair_queue>(&m_order))
+        fair->charge(tierRank, organisation, tokens);
+}
+
+void admission_queue::ended(std::uint32_t tierRank, const std::string& organisation)
+{
+    if (auto* fair = std::get_if<fair_queue>(&m_order))
+        fair->ended(tierRank, organisation);
+}
+
+duration admission_queue::runAhead(const queued_attempt& arrival) const
 {
-    std::vector<queued_attempt> all;
-    while (!m_waiting.empty())
-        all.push_back(take(attempt_id(m_waiting.begin()->first)));
-    return all;
+    const auto* fair = std::get_if<fair_queue>(&m_order);
+    return fair ? fair->runAhead(arrival.tierRank, arrival.organisation, arrival.expectedRun) : duration { 0 };
 }
 
 } // namespace kumquat
--- a/servers/sidecar/attempt_record.h
+++ b/servers/sidecar/attempt_record.h
@@ -17,12 +17,10 @@
     std::uint32_t tokens = 0;
 };
 
-// Whether an attempt counts as waiting or as running in the reported load.
-enum class load_stage { none,
-    queued,
-    running };
-
-struct attempt_queued { };
+struct attempt_queued {
+    // Whether the attempt was preempted and waits to continue.
+    bool started = false;
+};
 
 struct attempt_running {
     run_id run = 0;
@@ -63,9 +61,6 @@
     std::string contentType;
     std::vector<kept_chunk> chunks;
     std::uint32_t producedTokens = 0;
-    // Where the attempt is counted in the load, and the expected tokens that still count there.
-    load_stage counted = load_stage::none;
-    std::uint32_t remainingTokens = 0;
 };
 
 } // namespace kumquat
--- /dev/null
+++ b/servers/sidecar/fair_queue.cpp
@@ -0,0 +1,69 @@
+#include "servers/sidecar/fair_queue.h"
+
+namespace kumquat {
+
+void fair_queue::push(const queued_attempt& attempt, instant now)
+{
+    m_tiers[attempt.tierRank].push(attempt);
+    m_share.push(attempt, now);
+}
+
+void fair_queue::remove(const queued_attempt& attempt, instant now)
+{
+    m_tiers.at(attempt.tierRank).remove(attempt);
+    m_share.remove(attempt, now);
+}
+
+queue_choice fair_queue::next(instant now)
+{
+    const auto inOrder = nextByTier(now);
+    const auto* due = m_share.due(now);
+    // What is due and of the highest waiting tier anyway is chosen by the order inside that tier.
+    if (!due || due->className == inOrder.attempt->className)
+        return inOrder;
+    return { due, true };
+}
+
+queue_choice fair_queue::nextByTier(instant now)
+{
+    for (auto& [rank, tier] : m_tiers) {
+        if (const auto* attempt = tier.next(now))
+            return { attempt, false };
+    }
+    return {};
+}
+
+void fair_queue::started(const queue_choice& choice, bool inTurn, instant now)
+{
+    m_tiers.at(choice.attempt->tierRank).started(*choice.attempt, inTurn && !choice.guaranteed);
+    m_share.started(choice.attempt->className, choice.guaranteed, now);
+}
+
+void fair_queue::charge(std::uint32_t tierRank, const std::string& organisation, double tokens)
+{
+    m_tiers.at(tierRank).charge(organisation, tokens);
+}
+
+void fair_queue::ended(std::uint32_t tierRank, const std::string& organisation)
+{
+    m_tiers.at(tierRank).ended(organisation);
+}
+
+duration fair_queue::runAhead(std::uint32_t tierRank, const std::string& organisation, duration ownRun) const
+{
+    duration ahead { 0 };
+    for (const auto& [rank, tier] : m_tiers) {
+        if (rank < tierRank)
+            ahead += tier.queuedRun();
+    }
+    const auto own = m_tiers.find(tierRank);
+    return own == m_tiers.end() ? ahead : ahead + own->second.runAhead(organisation, ownRun);
+}
+
+const queued_attempt* fair_queue::surplus(std::uint32_t tierRank, const std::string& organisation) const
+{
+    const auto tier = m_tiers.find(tierRank);
+    return tier == m_tiers.end() ? nullptr : tier->second.surplus(organisation);
+}
+
+} // namespace kumquat
--- a/servers/sidecar/load_tally.cpp
+++ b/servers/sidecar/load_tally.cpp
@@ -1,57 +1,30 @@
 #include "servers/sidecar/load_tally.h"
 
-#include <algorithm>
-
 namespace kumquat {
 
-void load_tally::queued(attempt_record& record)
-{
-    leave(record);
-    record.remainingTokens = record.request.expectedTokens - std::min(record.request.expectedTokens, record.producedTokens);
-    enter(record, load_stage::queued);
-}
-
-void load_tally::started(attempt_record& record)
-{
-    leave(record);
-    enter(record, load_stage::running);
-}
-
-void load_tally::produced(attempt_record& record, std::uint32_t tokens)
-{
-    const auto counted = std::min(tokens, record.remainingTokens);
-    record.remainingTokens -= counted;
-    if (record.counted != load_stage::none)
-        m_tiers.at(record.request.tierRank).expectedTokens -= counted;
-}
-
-void load_tally::ended(attempt_record& record)
-{
-    leave(record);
-}
-
-void load_tally::enter(attempt_record& record, load_stage stage)
+void load_tally::add(stage where, std::uint32_t tierRank, std::uint32_t expectedTokens)
 {
-    auto& load = m_tiers[record.request.tierRank];
-    load.rank = record.request.tierRank;
-    load.expectedTokens += record.remainingTokens;
-    (stage == load_stage::queued ? load.queued : load.running)++;
-    record.counted = stage;
+    auto& load = m_tiers[tierRank];
+    load.rank = tierRank;
+    load.expectedTokens += expectedTokens;
+    (where == stage::queued ? load.queued : load.running)++;
 }
 
-void load_tally::leave(attempt_record& record)
+void load_tally::remove(stage where, std::uint32_t tierRank, std::uint32_t expectedTokens)
 {
-    if (record.counted == load_stage::none)
-        return;
-    const auto position = m_tiers.find(record.request.tierRank);
+    const auto position = m_tiers.find(tierRank);
     auto& load = position->second;
-    load.expectedTokens -= record.remainingTokens;
-    (record.counted == load_stage::queued ? load.queued : load.running)--;
-    record.counted = load_stage::none;
+    load.expectedTokens -= expectedTokens;
+    (where == stage::queued ? load.queued : load.running)--;
     if (load.queued == 0 && load.running == 0)
         m_tiers.erase(position);
 }
 
+void load_tally::produced(std::uint32_t tierRank, std::uint32_t tokens)
+{
+    m_tiers.at(tierRank).expectedTokens -= tokens;
+}
+
 std::vector<tier_load> load_tally::tiers() const
 {
     std::vector<tier_load> result;
--- a/servers/sidecar/queued_attempt.h
+++ b/servers/sidecar/queued_attempt.h
@@ -14,8 +14,9 @@
     std::uint32_t tierRank = 0;
     std::string className;
     std::string organisation;
-    // Output tokens that the attempt is expected to produce.
-    std::uint32_t expectedTokens = 0;
+    std::uint64_t fingerprint = 0;
+    // Tokens that the organisation is charged for the start.
+    double charge = 0;
     // Time for which the attempt is expected to occupy a slot.
     duration expectedRun { 0 };
     instant arrived;
@@ -23,6 +24,8 @@
     instant deadline;
     // Latest start that still meets the targets of the class.
     instant startBy = instant::max();
+    // When a lower stream is preempted for the attempt if it still waits.
+    instant urgentAt = instant::max();
     // Whether the attempt was preempted and continues; it may no longer be refused as one that never ran.
     bool resumes = false;
     // Whether a request of this fingerprint was running when an upstream crashed.
--- a/servers/sidecar/sidecar_reducer.cpp
+++ b/servers/sidecar/sidecar_reducer.cpp
@@ -9,7 +9,6 @@
 namespace {
 
     constexpr std::chrono::milliseconds retryAfterOverload { 1000 };
-    constexpr double rateSmoothing = 0.2;
 
     bool hasEnded(const attempt_state& state)
     {
@@ -29,7 +28,8 @@
 
 sidecar_reducer::sidecar_reducer(sidecar_options options)
     : m_options(std::move(options))
-    , m_queue(m_options.policy)
+    , m_scheduler(std::make_unique<slot_scheduler>(m_options))
+    , m_entries(m_options.entryTimeout)
 {
 }
 
@@ -38,24 +38,21 @@
     m_now = now;
     m_effects = &effects;
     std::visit([this](const auto& concrete) { handle(concrete); }, event);
-    fillSlots();
+    m_scheduler->fill(m_now, m_actions);
+    executeActions();
     publishReportOnSharpChange();
+    reportViolations();
     stopWhenDrained();
     m_effects = nullptr;
 }
 
 std::optional<instant> sidecar_reducer::nextDeadline() const
 {
-    auto next = earlier(m_queue.nextDeadline(), m_tombstones.nextDeadline());
+    auto next = earlier(m_scheduler->nextDeadline(), m_tombstones.nextDeadline());
     next = earlier(next, m_nextReport);
     return earlier(next, m_drainDeadline);
 }
 
-std::uint64_t sidecar_reducer::generation() const
-{
-    return m_document ? m_document->generation() : 0;
-}
-
 void sidecar_reducer::handle(const peer_received& event)
 {
     std::visit([this](const auto& message) { receive(message); }, event.message);
@@ -63,6 +60,7 @@
 
 void sidecar_reducer::receive(const offer& request)
 {
+    heardFrom(request.from);
     const auto known = m_attempts.find(request.attempt);
     if (known != m_attempts.end()) {
         answerState(known->second, request.nextChunk);
@@ -90,34 +88,13 @@
         refuse(record, error_code::no_upstream, "upstream '" + m_options.id + "' does not respond", retryAfterOverload);
         return;
     }
-    if (!makeRoomFor(record)) {
-        refuse(record, error_code::overloaded, "queue of upstream '" + m_options.id + "' is full", retryAfterOverload);
+    m_entries.began(record.request.from, record.request.attempt);
+    m_scheduler->submit(record.request, m_now, m_actions);
+    executeActions();
+    if (!std::holds_alternative<attempt_queued>(record.state))
         return;
-    }
-    const auto& request = record.request;
-    m_queue.push({ .attempt = request.attempt,
-        .tierRank = request.tierRank,
-        .className = request.className,
-        .organisation = request.organisation,
-        .expectedTokens = request.expectedTokens,
-        .arrived = m_now,
-        .deadline = record.deadline });
-    m_load.queued(record);
     log(log_level::debug, "attempt_queued", record);
-    fillSlots();
-    if (std::holds_alternative<attempt_queued>(record.state))
-        answerState(record, 0);
-}
-
-bool sidecar_reducer::makeRoomFor(const attempt_record& record)
-{
-    if (m_queue.size() < m_options.queueLimit)
-        return true;
-    const auto displaced = m_queue.displaceBelow(record.request.tierRank);
-    if (!displaced)
-        return false;
-    refuse(m_attempts.at(displaced->attempt), error_code::overloaded, "displaced by a request of a higher tier", retryAfterOverload);
-    return true;
+    answerState(record, 0);
 }
 
 void sidecar_reducer::refuse(attempt_record& record, error_code reason, std::string message, std::chrono::milliseconds retryAfter)
@@ -125,43 +102,72 @@
     end(record, attempt_refused { reason, std::move(message), retryAfter });
     answerState(record, 0);
     log(log_level::info, "attempt_refused", record, { { "reason", toString(reason) } });
-    m_effects->push_back(count_metric { "kumquat_sidecar_refused_total", { { "reason", toString(reason) } } });
+    count("kumquat_sidecar_refused_total", { { "reason", toString(reason) }, { "class", record.request.className } });
 }
 
-void sidecar_reducer::fillSlots()
+void sidecar_reducer::executeActions()
 {
-    while (m_healthy && m_runs.size() < m_options.slots) {
-        const auto next = m_queue.popNext(m_now);
-        if (!next)
-            return;
-        startAttempt(m_attempts.at(next->attempt));
-    }
+    // Executing an action adds no further ones.
+    for (const auto& action : m_actions)
+        std::visit([this](const auto& concrete) { execute(concrete); }, action);
+    m_actions.clear();
 }
 
-void sidecar_reducer::startAttempt(attempt_record& record)
+void sidecar_reducer::execute(const begin_attempt& action)
 {
+    auto& record = m_attempts.at(action.attempt);
     const run_id run = m_nextRun++;
-    m_load.started(record);
     record.state = attempt_running { run, m_now };
-    m_runs.emplace(run, record.request.attempt);
-    m_effects->push_back(start_run { .run = run,
-        .job = record.request.job,
-        .priority = record.request.tierRank,
-        .resumePrefix = record.request.deliveredPrefix,
-        .resumeTokens = record.request.deliveredTokens });
+    m_runs.emplace(run, action.attempt);
+    start_run start { .run = run, .job = record.request.job, .priority = record.request.tierRank };
+    start.resumePrefix = record.request.deliveredPrefix;
+    for (const auto& chunk : record.chunks)
+        start.resumePrefix += chunk.text;
+    start.resumeTokens = record.request.deliveredTokens + record.producedTokens;
+    m_effects->push_back(std::move(start));
+    if (action.resumes) {
+        log(log_level::info, "attempt_resumed", record, { { "tokens", std::to_string(record.producedTokens) } });
+        return;
+    }
     answerState(record, 0);
     log(log_level::debug, "attempt_started", record);
 }
 
+void sidecar_reducer::execute(const interrupt_attempt& action)
+{
+    auto& record = m_attempts.at(action.attempt);
+    const auto run = std::get<attempt_running>(record.state).run;
+    m_runs.erase(run);
+    record.state = attempt_queued { .started = true };
+    m_effects->push_back(cancel_run { run });
+    log(log_level::info, "attempt_preempted", record, { { "tokens", std::to_string(record.producedTokens) } });
+    count("kumquat_sidecar_preempted_total", { { "class", record.request.className } });
+}
+
+void sidecar_reducer::execute(const give_up_attempt& action)
+{
+    auto& record = m_attempts.at(action.attempt);
+    if (!action.resumes) {
+        refuse(record, action.reason, action.message, action.retryAfter);
+        return;
+    }
+    end(record, attempt_failed { .started = true, .reason = action.reason, .message = action.message });
+    answerState(record, static_cast<std::uint32_t>(record.chunks.size()));
+    log(log_level::warning, "attempt_failed", record, { { "started", "true" }, { "message", action.message } });
+    count("kumquat_sidecar_failed_total", { { "reason", toString(action.reason) } });
+}
+
 // Moves an attempt to a final state and keeps it as a tombstone.
 void sidecar_reducer::end(attempt_record& record, attempt_state state)
 {
     if (const auto* running = std::get_if<attempt_running>(&record.state))
         m_runs.erase(running->run);
-    m_load.ended(record);
     record.state = std::move(state);
     record.request.job = {};
     record.request.deliveredPrefix.clear();
+    m_entries.ended(record.request.from, record.request.attempt);
+    if (!record.chunks.empty())
+        m_entries.keptAnswer(record.request.from, record.request.attempt);
     m_tombstones.set(record.request.attempt, m_now + m_options.tombstoneRetention);
 }
 
@@ -174,7 +180,14 @@
             answerChunk(record, sequence);
     };
     const auto visitor = overloaded {
-        [&](const attempt_queued&) { send(address, offer_queued { header, static_cast<std::uint32_t>(m_queue.size()) }); },
+        [&](const attempt_queued& queued) {
+            // What was preempted has started, as far as its entry is concerned.
+            if (queued.started)
+                send(address, offer_started { header });
+            else
+                send(address, offer_queued { header, static_cast<std::uint32_t>(queuedCount()) });
+            sendChunks();
+        },
         [&](const attempt_running&) {
             send(address, offer_started { header });
             sendChunks();
@@ -201,6 +214,7 @@
 
 void sidecar_reducer::receive(const withdraw& request)
 {
+    heardFrom(request.from);
     const auto known = m_attempts.find(request.attempt);
     if (known != m_attempts.end()) {
         withdrawKnown(known->second);
@@ -215,41 +229,52 @@
     auto& record = m_attempts[request.attempt];
     record.request.from = request.from;
     record.request.attempt = request.attempt;
+    m_scheduler->closed(request.attempt);
     end(record, attempt_withdrawn { false });
     answerState(record, 0);
 }
 
 void sidecar_reducer::withdrawKnown(attempt_record& record)
 {
-    if (std::holds_alternative<attempt_queued>(record.state)) {
-        m_queue.remove(record.request.attempt);
-        end(record, attempt_withdrawn { false });
+    const auto& attempt = record.request.attempt;
+    if (const auto* queued = std::get_if<attempt_queued>(&record.state)) {
+        m_scheduler->withdraw(attempt, m_now);
+        end(record, attempt_withdrawn { queued->started });
     } else if (const auto* running = std::get_if<attempt_running>(&record.state)) {
         m_effects->push_back(cancel_run { running->run });
+        m_scheduler->ended(attempt, slot_scheduler::run_end::cancelled, m_now);
         end(record, attempt_withdrawn { true });
         log(log_level::info, "attempt_cancelled", record);
     }
-    record.chunks.clear();
+    dropAnswer(record);
     answerState(record, 0);
 }
 
+void sidecar_reducer::dropAnswer(attempt_record& record)
+{
+    record.chunks.clear();
+    record.chunks.shrink_to_fit();
+    m_entries.droppedAnswer(record.request.from, record.request.attempt);
+}
+
 void sidecar_reducer::receive(const acknowledge& request)
 {
     const auto known = m_attempts.find(request.attempt);
     if (known == m_attempts.end() || !hasEnded(known->second.state))
         return;
-    known->second.chunks.clear();
-    known->second.chunks.shrink_to_fit();
+    dropAnswer(known->second);
 }
 
 void sidecar_reducer::receive(const subscribe& request)
 {
-    auto& entry = m_subscribers[request.from.id];
-    const bool isNew = entry.identity.incarnation != request.from.incarnation;
-    entry.identity = request.from;
-    entry.lastHeard = m_now;
-    if (isNew)
+    heardFrom(request.from);
+    if (m_entries.subscribe(request.from, m_now))
         send(request.from.address, makeReport());
+}
+
+void sidecar_reducer::heardFrom(const peer_identity& entry)
+{
+    m_entries.heard(entry, m_now);
     if (!m_nextReport)
         m_nextReport = m_now + m_options.reportInterval;
 }
@@ -270,7 +295,7 @@
         return;
     record->chunks.push_back({ event.text, event.tokens });
     record->producedTokens += event.tokens;
-    m_load.produced(*record, event.tokens);
+    m_scheduler->produced(record->request.attempt, event.tokens, m_now);
     answerChunk(*record, static_cast<std::uint32_t>(record->chunks.size() - 1));
 }
 
@@ -279,16 +304,12 @@
     auto* record = findRunning(event.run);
     if (!record)
         return;
-    const auto elapsed = std::chrono::duration<double>(m_now - std::get<attempt_running>(record->state).startedAt).count();
-    if (record->producedTokens > 0 && elapsed > 0) {
-        const double rate = record->producedTokens / elapsed;
-        m_tokensPerSecond = m_tokensPerSecond == 0 ? rate : m_tokensPerSecond + rateSmoothing * (rate - m_tokensPerSecond);
-    }
+    m_scheduler->ended(record->request.attempt, slot_scheduler::run_end::finished, m_now);
     end(*record, attempt_finished { event.finishReason, event.promptTokens });
     // The chunks have been sent as they came; a gap is repaired when the entry resends its offer.
     answerState(*record, static_cast<std::uint32_t>(record->chunks.size()));
     log(log_level::info, "attempt_finished", *record, { { "tokens", std::to_string(record->producedTokens) } });
-    m_effects->push_back(count_metric { "kumquat_sidecar_finished_total", {} });
+    count("kumquat_sidecar_finished_total", { { "class", record->request.className } });
 }
 
 void sidecar_reducer::handle(const run_failed& event)
@@ -296,10 +317,14 @@
     auto* record = findRunning(event.run);
     if (!record)
         return;
-    end(*record, attempt_failed { event.started, event.connectionBroke, error_code::upstream_failed, event.message });
+    const auto how = event.connectionBroke ? slot_scheduler::run_end::connection_broke : slot_scheduler::run_end::failed;
+    m_scheduler->ended(record->request.attempt, how, m_now);
+    // An attempt that was preempted has run, whatever became of its last part.
+    const bool started = event.started || record->producedTokens > 0;
+    end(*record, attempt_failed { started, event.connectionBroke, error_code::upstream_failed, event.message });
     answerState(*record, static_cast<std::uint32_t>(record->chunks.size()));
-    log(log_level::warning, "attempt_failed", *record, { { "started", event.started ? "true" : "false" }, { "message", event.message } });
-    m_effects->push_back(count_metric { "kumquat_sidecar_failed_total", {} });
+    log(log_level::warning, "attempt_failed", *record, { { "started", started ? "true" : "false" }, { "message", event.message } });
+    count("kumquat_sidecar_failed_total", { { "reason", toString(error_code::upstream_failed) } });
 }
 
 void sidecar_reducer::handle(const upstream_probed& event)
@@ -307,6 +332,8 @@
     if (event.healthy == m_healthy)
         return;
     m_healthy = event.healthy;
+    m_scheduler->setHealthy(m_healthy, m_now, m_actions);
+    executeActions();
     m_effects->push_back(log_event { log_level::warning, "upstream_health", { { "upstream", m_options.id }, { "healthy", m_healthy ? "true" : "false" } } });
     publishReport();
 }
@@ -315,7 +342,7 @@
 {
     if (event.contents->generation() <= generation())
         return;
-    m_document = event.contents;
+    m_scheduler->adopt(event.contents);
     m_effects->push_back(log_event { log_level::info, "document_adopted", { { "generation", std::to_string(generation()) } } });
 }
 
@@ -325,18 +352,20 @@
         return;
     m_leaving = true;
     m_drainDeadline = m_now + m_options.drainLimit;
-    m_effects->push_back(log_event { log_level::info, "drain_started", { { "running", std::to_string(m_runs.size()) }, { "queued", std::to_string(m_queue.size()) } } });
-    for (const auto& waiting : m_queue.removeAll())
-        refuse(m_attempts.at(waiting.attempt), error_code::draining, "upstream '" + m_options.id + "' is leaving", std::chrono::milliseconds { 0 });
+    m_effects->push_back(log_event { log_level::info, "drain_started", { { "running", std::to_string(m_runs.size()) }, { "queued", std::to_string(queuedCount()) } } });
+    // What was preempted is in progress and continues here.
+    m_scheduler->refuseWaiting(error_code::draining, "upstream '" + m_options.id + "' is leaving", m_now, m_actions);
+    executeActions();
     publishReport();
 }
 
 void sidecar_reducer::handle(const timer_due&)
 {
-    for (const auto& expired : m_queue.removeExpired(m_now))
-        refuse(m_attempts.at(expired.attempt), error_code::timeout, "no slot became free in time", retryAfterOverload);
-    while (const auto attempt = m_tombstones.popDue(m_now))
+    while (const auto attempt = m_tombstones.popDue(m_now)) {
+        dropAnswer(m_attempts.at(*attempt));
+        m_scheduler->forgotten(*attempt);
         m_attempts.erase(*attempt);
+    }
     if (m_nextReport && *m_nextReport <= m_now) {
         cancelWorkOfSilentEntries();
         publishReport();
@@ -345,17 +374,16 @@
 
 void sidecar_reducer::cancelWorkOfSilentEntries()
 {
-    std::erase_if(m_subscribers, [&](const auto& item) {
-        const auto& entry = item.second;
-        if (entry.lastHeard + m_options.entryTimeout > m_now)
-            return false;
-        for (auto& [id, record] : m_attempts) {
-            const bool isTheirs = record.request.from.id == entry.identity.id && record.request.from.incarnation == entry.identity.incarnation;
-            if (isTheirs && record.request.repeatable && !hasEnded(record.state))
-                withdrawKnown(record);
-        }
-        return true;
-    });
+    for (const auto& attempt : m_entries.takeAbandoned(m_now)) {
+        auto& record = m_attempts.at(attempt);
+        const auto* queued = std::get_if<attempt_queued>(&record.state);
+        const bool neverRan = queued && !queued->started;
+        // What must run once and has begun runs to its end, since its outcome may still be asked for.
+        if (!record.request.repeatable && !neverRan)
+            continue;
+        withdrawKnown(record);
+        count("kumquat_sidecar_abandoned_total", { { "class", record.request.className } });
+    }
 }
 
 report sidecar_reducer::makeReport() const
@@ -367,36 +395,55 @@
     result.generation = generation();
     result.leaving = m_leaving;
     result.healthy = m_healthy;
-    result.slots = m_options.slots;
-    result.freeSlots = m_options.slots - std::min<std::uint32_t>(m_options.slots, runningCount());
-    result.tokensPerSecond = m_tokensPerSecond;
-    result.tiers = m_load.tiers();
+    result.slots = m_scheduler->usableSlots();
+    result.freeSlots = result.slots - std::min(result.slots, runningCount());
+    result.tokensPerSecond = m_scheduler->estimator().tokensPerSecond();
+    result.tiers = m_scheduler->load();
+    result.suspects = m_scheduler->suspects().suspects();
+    result.refusedFingerprints = m_scheduler->suspects().refused();
     return result;
 }
 
 void sidecar_reducer::publishReport()
 {
     const auto current = makeReport();
-    for (const auto& [id, entry] : m_subscribers)
-        send(entry.identity.address, current);
-    m_lastReportedLoad = runningCount() + static_cast<std::uint32_t>(m_queue.size());
-    m_nextReport = m_subscribers.empty() ? std::nullopt : std::optional(m_now + m_options.reportInterval);
+    for (const auto& entry : m_entries.subscribers())
+        send(entry.address, current);
+    m_lastReportedLoad = runningCount() + static_cast<std::uint32_t>(queuedCount());
+    m_reportedSuspicions = m_scheduler->suspects().version();
+    m_nextReport = m_entries.hasEntries() ? std::optional(m_now + m_options.reportInterval) : std::nullopt;
 }
 
 void sidecar_reducer::publishReportOnSharpChange()
 {
-    const auto load = runningCount() + static_cast<std::uint32_t>(m_queue.size());
+    const auto load = runningCount() + static_cast<std::uint32_t>(queuedCount());
     const auto difference = load > m_lastReportedLoad ? load - m_lastReportedLoad : m_lastReportedLoad - load;
-    if (difference > std::max(m_options.slots / 2, 1U))
+    const bool isSharp = difference > std::max(m_options.slots / 2, 1U);
+    const bool isSuspicionNew = m_reportedSuspicions != m_scheduler->suspects().version();
+    if (isSuspicionNew)
+        count("kumquat_sidecar_suspicions_total");
+    if (isSharp || isSuspicionNew)
         publishReport();
 }
 
+// A violation is a fault of this program that harms fairness, not truth: it is made known, and the process goes on.
+void sidecar_reducer::reportViolations()
+{
+    const auto& invariants = m_scheduler->invariants();
+    if (invariants.violationCount() == m_reportedViolations)
+        return;
+    m_reportedViolations = invariants.violationCount();
+    m_effects->push_back(log_event { log_level::error, "invariant_violated", { { "upstream", m_options.id }, { "message", invariants.violations().back() } } });
+    count("kumquat_sidecar_invariant_violations_total");
+}
+
 void sidecar_reducer::stopWhenDrained()
 {
     if (!m_leaving || m_stopped)
         return;
     const bool isLate = m_drainDeadline && *m_drainDeadline <= m_now;
-    if (!isLate && (!m_runs.empty() || hasUnacknowledgedAnswers()))
+    const bool isBusy = !m_runs.empty() || queuedCount() > 0 || m_entries.hasUnacknowledgedAnswers();
+    if (!isLate && isBusy)
         return;
     m_stopped = true;
     m_drainDeadline.reset();
@@ -404,15 +451,6 @@
     m_effects->push_back(stop_process {});
 }
 
-// An answer that its entry has not yet acknowledged may still need to be sent again.
-bool sidecar_reducer::hasUnacknowledgedAnswers() const
-{
-    return std::any_of(m_attempts.begin(), m_attempts.end(), [this](const auto& item) {
-        const auto& record = item.second;
-        return !record.chunks.empty() && m_subscribers.contains(record.request.from.id);
-    });
-}
-
 attempt_record* sidecar_reducer::findRunning(run_id run)
 {
     const auto found = m_runs.find(run);
@@ -429,6 +467,11 @@
     m_effects->push_back(send_to_peer { address, std::move(message) });
 }
 
+void sidecar_reducer::count(std::string name, metric_labels labels)
+{
+    m_effects->push_back(count_metric { std::move(name), std::move(labels) });
+}
+
 void sidecar_reducer::log(log_level level, std::string name, const attempt_record& record, std::vector<std::pair<std::string, std::string>> more)
 {
     log_event event { level, std::move(name), { { "request", record.request.attempt.requestId }, { "attempt", std::to_string(record.request.attempt.attempt) }, { "upstream", m_options.id } } };
--- a/servers/sidecar/sidecar_reducer.h
+++ b/servers/sidecar/sidecar_reducer.h
@@ -1,13 +1,14 @@
 #pragma once
 
 #include "core/timer_queue.h"
-#include "servers/sidecar/admission_queue.h"
 #include "servers/sidecar/attempt_record.h"
-#include "servers/sidecar/load_tally.h"
+#include "servers/sidecar/entry_watch.h"
 #include "servers/sidecar/sidecar_effect.h"
 #include "servers/sidecar/sidecar_options.h"
+#include "servers/sidecar/slot_scheduler.h"
 
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -15,7 +16,7 @@
 namespace kumquat {
 
 // Decides what runs on one upstream. It is the only authority on that: an attempt that it has refused or withdrawn
-// unstarted never runs, and an attempt runs at most once.
+// unstarted never runs, and an attempt runs once, in several parts if it is preempted.
 class sidecar_reducer {
 public:
     explicit sidecar_reducer(sidecar_options);
@@ -30,18 +31,15 @@
     const sidecar_options& options() const { return m_options; }
     const std::map<attempt_id, attempt_record>& attempts() const { return m_attempts; }
     std::uint32_t runningCount() const { return static_cast<std::uint32_t>(m_runs.size()); }
-    std::size_t queuedCount() const { return m_queue.size(); }
+    std::size_t queuedCount() const { return m_scheduler->queuedCount(); }
+    const slot_scheduler& scheduler() const { return *m_scheduler; }
+    const scheduling_invariants& invariants() const { return m_scheduler->invariants(); }
     bool leaving() const { return m_leaving; }
     bool healthy() const { return m_healthy; }
-    std::uint64_t generation() const;
+    std::uint64_t generation() const { return m_scheduler->generation(); }
     report makeReport() const;
 
 private:
-    struct subscriber {
-        peer_identity identity;
-        instant lastHeard;
-    };
-
     void handle(const peer_received&);
     void handle(const run_head&);
     void handle(const run_output&);
@@ -61,40 +59,45 @@
     void receive(const Other&) { }
 
     void admit(attempt_record&);
-    bool makeRoomFor(const attempt_record&);
+    // Executes what the scheduler has decided.
+    void executeActions();
+    void execute(const begin_attempt&);
+    void execute(const interrupt_attempt&);
+    void execute(const give_up_attempt&);
     void refuse(attempt_record&, error_code, std::string message, std::chrono::milliseconds retryAfter);
-    void fillSlots();
-    void startAttempt(attempt_record&);
     void end(attempt_record&, attempt_state);
     void answerState(const attempt_record&, std::uint32_t firstChunk);
     void answerChunk(const attempt_record&, std::uint32_t sequence);
     void withdrawKnown(attempt_record&);
+    void dropAnswer(attempt_record&);
+    void heardFrom(const peer_identity&);
     void cancelWorkOfSilentEntries();
     void publishReport();
     void publishReportOnSharpChange();
+    void reportViolations();
     void stopWhenDrained();
-    bool hasUnacknowledgedAnswers() const;
     attempt_record* findRunning(run_id);
     answer_header headerOf(const attempt_record&) const;
     void send(const std::string& address, peer_message);
+    void count(std::string name, metric_labels = {});
     void log(log_level, std::string name, const attempt_record&, std::vector<std::pair<std::string, std::string>> more = {});
 
     sidecar_options m_options;
-    document_ptr m_document;
+    std::unique_ptr<slot_scheduler> m_scheduler;
+    schedule_actions m_actions;
     std::map<attempt_id, attempt_record> m_attempts;
     std::unordered_map<run_id, attempt_id> m_runs;
-    admission_queue m_queue;
-    load_tally m_load;
     timer_queue<attempt_id> m_tombstones;
-    std::map<std::string, subscriber> m_subscribers;
+    entry_watch m_entries;
     std::optional<instant> m_nextReport;
     std::optional<instant> m_drainDeadline;
     std::uint32_t m_lastReportedLoad = 0;
+    std::uint64_t m_reportedSuspicions = 0;
+    std::uint64_t m_reportedViolations = 0;
     run_id m_nextRun = 1;
     bool m_leaving = false;
     bool m_healthy = true;
     bool m_stopped = false;
-    double m_tokensPerSecond = 0;
 
     // Valid during step() only.
     instant m_now;
--- a/servers/sidecar/tiered_queue.h
+++ b/servers/sidecar/tiered_queue.h
@@ -9,8 +9,8 @@
 // Order of priority_scheduling. The attempts belong to the admission queue and outlive their stay here.
 class tiered_queue {
 public:
-    void push(const queued_attempt& attempt) { m_order.insert(&attempt); }
-    void remove(const queued_attempt& attempt) { m_order.erase(&attempt); }
+    void push(const queued_attempt& attempt, instant) { m_order.insert(&attempt); }
+    void remove(const queued_attempt& attempt, instant) { m_order.erase(&attempt); }
     queue_choice next(instant) const { return { m_order.empty() ? nullptr : *m_order.begin() }; }
 
 private:
@@ -20,8 +20,8 @@
 // Order of inverted_scheduling, which tests use to show that the invariant checks notice an inversion.
 class inverted_queue {
 public:
-    void push(const queued_attempt& attempt) { m_order.insert(&attempt); }
-    void remove(const queued_attempt& attempt) { m_order.erase(&attempt); }
+    void push(const queued_attempt& attempt, instant) { m_order.insert(&attempt); }
+    void remove(const queued_attempt& attempt, instant) { m_order.erase(&attempt); }
     queue_choice next(instant) const { return { m_order.empty() ? nullptr : *m_order.rbegin() }; }
 
 private:
--- /dev/null
+++ b/tests/servers/sidecar_crash_test.cpp
@@ -0,0 +1,113 @@
+#include "tests/support/sidecar_driver.h"
+
+#include <catch2/catch.hpp>
+
+using namespace kumquat;
+using namespace std::chrono_literals;
+using kumquat_test::only;
+using kumquat_test::sent;
+using kumquat_test::sidecar_driver;
+
+namespace {
+
+std::vector<report> reportsOf(const sidecar_effects& effects)
+{
+    return sent<report, send_to_peer>(effects);
+}
+
+} // namespace
+
+TEST_CASE("suspects are published at once when the upstream crashes")
+{
+    sidecar_driver driver({ .slots = 4 });
+    driver.receive(subscribe { sidecar_driver::identity("entry-a"), 1 });
+    driver.offerOne({ .id = "a", .fingerprint = 11 });
+    driver.offerOne({ .id = "b", .fingerprint = 12 });
+    const auto broken = driver.breakConnection("a");
+    REQUIRE(sent<offer_failed, send_to_peer>(broken).size() == 1);
+    CHECK(sent<offer_failed, send_to_peer>(broken).at(0).crashed);
+    REQUIRE_FALSE(reportsOf(broken).empty());
+    CHECK(reportsOf(broken).back().suspects == std::vector<std::uint64_t> { 11 });
+    const auto lost = driver.step(upstream_probed { .healthy = false });
+    CHECK(reportsOf(lost).back().suspects == std::vector<std::uint64_t> { 11, 12 });
+}
+
+TEST_CASE("suspects run one at a time, innocents beside them")
+{
+    sidecar_driver driver({ .slots = 4 });
+    driver.offerOne({ .id = "first", .fingerprint = 11, .suspect = true });
+    driver.offerOne({ .id = "second", .fingerprint = 12, .suspect = true });
+    driver.offerOne({ .id = "third", .tierRank = 0, .fingerprint = 13, .suspect = true });
+    driver.offerOne({ .id = "innocent", .tierRank = 2, .fingerprint = 14 });
+    CHECK(driver.isRunning("first"));
+    CHECK(driver.isRunning("innocent"));
+    CHECK(driver.reducer.runningCount() == 2);
+    CHECK(driver.startedBy(driver.finish("first")) == std::vector<std::string> { "third" });
+    CHECK(driver.startedBy(driver.withdrawOne("third")) == std::vector<std::string> { "second" });
+    CHECK(driver.reducer.invariants().violations().empty());
+}
+
+TEST_CASE("a request that crashes the upstream as the only suspect is refused from then on, also while it waits")
+{
+    sidecar_driver driver({ .slots = 4 });
+    driver.receive(subscribe { sidecar_driver::identity("entry-a"), 1 });
+    driver.offerOne({ .id = "crasher", .fingerprint = 11, .suspect = true });
+    driver.offerOne({ .id = "copy", .fingerprint = 11, .suspect = true });
+    driver.offerOne({ .id = "innocent", .fingerprint = 12 });
+    const auto broken = driver.breakConnection("crasher");
+    CHECK(driver.startedBy(broken).empty());
+    CHECK(driver.refusals(broken) == std::vector<std::string> { "copy" });
+    driver.breakConnection("innocent");
+    const auto refused = sent<offer_refused, send_to_peer>(driver.offerOne({ .id = "again", .fingerprint = 11 }));
+    REQUIRE(refused.size() == 1);
+    CHECK(refused.at(0).reason == error_code::request_suspected);
+    CHECK(refused.at(0).retryAfter > 9min);
+    CHECK(driver.reducer.makeReport().refusedFingerprints == std::vector<std::uint64_t> { 11 });
+    // The innocent one is served when it comes back.
+    driver.offerOne({ .id = "innocent-2", .fingerprint = 12 });
+    driver.finish("innocent-2");
+    CHECK(driver.reducer.makeReport().suspects == std::vector<std::uint64_t> { 11 });
+}
+
+TEST_CASE("an upstream that stops answering hands its waiting work back at once")
+{
+    sidecar_driver driver({ .slots = 1 });
+    driver.offerOne({ .id = "running" });
+    driver.offerOne({ .id = "waiting" });
+    const auto effects = driver.step(upstream_probed { .healthy = false });
+    const auto refused = sent<offer_refused, send_to_peer>(effects);
+    REQUIRE(refused.size() == 1);
+    CHECK(refused.at(0).header.attempt.requestId == "waiting");
+    CHECK(refused.at(0).reason == error_code::no_upstream);
+}
+
+TEST_CASE("waiting work of an entry that fell silent is cancelled, also when it may not be repeated")
+{
+    sidecar_driver driver({ .slots = 1 });
+    driver.offerOne({ .id = "running", .repeatable = false });
+    driver.offerOne({ .id = "waiting", .repeatable = false });
+    driver.offerOne({ .id = "other", .entry = "entry-b" });
+    driver.advance(9s);
+    driver.receive(subscribe { sidecar_driver::identity("entry-b"), 1 });
+    driver.advance(2s);
+    CHECK(driver.reducer.runningCount() == 1);
+    CHECK(driver.isRunning("running"));
+    CHECK(driver.reducer.queuedCount() == 1);
+    CHECK(driver.startedBy(driver.finish("running")) == std::vector<std::string> { "other" });
+}
+
+TEST_CASE("work of an entry that was replaced under the same id is cancelled as well")
+{
+    sidecar_driver driver({ .slots = 1 });
+    driver.offerOne({ .id = "old" });
+    auto successor = sidecar_driver::identity("entry-a");
+    successor.incarnation++;
+    sidecar_effects effects;
+    for (int second = 0; second < 11; ++second) {
+        driver.receive(subscribe { successor, 1 });
+        for (auto& effect : driver.advance(1s))
+            effects.push_back(std::move(effect));
+    }
+    CHECK(only<cancel_run>(effects).size() == 1);
+    CHECK(driver.reducer.runningCount() == 0);
+}
--- /dev/null
+++ b/tests/servers/sidecar_fairness_test.cpp
@@ -0,0 +1,197 @@
+#include "tests/support/sidecar_driver.h"
+
+#include <catch2/catch.hpp>
+
+using namespace kumquat;
+using namespace std::chrono_literals;
+using kumquat_test::only;
+using kumquat_test::sidecar_driver;
+
+namespace {
+
+document_ptr makeDocument(std::vector<request_class> classes)
+{
+    document contents;
+    contents.generation = 1;
+    contents.classes = std::move(classes);
+    return std::make_shared<const document_index>(contents);
+}
+
+// Finishes whatever runs, one attempt after another, and returns the requests in the order in which they started.
+std::vector<std::string> serveInTurn(sidecar_driver& driver, std::string running, std::size_t count, std::uint32_t tokens, duration each)
+{
+    std::vector<std::string> order;
+    while (order.size() < count) {
+        driver.advance(each);
+        driver.produce(running, "text", tokens);
+        const auto started = driver.startedBy(driver.finish(running));
+        if (started.empty())
+            break;
+        running = started.front();
+        order.push_back(running);
+    }
+    return order;
+}
+
+std::size_t countWithPrefix(const std::vector<std::string>& ids, const std::string& prefix)
+{
+    return static_cast<std::size_t>(std::count_if(ids.begin(), ids.end(), [&](const std::string& id) { return id.starts_with(prefix); }));
+}
+
+} // namespace
+
+TEST_CASE("fair scheduling shares a tier between organisations by tokens, whatever they send")
+{
+    sidecar_driver driver({ .slots = 1 });
+    driver.offerOne({ .id = "first" });
+    for (int i = 0; i < 100; ++i)
+        driver.offerOne({ .id = "large-" + std::to_string(i), .organisation = "osu" });
+    for (int i = 0; i < 10; ++i)
+        driver.offerOne({ .id = "small-" + std::to_string(i), .organisation = "ridge" });
+    const auto order = serveInTurn(driver, "first", 24, 100, 100ms);
+    // An equal share would be 12 of 24; one quantum of deadline order may go before.
+    CHECK(countWithPrefix(order, "small-") >= 9);
+    CHECK(driver.reducer.invariants().violations().empty());
+}
+
+TEST_CASE("fair scheduling charges what was produced, not what was expected")
+{
+    sidecar_driver driver({ .slots = 1 });
+    driver.offerOne({ .id = "first" });
+    for (int i = 0; i < 40; ++i) {
+        driver.offerOne({ .id = "long-" + std::to_string(i), .className = "long", .organisation = "osu", .expectedTokens = 100 });
+        driver.offerOne({ .id = "short-" + std::to_string(i), .className = "short", .organisation = "ridge", .expectedTokens = 100 });
+    }
+    std::string running = "first";
+    std::vector<std::string> order;
+    while (order.size() < 40) {
+        driver.advance(50ms);
+        driver.produce(running, "text", running.starts_with("long") ? 900 : 100);
+        running = driver.startedBy(driver.finish(running)).at(0);
+        order.push_back(running);
+    }
+    CHECK(countWithPrefix(order, "short-") >= 3 * countWithPrefix(order, "long-"));
+}
+
+TEST_CASE("fair scheduling gives no credit for time in which an organisation asked for nothing")
+{
+    sidecar_driver driver({ .slots = 1 });
+    driver.offerOne({ .id = "first", .organisation = "osu" });
+    for (int i = 0; i < 60; ++i)
+        driver.offerOne({ .id = "osu-" + std::to_string(i), .organisation = "osu" });
+    const auto before = serveInTurn(driver, "first", 30, 100, 100ms);
+    for (int i = 0; i < 30; ++i)
+        driver.offerOne({ .id = "ridge-" + std::to_string(i), .organisation = "ridge" });
+    const auto after = serveInTurn(driver, before.back(), 20, 100, 100ms);
+    CHECK(countWithPrefix(after, "osu-") >= 7);
+    CHECK(countWithPrefix(after, "ridge-") >= 7);
+}
+
+TEST_CASE("fair scheduling serves the earliest deadline among equals and lets the hopeless wait")
+{
+    sidecar_driver driver({ .slots = 1 });
+    driver.step(document_received { makeDocument({
+        { .name = "quick", .tierRank = 1, .targets = { .total = 2000ms } },
+        { .name = "slow", .tierRank = 1, .targets = { .total = 60000ms } },
+    }) });
+    driver.offerOne({ .id = "running", .className = "slow" });
+    driver.offerOne({ .id = "slow", .className = "slow" });
+    driver.offerOne({ .id = "late", .className = "quick" });
+    driver.advance(5s);
+    driver.offerOne({ .id = "quick", .className = "quick" });
+    const auto order = serveInTurn(driver, "running", 3, 1, 1ms);
+    CHECK(order == std::vector<std::string> { "quick", "slow", "late" });
+}
+
+TEST_CASE("a class receives its guaranteed share of freed slots while higher tiers keep them busy")
+{
+    sidecar_driver driver({ .slots = 1, .queueLimit = 10000, .starvationLimit = 1h });
+    driver.step(document_received { makeDocument({
+        { .name = "high", .tierRank = 0 },
+        { .name = "low", .tierRank = 2, .guaranteedShare = 0.1 },
+    }) });
+    driver.offerOne({ .id = "first", .tierRank = 0, .className = "high" });
+    for (int i = 0; i < 300; ++i) {
+        driver.offerOne({ .id = "high-" + std::to_string(i), .tierRank = 0, .className = "high" });
+        driver.offerOne({ .id = "low-" + std::to_string(i), .tierRank = 2, .className = "low" });
+    }
+    const auto order = serveInTurn(driver, "first", 200, 10, 1ms);
+    const auto low = countWithPrefix(order, "low-");
+    CHECK(low >= 17);
+    CHECK(low <= 20);
+    CHECK(driver.reducer.invariants().violations().empty());
+}
+
+TEST_CASE("no class goes 60 s without a start while it has work waiting, however few slots become free")
+{
+    sidecar_driver driver({ .slots = 1, .queueLimit = 10000 });
+    driver.step(document_received { makeDocument({
+        { .name = "high", .tierRank = 0, .guaranteedShare = 0 },
+        { .name = "middle", .tierRank = 1, .guaranteedShare = 0 },
+        { .name = "low", .tierRank = 2, .guaranteedShare = 0.001 },
+    }) });
+    driver.receive(subscribe { sidecar_driver::identity("entry-a"), 1 });
+    driver.offerOne({ .id = "first", .tierRank = 0, .className = "high" });
+    for (int i = 0; i < 100; ++i) {
+        for (const std::string name : { "high", "middle", "low" })
+            driver.offerOne({ .id = name + "-" + std::to_string(i), .className = name });
+    }
+    std::map<std::string, instant> lastStart { { "high", driver.now }, { "middle", driver.now }, { "low", driver.now } };
+    std::string running = "first";
+    for (int i = 0; i < 50; ++i) {
+        for (int part = 0; part < 10; ++part) {
+            driver.advance(1s);
+            driver.receive(subscribe { sidecar_driver::identity("entry-a"), 1 });
+        }
+        running = driver.startedBy(driver.finish(running)).at(0);
+        lastStart[running.substr(0, running.find('-'))] = driver.now;
+        for (const auto& [name, at] : lastStart)
+            CHECK(driver.now - at < 60s);
+    }
+    CHECK(driver.reducer.invariants().violations().empty());
+}
+
+TEST_CASE("a full queue yields a place of the organisation that holds most to one that holds few")
+{
+    sidecar_driver driver({ .slots = 1, .queueLimit = 4 });
+    driver.offerOne({ .id = "running" });
+    for (int i = 0; i < 4; ++i)
+        driver.offerOne({ .id = "osu-" + std::to_string(i), .organisation = "osu" });
+    const auto refused = driver.refusals(driver.offerOne({ .id = "ridge", .organisation = "ridge" }));
+    CHECK(refused == std::vector<std::string> { "osu-3" });
+    CHECK(driver.refusals(driver.offerOne({ .id = "osu-4", .organisation = "osu" })) == std::vector<std::string> { "osu-4" });
+}
+
+TEST_CASE("what comes too late is refused at once when late is useless, and told when to come back")
+{
+    sidecar_driver driver({ .slots = 1 });
+    driver.step(document_received { makeDocument({
+        { .name = "lookup", .tierRank = 1, .targets = { .firstToken = 500ms }, .lateIsUseless = true },
+        { .name = "question", .tierRank = 1, .targets = { .firstToken = 500ms } },
+    }) });
+    // One run of 2 s teaches the sidecar how long a slot is taken.
+    driver.offerOne({ .id = "first", .className = "question" });
+    driver.advance(100ms);
+    driver.produce("first", "a", 50);
+    driver.advance(1900ms);
+    driver.finish("first");
+    driver.offerOne({ .id = "running", .className = "question" });
+    driver.offerOne({ .id = "patient", .className = "question" });
+    const auto effects = driver.offerOne({ .id = "useless", .className = "lookup" });
+    const auto refused = kumquat_test::sent<offer_refused, send_to_peer>(effects);
+    REQUIRE(refused.size() == 1);
+    CHECK(refused.at(0).header.attempt.requestId == "useless");
+    CHECK(refused.at(0).reason == error_code::target_unreachable);
+    CHECK(refused.at(0).retryAfter > 1000ms);
+    CHECK(driver.reducer.queuedCount() == 1);
+}
+
+TEST_CASE("what has become useless while it waited is given up when its last start passes")
+{
+    sidecar_driver driver({ .slots = 1 });
+    driver.step(document_received { makeDocument({ { .name = "lookup", .tierRank = 1, .targets = { .firstToken = 500ms }, .lateIsUseless = true } }) });
+    driver.offerOne({ .id = "running" });
+    driver.offerOne({ .id = "lookup", .className = "lookup" });
+    CHECK(driver.refusals(driver.advance(499ms)).empty());
+    CHECK(driver.refusals(driver.advance(1ms)) == std::vector<std::string> { "lookup" });
+}
--- /dev/null
+++ b/tests/servers/sidecar_preemption_test.cpp
@@ -0,0 +1,203 @@
+#include "tests/support/sidecar_driver.h"
+
+#include <catch2/catch.hpp>
+
+using namespace kumquat;
+using namespace std::chrono_literals;
+using kumquat_test::only;
+using kumquat_test::sidecar_driver;
+
+namespace {
+
+document_ptr makeDocument()
+{
+    document contents;
+    contents.generation = 1;
+    contents.classes = {
+        { .name = "lookup", .tierRank = 0, .targets = { .firstToken = 400ms } },
+        { .name = "question", .tierRank = 1 },
+        { .name = "pass", .tierRank = 2, .repeatable = false },
+        { .name = "digest", .tierRank = 2 },
+    };
+    return std::make_shared<const document_index>(contents);
+}
+
+sidecar_driver makeDriver(std::uint32_t slots, service_kind kind = service_kind::engine)
+{
+    return sidecar_driver({ .kind = kind, .slots = slots });
+}
+
+std::vector<output_chunk> chunksOf(const sidecar_effects& effects)
+{
+    return kumquat_test::sent<output_chunk, send_to_peer>(effects);
+}
+
+} // namespace
+
+TEST_CASE("a lower stream yields only when the higher arrival would miss its first token, and keeps its tokens")
+{
+    auto driver = makeDriver(1);
+    driver.step(document_received { makeDocument() });
+    driver.offerOne({ .id = "stream", .className = "digest" });
+    driver.produce("stream", "Once ", 2);
+    driver.produce("stream", "upon ", 1);
+    const auto streamRun = driver.runOf("stream");
+    CHECK(only<cancel_run>(driver.offerOne({ .id = "urgent", .className = "lookup" })).empty());
+    CHECK(only<cancel_run>(driver.advance(299ms)).empty());
+    const auto preempted = driver.advance(1ms);
+    REQUIRE(only<cancel_run>(preempted).size() == 1);
+    CHECK(only<cancel_run>(preempted).at(0).run == streamRun);
+    CHECK(driver.startedBy(preempted) == std::vector<std::string> { "urgent" });
+
+    // Output of the cancelled call that was still on its way is dropped.
+    CHECK(chunksOf(driver.step(run_output { streamRun, "a ", 1 })).empty());
+    const auto resumed = driver.finish("urgent");
+    REQUIRE(only<start_run>(resumed).size() == 1);
+    CHECK(only<start_run>(resumed).at(0).resumePrefix == "Once upon ");
+    CHECK(only<start_run>(resumed).at(0).resumeTokens == 3);
+    const auto chunk = chunksOf(driver.produce("stream", "a time", 2));
+    REQUIRE(chunk.size() == 1);
+    CHECK(chunk.at(0).sequence == 2);
+    const auto finished = kumquat_test::sent<offer_finished, send_to_peer>(driver.finish("stream"));
+    REQUIRE(finished.size() == 1);
+    CHECK(finished.at(0).chunkCount == 3);
+    CHECK(driver.reducer.invariants().violations().empty());
+}
+
+TEST_CASE("a resumed stream continues behind what an earlier attempt delivered, too")
+{
+    auto driver = makeDriver(1);
+    driver.step(document_received { makeDocument() });
+    auto offered = driver.makeOffer({ .id = "stream", .className = "digest" });
+    offered.deliveredPrefix = "Once ";
+    offered.deliveredTokens = 2;
+    driver.receive(offered);
+    driver.produce("stream", "upon ", 1);
+    driver.offerOne({ .id = "urgent", .className = "lookup" });
+    driver.advance(300ms);
+    const auto resumed = only<start_run>(driver.finish("urgent"));
+    REQUIRE(resumed.size() == 1);
+    CHECK(resumed.at(0).resumePrefix == "Once upon ");
+    CHECK(resumed.at(0).resumeTokens == 3);
+}
+
+TEST_CASE("work that may not be repeated and plain services are never preempted")
+{
+    SECTION("not repeatable")
+    {
+        auto driver = makeDriver(1);
+        driver.step(document_received { makeDocument() });
+        driver.offerOne({ .id = "pass", .className = "pass", .repeatable = false });
+        driver.offerOne({ .id = "urgent", .className = "lookup" });
+        CHECK(only<cancel_run>(driver.advance(1s)).empty());
+    }
+    SECTION("plain service")
+    {
+        auto driver = makeDriver(1, service_kind::plain);
+        driver.step(document_received { makeDocument() });
+        driver.offerOne({ .id = "call", .className = "digest" });
+        driver.offerOne({ .id = "urgent", .className = "lookup" });
+        CHECK(only<cancel_run>(driver.advance(1s)).empty());
+    }
+}
+
+TEST_CASE("the victim is of the lowest tier, preempted least, and youngest")
+{
+    auto driver = makeDriver(4);
+    driver.step(document_received { makeDocument() });
+    driver.offerOne({ .id = "question", .className = "question" });
+    driver.offerOne({ .id = "old", .className = "digest" });
+    driver.advance(10ms);
+    driver.offerOne({ .id = "young", .className = "digest" });
+    driver.offerOne({ .id = "pass", .className = "pass", .repeatable = false });
+    driver.advance(10ms);
+    driver.offerOne({ .id = "urgent", .className = "lookup" });
+    driver.advance(300ms);
+    CHECK_FALSE(driver.isRunning("young"));
+    driver.offerOne({ .id = "urgent-2", .className = "lookup" });
+    driver.advance(300ms);
+    CHECK_FALSE(driver.isRunning("old"));
+    CHECK(driver.isRunning("question"));
+    CHECK(driver.reducer.invariants().violations().empty());
+}
+
+TEST_CASE("an attempt is preempted at most twice and then runs to its end")
+{
+    auto driver = makeDriver(1);
+    driver.step(document_received { makeDocument() });
+    driver.offerOne({ .id = "stream", .className = "digest" });
+    for (int i = 0; i < 2; ++i) {
+        const auto id = "urgent-" + std::to_string(i);
+        driver.offerOne({ .id = id, .className = "lookup" });
+        driver.advance(300ms);
+        CHECK_FALSE(driver.isRunning("stream"));
+        driver.finish(id);
+        CHECK(driver.isRunning("stream"));
+    }
+    driver.offerOne({ .id = "urgent-3", .className = "lookup" });
+    CHECK(only<cancel_run>(driver.advance(5s)).empty());
+    CHECK(driver.isRunning("stream"));
+}
+
+TEST_CASE("a preempted attempt that is withdrawn, or never continues, is not told to be unrun")
+{
+    auto driver = makeDriver(1);
+    driver.step(document_received { makeDocument() });
+    driver.offerOne({ .id = "stream", .className = "digest", .timeLeft = 5000ms });
+    driver.offerOne({ .id = "urgent", .className = "lookup" });
+    driver.advance(300ms);
+    SECTION("withdrawn")
+    {
+        const auto withdrawn = kumquat_test::sent<offer_withdrawn, send_to_peer>(driver.withdrawOne("stream"));
+        REQUIRE(withdrawn.size() == 1);
+        CHECK(withdrawn.at(0).started);
+    }
+    SECTION("out of time")
+    {
+        const auto effects = driver.advance(6s);
+        CHECK(driver.refusals(effects).empty());
+        const auto failed = kumquat_test::sent<offer_failed, send_to_peer>(effects);
+        REQUIRE(failed.size() == 1);
+        CHECK(failed.at(0).started);
+    }
+    SECTION("upstream lost")
+    {
+        const auto effects = driver.step(upstream_probed { .healthy = false });
+        CHECK(driver.refusals(effects).empty());
+        CHECK(kumquat_test::sent<offer_failed, send_to_peer>(effects).at(0).started);
+    }
+    SECTION("drained")
+    {
+        CHECK(kumquat_test::sent<offer_failed, send_to_peer>(driver.step(drain_requested {})).empty());
+        CHECK(driver.startedBy(driver.finish("urgent")) == std::vector<std::string> { "stream" });
+    }
+}
+
+TEST_CASE("the baselines never preempt")
+{
+    sidecar_driver driver({ .slots = 1, .policy = priority_scheduling {} });
+    driver.step(document_received { makeDocument() });
+    driver.offerOne({ .id = "stream", .className = "digest" });
+    driver.offerOne({ .id = "urgent", .className = "lookup" });
+    CHECK(only<cancel_run>(driver.advance(5s)).empty());
+}
+
+TEST_CASE("a planted inversion is noticed by the invariant checks")
+{
+    sidecar_driver driver({ .slots = 1, .queueLimit = 2, .policy = inverted_scheduling {} });
+    driver.offerOne({ .id = "running" });
+    driver.offerOne({ .id = "high", .tierRank = 0 });
+    driver.offerOne({ .id = "low", .tierRank = 2 });
+    SECTION("by a shed")
+    {
+        driver.offerOne({ .id = "another", .tierRank = 2 });
+        REQUIRE(driver.reducer.invariants().violations().size() == 1);
+        CHECK(driver.reducer.invariants().violations().at(0).find("'high'") != std::string::npos);
+    }
+    SECTION("by a start")
+    {
+        const auto effects = driver.finish("running");
+        CHECK(driver.reducer.invariants().violationCount() == 1);
+        CHECK(only<count_metric>(effects).back().name == "kumquat_sidecar_invariant_violations_total");
+    }
+}
