Keep the answer of claimed work that its entry gave up

Cause: misc/faults.sh, sidecar stopped for 8 s: the entry withdrew the attempt, the sidecar dropped the finished answer, and 4 of 8 repeats with the same key got an empty answer with status 200. Change: an entry doesn't withdraw claimed work; a sidecar keeps the answer of finished not-repeatable work when it is withdrawn. Conclusion: a repeat gets the answer of a run that its entry had lost sight of.

--- a/servers/entry/entry_reducer.cpp
+++ b/servers/entry/entry_reducer.cpp
@@ -483,7 +483,8 @@
 
 void entry_reducer::withdrawAttempt(request_record& record)
 {
-    if (!record.attempt)
+    // Claimed work runs on, and its sidecar keeps the answer for a repeat with the same key.
+    if (!record.attempt || record.claimed)
         return;
     const auto& attempt = *record.attempt;
     const peer_identity self { m_options.id, m_options.address, m_options.incarnation };
--- a/servers/sidecar/sidecar_reducer.cpp
+++ b/servers/sidecar/sidecar_reducer.cpp
@@ -229,7 +229,10 @@
         end(record, attempt_withdrawn { true });
         log(log_level::info, "attempt_cancelled", record);
     }
-    record.chunks.clear();
+    record.acknowledged = true;
+    // What a claim query may be answered with stays whole.
+    if (record.request.repeatable || !std::holds_alternative<attempt_finished>(record.state))
+        record.chunks.clear();
     answerState(record, 0);
 }
 
