--- a/tests/servers/claim_reducer_test.cpp
+++ b/tests/servers/claim_reducer_test.cpp
@@ -37,6 +37,29 @@
     CHECK(site.writes() == 2);
 }
 
+TEST_CASE("520 not-repeatable requests a second stay within several hundred writes a second")
+{
+    constexpr int keysPerStep = 26;
+    constexpr int steps = 200;
+    claim_site site(1, { .shards = 8, .commitInterval = 25ms });
+    std::size_t finished = 0;
+    for (int step = 0; step < steps; ++step) {
+        for (int number = 0; number < keysPerStep; ++number)
+            site.want(0, "osu/k" + std::to_string(step * keysPerStep + number));
+        site.run(50ms);
+        const auto granted = site.seen<claim_granted>(0);
+        for (; finished < granted.size(); ++finished)
+            site.step(0, claimed_request_finished { granted[finished].requestId, pass });
+    }
+    site.run(200ms);
+    CHECK(site.granted() == steps * keysPerStep);
+    CHECK(site.seen<claim_denied>(0).empty());
+    CHECK(site.at(0).reducer->unstoredAnswers() == 0);
+    const auto writesPerSecond = site.writes() / 10;
+    CAPTURE(site.writes());
+    CHECK(writesPerSecond <= 320);
+}
+
 TEST_CASE("two entries race for one key and one of them is granted")
 {
     claim_site site(2);
--- a/tests/support/claim_site.h
+++ b/tests/support/claim_site.h
@@ -139,24 +139,29 @@
         kumquat::instant writtenAt;
     };
 
-    kumquat::numbered_segment read(std::uint64_t number) const
+    // Shard and number.
+    using segment_key = std::pair<std::uint32_t, std::uint64_t>;
+
+    kumquat::numbered_segment read(const segment_key& key) const
     {
-        const auto& found = m_segments.at(number);
+        const auto& found = m_segments.at(key);
         auto contents = found.contents;
         contents.age = std::chrono::duration_cast<std::chrono::milliseconds>(now - found.writtenAt);
-        return { number, number, contents };
+        return { key.second, key.second, contents };
     }
 
     bool store(const kumquat::write_claim_segment& write)
     {
-        return m_segments.emplace(write.number, stored { write.contents, now }).second;
+        return m_segments.emplace(segment_key { write.shard, write.number }, stored { write.contents, now }).second;
     }
 
     void answer(int index, const kumquat::list_claim_segments& call, store_fault fault)
     {
         std::vector<kumquat::numbered_segment> all;
-        for (const auto& [number, segment] : m_segments)
-            all.push_back(read(number));
+        for (const auto& [key, segment] : m_segments) {
+            if (key.first == call.shard)
+                all.push_back(read(key));
+        }
         kumquat::claim_segments_listed listed { call.shard, kumquat::error { "lost" } };
         if (fault == store_fault::none)
             listed.segments = all;
@@ -167,7 +172,7 @@
     {
         kumquat::claim_segment_read result { call.shard, call.number, kumquat::error { "lost" } };
         if (fault == store_fault::none)
-            result.segment = m_segments.contains(call.number) ? std::optional(read(call.number)) : std::nullopt;
+            result.segment = m_segments.contains({ call.shard, call.number }) ? std::optional(read({ call.shard, call.number })) : std::nullopt;
         step(index, result);
     }
 
@@ -185,7 +190,7 @@
         step(index, kumquat::claim_segment_written { call.shard, call.number, outcome, call.number });
     }
 
-    void answer(int, const kumquat::drop_claim_segment& call, store_fault) { m_segments.erase(call.number); }
+    void answer(int, const kumquat::drop_claim_segment& call, store_fault) { m_segments.erase({ call.shard, call.number }); }
 
     void deliver(const kumquat::send_claim_message& message)
     {
@@ -197,7 +202,7 @@
 
     kumquat::claim_options m_options;
     std::map<int, entry> m_entries;
-    std::map<std::uint64_t, stored> m_segments;
+    std::map<segment_key, stored> m_segments;
     std::vector<kumquat::write_claim_segment> m_lateWrites;
     std::map<std::string, std::string> m_keys;
     std::size_t m_writes = 0;
