--- a/drivers/json/claim_codec.cpp
+++ b/drivers/json/claim_codec.cpp
@@ -35,11 +35,30 @@
         return text.str();
     }
 
+    bool isUtf8(const std::string& text)
+    {
+        try {
+            return !json(text).dump().empty();
+        } catch (const json::type_error&) {
+            return false;
+        }
+    }
+
+    // JSON holds no arbitrary bytes; of such an answer only the fact of the run is kept.
+    claim_finished withoutForeignBytes(claim_finished finished)
+    {
+        if (!isUtf8(finished.answer.text)) {
+            finished.answer.whole = false;
+            finished.answer.text.clear();
+        }
+        return finished;
+    }
+
     json encodeRecord(const claim_record& record)
     {
         const auto visitor = overloaded {
             [](const claim_made& made) { return json { { "made", made } }; },
-            [](const claim_finished& finished) { return json { { "finished", finished } }; },
+            [](const claim_finished& finished) { return json { { "finished", withoutForeignBytes(finished) } }; },
             [](const claim_released& released) { return json { { "released", released } }; },
         };
         return std::visit(visitor, record);
--- a/drivers/json/dump_codec.cpp
+++ b/drivers/json/dump_codec.cpp
@@ -66,6 +66,7 @@
 std::string dumpEntry(const entry_reducer& reducer, instant now)
 {
     json root = { { "version", dumpVersion }, { "role", "entry" }, { "id", reducer.options().id }, { "data_centre", reducer.options().dataCentre }, { "incarnation", std::to_string(reducer.options().incarnation) }, { "generation", reducer.generation() }, { "draining", reducer.draining() }, { "requests", json::array() }, { "upstreams", json::array() } };
+    root["claims"] = { { "keys", reducer.claims().keyCount() }, { "unstored_answers", reducer.claims().unstoredAnswers() } };
     for (const auto& [id, record] : reducer.requests())
         root["requests"].push_back(dumpRequest(record, now));
     for (const auto& [id, upstream] : reducer.upstreams().all())
--- a/misc/faults.sh
+++ b/misc/faults.sh
@@ -2,4 +2,4 @@
 # Prints for each fault what became of the requests that were in progress; fails if a promise was broken.
 cd "$(dirname "$0")/.."
 set -o pipefail
-tests/process/faults_test.sh | grep -E '^fault=|FAILED|expected|passed,'
+tests/process/faults_test.sh | grep -E '^fault=|FAILED|^ {8}|passed,'
--- a/servers/claims/claim_record.cpp
+++ b/servers/claims/claim_record.cpp
@@ -9,6 +9,24 @@
     // Field names, punctuation and numbers of one record.
     constexpr std::size_t recordOverheadBytes = 200;
 
+    constexpr std::size_t controlCharacterBytes = 6;
+    constexpr std::size_t foreignByteBytes = 3;
+
+    // Size of a text in JSON, or somewhat more.
+    std::size_t escapedSize(const std::string& text)
+    {
+        std::size_t bytes = 0;
+        for (const unsigned char character : text) {
+            if (character < 0x20)
+                bytes += controlCharacterBytes;
+            else if (character >= 0x7f)
+                bytes += foreignByteBytes;
+            else
+                bytes += character == '"' || character == '\\' ? 2 : 1;
+        }
+        return bytes;
+    }
+
 } // namespace
 
 const std::string& keyOf(const claim_record& record)
@@ -20,7 +38,7 @@
 {
     const auto visitor = overloaded {
         [](const claim_made& made) { return made.key.size() + 2 * made.requestId.size() + made.service.size(); },
-        [](const claim_finished& finished) { return finished.key.size() + finished.requestId.size() + 2 * finished.answer.text.size(); },
+        [](const claim_finished& finished) { return finished.key.size() + finished.requestId.size() + escapedSize(finished.answer.text); },
         [](const claim_released& released) { return released.key.size() + released.requestId.size(); },
     };
     return recordOverheadBytes + std::visit(visitor, record);
--- a/servers/claims/claim_reducer.cpp
+++ b/servers/claims/claim_reducer.cpp
@@ -13,6 +13,11 @@
     constexpr std::chrono::milliseconds retryAfterInProgress { 1000 };
     constexpr std::chrono::milliseconds retryAfterUnavailable { 1000 };
 
+    bool isPrintable(char character)
+    {
+        return character >= ' ' && character <= '~';
+    }
+
 } // namespace
 
 claim_reducer::claim_reducer(claim_options options)
@@ -77,6 +82,11 @@
         deny(waiting, { .code = error_code::malformed_request, .message = "the idempotency key has more than " + std::to_string(m_options.keyLimitBytes) + " bytes" });
         return;
     }
+    // Other characters might not survive the object API, and the key would differ between entries.
+    if (!std::all_of(request.key.begin(), request.key.end(), isPrintable)) {
+        deny(waiting, { .code = error_code::malformed_request, .message = "the idempotency key has characters other than printable ASCII" });
+        return;
+    }
     auto& journal = journalOf(request.key);
     if (journal.isUnavailable(m_now)) {
         giveUp(waiting);
@@ -222,7 +232,7 @@
     }
     switch (status.state) {
     case claim_state::finished:
-        journalOf(request.key).append(claim_finished { request.key, holder.requestId, status.answer });
+        journalOf(request.key).append(claim_finished { request.key, holder.requestId, withinLimit(status.answer) });
         answer(waiting, status.answer);
         return;
     case claim_state::in_progress:
@@ -291,16 +301,21 @@
     const auto found = m_granted.find(event.requestId);
     if (found == m_granted.end())
         return;
-    auto kept = event.answer;
-    if (kept.text.size() > m_options.answerLimitBytes) {
-        kept.whole = false;
-        kept.text.clear();
-    }
+    auto kept = withinLimit(event.answer);
     found->second.state = claim_state::finished;
     found->second.answer = kept;
     journalOf(found->second.key).append(claim_finished { found->second.key, event.requestId, std::move(kept) });
 }
 
+kept_answer claim_reducer::withinLimit(kept_answer answer) const
+{
+    if (answer.text.size() > m_options.answerLimitBytes) {
+        answer.whole = false;
+        answer.text.clear();
+    }
+    return answer;
+}
+
 void claim_reducer::handle(const claimed_request_failed& event)
 {
     const auto found = m_granted.find(event.requestId);
--- a/servers/claims/claim_reducer.h
+++ b/servers/claims/claim_reducer.h
@@ -92,6 +92,8 @@
     void releaseAbandoned(claim_journal&, const claim_segment&);
     void forgetStored(const claim_segment&);
     void forgetOldRuns();
+    // The answer, or only the fact of the run when it is above the limit.
+    kept_answer withinLimit(kept_answer) const;
     claim_status statusOf(const std::string& requestId) const;
     bool isOwn(const peer_identity&) const;
     std::uint32_t shardOf(const std::string& key) const;
--- a/tests/drivers/claim_codec_test.cpp
+++ b/tests/drivers/claim_codec_test.cpp
@@ -9,6 +9,7 @@
     claim_segment segment { .writeId = "entry-a-3-1" };
     segment.records.push_back(claim_made { "osu/k1", "r1", 5, "dwumadie", { "entry-a", "tcp://e", 3 }, "r0" });
     segment.records.push_back(claim_finished { "osu/k1", "r1", { .status = 201, .contentType = "text/plain", .text = "ok\n" } });
+    segment.records.push_back(claim_finished { "osu/k3", "r3", { .text = "\xff\xfe" } });
     segment.records.push_back(claim_released { "osu/k2", "r2" });
     const auto key = claimSegmentKey(3, 42);
     CHECK(key.starts_with(claimShardPrefix(3)));
@@ -19,14 +20,16 @@
     CHECK(read.number == 42);
     CHECK(read.version == 7);
     CHECK(read.contents.writeId == "entry-a-3-1");
-    REQUIRE(read.contents.records.size() == 3);
+    REQUIRE(read.contents.records.size() == 4);
     const auto& made = std::get<claim_made>(read.contents.records[0]);
     CHECK(made.claimant.incarnation == 3);
     CHECK(made.replaces == "r0");
     const auto& finished = std::get<claim_finished>(read.contents.records[1]);
     CHECK(finished.answer.status == 201);
+    CHECK(finished.answer.whole);
     CHECK(finished.answer.text == "ok\n");
-    CHECK(std::get<claim_released>(read.contents.records[2]).requestId == "r2");
+    CHECK_FALSE(std::get<claim_finished>(read.contents.records[2]).answer.whole);
+    CHECK(std::get<claim_released>(read.contents.records[3]).requestId == "r2");
 }
 
 TEST_CASE("unreadable claim segments are errors that name the object")
--- a/tests/process/faults_test.sh
+++ b/tests/process/faults_test.sh
@@ -159,11 +159,19 @@
 
 # A process that was killed comes back after its predecessor's reports have aged.
 report_timeout_s=4
-inject_sidecar_killed() { kill -KILL "$(pid_of kasa-1)" "$(pid_of dwumadie-1)"; sleep $report_timeout_s; start_kasa_1; start_dwumadie_1; }
+# kill_now NAME...: kills processes and waits for their end.
+kill_now() {
+    local name
+    for name; do
+        kill -KILL "$(pid_of "$name")"
+        wait "$(pid_of "$name")" 2>/dev/null
+    done
+}
+inject_sidecar_killed() { kill_now kasa-1 dwumadie-1; sleep $report_timeout_s; start_kasa_1; start_dwumadie_1; }
 heal_sidecar_killed() { :; }
 run_fault sidecar_killed no
 
-inject_entry_killed() { kill -KILL "$(pid_of entry-0)"; }
+inject_entry_killed() { kill_now entry-0; }
 heal_entry_killed() { start_entry 0; }
 run_fault entry_killed yes
 
--- a/tests/servers/claim_reducer_test.cpp
+++ b/tests/servers/claim_reducer_test.cpp
@@ -293,3 +293,39 @@
     }
     CHECK(grants > 0);
 }
+
+TEST_CASE("keys that are too long or not printable are refused")
+{
+    claim_site site(1);
+    CHECK(site.denialOf(0, site.want(0, std::string(256, 'k'))) == "malformed_request ran no");
+    CHECK(site.denialOf(0, site.want(0, "osu/k\xc3\xa9")) == "malformed_request ran no");
+    CHECK(site.at(0).calls.empty());
+}
+
+TEST_CASE("a commit of answers full of control characters stays below the largest object")
+{
+    constexpr std::size_t largestObjectBytes = 1 << 20;
+    constexpr std::size_t bytesOfEscape = 6;
+    claim_site site(1);
+    const std::string text(16 << 10, '\x01');
+    std::vector<std::string> ids;
+    ids.reserve(20);
+    for (int number = 0; number < 20; ++number)
+        ids.push_back(site.want(0, "osu/k" + std::to_string(number)));
+    site.run(100ms);
+    for (const auto& id : ids)
+        site.step(0, claimed_request_finished { id, { .text = text } });
+    site.run(1s);
+    CHECK(site.at(0).reducer->unstoredAnswers() == 0);
+    for (const auto& call : site.seen<claim_store_call>(0)) {
+        const auto* write = std::get_if<write_claim_segment>(&call);
+        if (!write)
+            continue;
+        std::size_t textBytes = 0;
+        for (const auto& record : write->contents.records) {
+            if (const auto* finished = std::get_if<claim_finished>(&record))
+                textBytes += bytesOfEscape * finished->answer.text.size();
+        }
+        CHECK(textBytes < largestObjectBytes);
+    }
+}
