--- a/servers/entry/entry_reducer.cpp
+++ b/servers/entry/entry_reducer.cpp
@@ -709,7 +709,8 @@
 
 void entry_reducer::withdrawAttempt(const request_record& record)
 {
-    if (!record.attempt)
+    // Claimed work runs on, and its sidecar keeps the answer for a repeat with the same key.
+    if (!record.attempt || record.claimed)
         return;
     const auto& attempt = *record.attempt;
     const withdraw message { self(), { record.id, attempt.number }, attempt.sidecarIncarnation };
--- a/servers/sidecar/sidecar_reducer.cpp
+++ b/servers/sidecar/sidecar_reducer.cpp
@@ -248,10 +248,19 @@
         end(record, attempt_withdrawn { true });
         log(log_level::info, "attempt_cancelled", record);
     }
-    dropAnswer(record);
+    releaseAnswer(record);
     answerState(record, 0);
 }
 
+// Ends the entry's interest in an answer. That of finished work that must not run twice is kept for claim queries.
+void sidecar_reducer::releaseAnswer(attempt_record& record)
+{
+    if (record.request.repeatable || !std::holds_alternative<attempt_finished>(record.state))
+        dropAnswer(record);
+    else
+        m_entries.droppedAnswer(record.request.from, record.request.attempt);
+}
+
 void sidecar_reducer::dropAnswer(attempt_record& record)
 {
     record.chunks.clear();
@@ -264,11 +273,7 @@
     const auto known = m_attempts.find(request.attempt);
     if (known == m_attempts.end() || !hasEnded(known->second.state))
         return;
-    // The answer of work that must not run twice is kept for claim queries.
-    if (known->second.request.repeatable)
-        dropAnswer(known->second);
-    else
-        m_entries.droppedAnswer(known->second.request.from, request.attempt);
+    releaseAnswer(known->second);
 }
 
 void sidecar_reducer::receive(const subscribe& request)
--- a/servers/sidecar/sidecar_reducer.h
+++ b/servers/sidecar/sidecar_reducer.h
@@ -76,6 +76,7 @@
     void answerState(const attempt_record&, std::uint32_t firstChunk);
     void answerChunk(const attempt_record&, std::uint32_t sequence);
     void withdrawKnown(attempt_record&);
+    void releaseAnswer(attempt_record&);
     void dropAnswer(attempt_record&);
     void heardFrom(const peer_identity&);
     void cancelWorkOfSilentEntries();
