--- a/drivers/json/document_text.cpp
+++ b/drivers/json/document_text.cpp
@@ -55,7 +55,7 @@
     {
         if (root.is_object() && root.contains("document"))
             return root;
-        const auto generation = root.is_object() ? root.value("generation", json(1)) : json(1);
+        const auto generation = root.is_object() ? root.value("generation", json(1U)) : json(1U);
         return { { "generation", generation }, { "document", std::move(root) } };
     }
 
--- a/drivers/json/embedded_schemas.h
+++ b/drivers/json/embedded_schemas.h
@@ -7,5 +7,6 @@
 extern const char* const entrySettingsSchema;
 extern const char* const sidecarSettingsSchema;
 extern const char* const loadExperimentSchema;
+extern const char* const operatorSettingsSchema;
 
 } // namespace kumquat
--- a/drivers/json/object_api_codec.cpp
+++ b/drivers/json/object_api_codec.cpp
@@ -38,7 +38,8 @@
 {
     try {
         std::vector<instance> instances;
-        for (const auto& item : json::parse(body).at("instances")) {
+        const auto root = json::parse(body);
+        for (const auto& item : root.at("instances")) {
             instances.push_back({ .id = item.at("id"),
                 .role = item.at("role"),
                 .service = item.value("service", ""),
--- /dev/null
+++ b/drivers/json/publication_codec.cpp
@@ -0,0 +1,147 @@
+#include "drivers/json/publication_codec.h"
+
+#include "drivers/json/document_codec.h"
+#include "drivers/json/document_text.h"
+
+#include <algorithm>
+#include <map>
+#include <nlohmann/json.hpp>
+
+namespace kumquat {
+
+namespace {
+
+    using nlohmann::json;
+
+    json withoutEnvelope(json root)
+    {
+        if (root.is_object() && root.contains("document"))
+            return root.at("document");
+        return root;
+    }
+
+    // Every scalar of the canonical text by its path.
+    result<std::map<std::string, json>> flatten(const std::string& source, const std::string& text)
+    {
+        auto opened = openPublishedDocument(source, text);
+        if (const auto* failure = errorOf(opened))
+            return *failure;
+        auto contents = valueOf(opened)->contents->contents();
+        const auto complete = openPublishedDocument(source, formatDocument(contents));
+        if (const auto* failure = errorOf(complete))
+            return *failure;
+        const json keyed = json::parse(valueOf(complete)->text).at("document");
+        std::map<std::string, json> fields;
+        const json flat = keyed.flatten();
+        for (const auto& [path, value] : flat.items())
+            fields.emplace(path, value);
+        return fields;
+    }
+
+    std::string textOf(const std::map<std::string, json>& fields, const std::string& path)
+    {
+        const auto found = fields.find(path);
+        return found == fields.end() ? "" : found->second.dump();
+    }
+
+    submission readSubmission(const json& from, std::uint64_t generation)
+    {
+        return { generation, from.value("submission_id", ""), from.value("operator", "") };
+    }
+
+} // namespace
+
+result<stored_publication> parseStoredPublication(std::uint64_t storeVersion, const std::string& text)
+{
+    try {
+        const auto root = json::parse(text);
+        stored_publication found;
+        found.storeVersion = storeVersion;
+        found.latest = readSubmission(root, root.value("generation", std::uint64_t { 1 }));
+        const json history = root.value("history", json::object());
+        for (const auto& [generation, item] : history.items())
+            found.history.push_back(readSubmission(item, std::stoull(generation)));
+        std::sort(found.history.begin(), found.history.end(), [](const submission& left, const submission& right) { return left.generation < right.generation; });
+        // A document that was put into the store by hand has no history.
+        if (found.history.empty())
+            found.history.push_back(found.latest);
+        return found;
+    } catch (const std::exception& failure) {
+        return error { std::string("the store's document cannot be read: ") + failure.what() };
+    }
+}
+
+result<std::string> composePublication(const std::string& documentText, const std::vector<submission>& history)
+{
+    try {
+        json contents = withoutEnvelope(json::parse(documentText));
+        contents.erase("generation");
+        const auto& own = history.back();
+        json root = { { "generation", own.generation }, { "submission_id", own.id }, { "operator", own.operatorName }, { "document", std::move(contents) }, { "history", json::object() } };
+        for (const auto& item : history)
+            root["history"][std::to_string(item.generation)] = { { "submission_id", item.id }, { "operator", item.operatorName } };
+        return root.dump();
+    } catch (const json::exception& failure) {
+        return error { std::string("the document cannot be read: ") + failure.what() };
+    }
+}
+
+std::optional<std::uint64_t> baseGenerationOf(const std::string& documentText)
+{
+    const auto root = json::parse(documentText, nullptr, false);
+    if (!root.is_object() || !root.contains("generation") || !root.at("generation").is_number_unsigned())
+        return std::nullopt;
+    return root.at("generation").get<std::uint64_t>();
+}
+
+result<std::vector<document_change>> compareDocuments(const std::string& beforeText, const std::string& afterText)
+{
+    const auto before = flatten("the document in force", beforeText);
+    if (const auto* failure = errorOf(before))
+        return *failure;
+    const auto after = flatten("the document", afterText);
+    if (const auto* failure = errorOf(after))
+        return *failure;
+    auto paths = valueOf(before);
+    paths.insert(valueOf(after).begin(), valueOf(after).end());
+    std::vector<document_change> changes;
+    for (const auto& [path, value] : paths) {
+        document_change change { path, textOf(valueOf(before), path), textOf(valueOf(after), path) };
+        if (change.before != change.after)
+            changes.push_back(std::move(change));
+    }
+    return changes;
+}
+
+result<node_version> parseNodeVersion(const std::string& node, const std::string& dumpText)
+{
+    try {
+        const auto root = json::parse(dumpText);
+        return node_version { node, root.at("generation").get<std::uint64_t>(), root.value("submission_id", "") };
+    } catch (const json::exception& failure) {
+        return error { "node " + node + " sent a dump that cannot be read: " + failure.what() };
+    }
+}
+
+result<std::vector<std::string>> findRequest(const std::string& requestId, const std::string& dumpText)
+{
+    try {
+        const auto root = json::parse(dumpText);
+        std::vector<std::string> found;
+        for (const char* list : { "requests", "attempts" }) {
+            for (const auto& item : root.value(list, json::array())) {
+                if (item.value("request", "") != requestId)
+                    continue;
+                json line = item;
+                line["node"] = root.value("id", "");
+                line["role"] = root.value("role", "");
+                found.push_back(line.dump());
+            }
+        }
+        return found;
+    } catch (const json::exception& failure) {
+        return error { std::string("a node sent a dump that cannot be read: ") + failure.what() };
+    }
+}
+
+} // namespace kumquat
--- a/drivers/json/settings_codec.cpp
+++ b/drivers/json/settings_codec.cpp
@@ -130,4 +130,20 @@
     return settings;
 }
 
+result<operator_settings> parseOperatorSettings(const std::string& source, const std::string& text)
+{
+    const auto parsed = parseChecked(source, text, operatorSettingsSchema);
+    if (const auto* failure = errorOf(parsed))
+        return *failure;
+    const auto& root = valueOf(parsed);
+    operator_settings settings;
+    if (root.contains("object_api")) {
+        const auto address = readListen(root.at("object_api"));
+        settings.objectApi = { address.host, address.port };
+    }
+    settings.nodes = root.value("nodes", settings.nodes);
+    settings.operatorName = root.value("operator", "");
+    return settings;
+}
+
 } // namespace kumquat
--- a/drivers/json/settings_codec.h
+++ b/drivers/json/settings_codec.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/operator_settings.h"
 #include "core/result.h"
 #include "servers/entry/entry_settings.h"
 #include "servers/sidecar/sidecar_settings.h"
@@ -11,5 +12,6 @@
 // Each parser checks the text against the program's JSON Schema; errors name the source, the JSON pointer and the bad value.
 result<entry_settings> parseEntrySettings(const std::string& source, const std::string& text);
 result<sidecar_settings> parseSidecarSettings(const std::string& source, const std::string& text);
+result<operator_settings> parseOperatorSettings(const std::string& source, const std::string& text);
 
 } // namespace kumquat
--- /dev/null
+++ b/main/ctl_main.cpp
@@ -0,0 +1,6 @@
+#include "platform/ctl_process.h"
+
+int main(int argumentCount, char** arguments)
+{
+    return kumquat::runCtl(argumentCount, arguments);
+}
--- a/tests/drivers/document_text_test.cpp
+++ b/tests/drivers/document_text_test.cpp
@@ -111,6 +111,15 @@
     CHECK(valueOf(repaired)->version == held->version);
 }
 
+TEST_CASE("a bare document without a generation counts as the first and was never published")
+{
+    auto bare = example();
+    bare.erase("generation");
+    const auto held = open(bare);
+    CHECK(held->version.generation == 1);
+    CHECK(held->submissionId.empty());
+}
+
 TEST_CASE("text from a peer that is no document is refused")
 {
     for (const char* text : { "", "[]", "{}", R"({"document":[]})", R"({"document":{"organisations":[1]}})", R"({"generation":1,"document":{"tiers":{"a":1}}})" })
