Bound an entry's links, and lease organisations' limits across entries

Cause: every entry subscribed to every sidecar, which at 370 entries before 790 upstreams is far above 4 KB/s of control; limits per organisation in the document were not enforced. Change: upstream_subset chooses at most 96 sidecars over all services (at least 3 of each, all of a small site, more where entries are few), most in the own data centre; silent ones are replaced. subscribe names the report interval that keeps an entry's reports within 2 KB/s; sidecars do not follow it yet. Fields at their defaults stay off the wire and tier loads are rows without names. organisation_limiter holds each organisation to this entry's share, lease_giver divides the limit by demand at the entry that rendezvous hashing names; an expired share is cut to an equal part.

--- a/core/peer_message.h
+++ b/core/peer_message.h
@@ -81,6 +81,8 @@
 struct subscribe {
     peer_identity from;
     std::uint64_t generation = 0;
+    // Time between two reports that the entry asks for; sharp changes come besides. Zero leaves it to the sidecar.
+    std::chrono::milliseconds reportInterval { 0 };
 };
 
 // Common part of a sidecar's answers about one attempt.
@@ -195,6 +197,7 @@
 struct lease_demand {
     std::string organisation;
     double requestsPerSecond = 0;
+    // Requests in flight, and those refused because too many were.
     std::uint32_t inFlight = 0;
 };
 
--- a/drivers/json/peer_codec.cpp
+++ b/drivers/json/peer_codec.cpp
@@ -11,6 +11,19 @@
     static void from_json(const json& from, std::chrono::milliseconds& to) { to = std::chrono::milliseconds(from.get<std::int64_t>()); }
 };
 
+// Reports are the bulk of the control traffic, so their rows carry no names. A newer version adds numbers at the end.
+template <>
+struct adl_serializer<kumquat::tier_load> {
+    static void to_json(json& to, const kumquat::tier_load& from) { to = json::array({ from.rank, from.running, from.queued, from.expectedTokens }); }
+    static void from_json(const json& from, kumquat::tier_load& to)
+    {
+        from.at(0).get_to(to.rank);
+        from.at(1).get_to(to.running);
+        from.at(2).get_to(to.queued);
+        from.at(3).get_to(to.expectedTokens);
+    }
+};
+
 } // namespace nlohmann
 
 namespace kumquat {
@@ -23,7 +36,7 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(offer, from, attempt, sidecarIncarnation, tierRank, className, organisation, timeLeft, expectedTokens, fingerprint, repeatable, suspect, streaming, nextChunk, deliveredPrefix, deliveredTokens, job)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(withdraw, from, attempt, sidecarIncarnation)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(acknowledge, attempt, sidecarIncarnation)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(subscribe, from, generation)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(subscribe, from, generation, reportInterval)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(answer_header, attempt, sidecarId, sidecarIncarnation)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(offer_refused, header, reason, message, retryAfter)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(offer_queued, header, position)
@@ -33,7 +46,6 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(offer_failed, header, started, crashed, reason, message)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(offer_withdrawn, header, started)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(wrong_incarnation, header, namedIncarnation)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(tier_load, rank, running, queued, expectedTokens)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(report, from, service, dataCentre, generation, leaving, healthy, slots, freeSlots, tokensPerSecond, tiers, suspects, refusedFingerprints)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(suspect_fact, fingerprint, refused, timeLeft)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(suspect_notice, from, facts)
@@ -59,12 +71,36 @@
         }
     }
 
+    // Removes the fields that equal their defaults, which the receiver fills in again.
+    void removeDefaults(json& value, const json& defaults)
+    {
+        for (auto field = value.begin(); field != value.end();) {
+            const auto standard = defaults.find(field.key());
+            if (standard != defaults.end() && *field == *standard) {
+                field = value.erase(field);
+                continue;
+            }
+            if (standard != defaults.end() && field->is_object())
+                removeDefaults(*field, *standard);
+            ++field;
+        }
+    }
+
+    template <typename Message>
+    json encodeBody(const Message& message)
+    {
+        static const json defaults = Message {};
+        json body = message;
+        removeDefaults(body, defaults);
+        return body;
+    }
+
 } // namespace
 
 std::string encodePeerMessage(const peer_message& message)
 {
     json body;
-    std::visit([&](const auto& concrete) { body = concrete; }, message);
+    std::visit([&](const auto& concrete) { body = encodeBody(concrete); }, message);
     std::string bytes;
     json::to_cbor(json::array({ message.index(), std::move(body) }), bytes);
     return bytes;
--- a/servers/entry/entry_options.h
+++ b/servers/entry/entry_options.h
@@ -4,6 +4,7 @@
 #include "servers/entry/retry_budget.h"
 #include "servers/entry/routing_policy.h"
 #include "servers/entry/suspect_registry.h"
+#include "servers/entry/upstream_subset.h"
 
 #include <chrono>
 #include <cstdint>
@@ -35,6 +36,11 @@
     retry_budget::options retryBudget;
     retry_backoff::options retryBackoff;
     suspect_registry::options suspects;
+    subset_options subset;
+    // How long a share of an organisation's limits holds; it is renewed at half of this.
+    std::chrono::milliseconds leaseTime { 4000 };
+    // Bytes a second that reports may take; with many links they become rarer.
+    std::uint32_t reportBytesPerSecond = 2000;
     // Time between the drain request and the end of listening, so that the balancer notices.
     std::chrono::milliseconds drainGrace { 2000 };
     std::chrono::milliseconds drainLimit { 600000 };
--- a/servers/entry/entry_reducer.cpp
+++ b/servers/entry/entry_reducer.cpp
@@ -11,6 +11,12 @@
 namespace {
 
     constexpr std::chrono::milliseconds retryAfterNoUpstream { 1000 };
+    // Lets the first arrivals of an organisation show how much it asks for.
+    constexpr std::chrono::milliseconds firstLeaseDelay { 200 };
+    // Size of one report on the wire, see docs/design/routing.md.
+    constexpr std::size_t reportBytes = 200;
+    // A sidecar takes an entry for dead that is silent for 10 s, so that one subscription may be lost.
+    constexpr std::chrono::milliseconds longestSubscribeInterval { 4500 };
     // A queued attempt is asked about less often than one whose chunks are missing.
     constexpr int queuedAskFactor = 4;
     // Upstreams that one request may cost the fleet.
@@ -45,6 +51,8 @@
     , m_retryBudget(m_options.retryBudget)
     , m_retryBackoff(m_options.retryBackoff, m_options.seed)
     , m_suspects(m_options.suspects)
+    , m_leaseGiver(m_options.leaseTime)
+    , m_entryIds { m_options.id }
 {
 }
 
@@ -60,7 +68,7 @@
 std::optional<instant> entry_reducer::nextDeadline() const
 {
     std::optional<instant> next;
-    for (const auto& candidate : { m_timers.nextDeadline(), m_withdrawals.nextDeadline(), m_nextSubscribe, m_listenDeadline, m_drainDeadline }) {
+    for (const auto& candidate : { m_timers.nextDeadline(), m_withdrawals.nextDeadline(), m_nextSubscribe, m_nextLeaseRenewal, m_listenDeadline, m_drainDeadline }) {
         if (candidate && (!next || *candidate < *next))
             next = candidate;
     }
@@ -90,10 +98,17 @@
         return;
     }
     const auto& found = std::get<classification>(outcome);
+    if (const auto limited = m_limiter.admit(*found.caller, m_entryIds.size(), m_now)) {
+        reject(*limited);
+        return;
+    }
+    if (!m_nextLeaseRenewal && m_entryIds.size() > 1)
+        m_nextLeaseRenewal = m_now + firstLeaseDelay;
     request_record record;
     record.id = id;
     record.channel = event.channel;
     record.organisation = found.caller->name;
+    record.limited = hasLimits(*found.caller);
     record.requestClass = *found.requestClass;
     record.service = found.target->name;
     record.kind = found.target->kind;
@@ -407,7 +422,7 @@
 
 void entry_reducer::tellEntries(const suspect_fact& fact)
 {
-    for (const auto& address : m_entryAddresses)
+    for (const auto& [id, address] : m_entryAddresses)
         m_effects->push_back(send_to_entry { address, suspect_notice { self(), { fact } } });
 }
 
@@ -565,6 +580,8 @@
 {
     attemptEnded(record);
     passSuspectTurn(record);
+    if (record.limited)
+        m_limiter.release(record.organisation);
     m_timers.cancel(record.id);
     m_channels.erase(record.channel);
     m_requests.erase(std::string(record.id));
@@ -663,20 +680,95 @@
 
 void entry_reducer::handle(const instances_listed& event)
 {
-    m_directory.applyList(event.instances);
+    m_instances = event.instances;
     m_entryAddresses.clear();
+    m_entryIds = { m_options.id };
     for (const auto& item : event.instances) {
-        if (item.role == "entry" && item.id != m_options.id)
-            m_entryAddresses.push_back(item.address);
+        if (item.role != "entry" || item.id == m_options.id || item.leaving)
+            continue;
+        m_entryIds.push_back(item.id);
+        m_entryAddresses.emplace(item.id, item.address);
     }
     subscribeToAll();
 }
 
+void entry_reducer::renewLeases()
+{
+    const auto demands = m_limiter.takeDemands(m_now);
+    m_leaseGiver.forgetExpired(m_now);
+    std::map<std::string, std::vector<lease_demand>> byKeeper;
+    for (const auto& demand : demands)
+        byKeeper[keeperOf(demand.organisation, m_entryIds)].push_back(demand);
+    for (const auto& [keeper, wanted] : byKeeper) {
+        if (keeper == m_options.id)
+            receive(answerDemands(keeper, wanted));
+        else
+            m_effects->push_back(send_to_entry { m_entryAddresses.at(keeper), lease_request { self(), wanted } });
+    }
+    m_nextLeaseRenewal.reset();
+    if (!demands.empty())
+        m_nextLeaseRenewal = m_now + m_options.leaseTime / 2;
+}
+
+lease_grant entry_reducer::answerDemands(const std::string& entryId, const std::vector<lease_demand>& demands)
+{
+    lease_grant grant { .from = self(), .validFor = m_options.leaseTime };
+    for (const auto& demand : demands) {
+        const auto* keptFor = m_document ? m_document->findOrganisation(demand.organisation) : nullptr;
+        // Entries whose lists differ for a moment may name two keepers; only the one that this entry sees grants.
+        if (keptFor && keeperOf(demand.organisation, m_entryIds) == m_options.id)
+            grant.shares.push_back(m_leaseGiver.grant(*keptFor, entryId, demand, m_entryIds.size(), m_now));
+    }
+    return grant;
+}
+
+void entry_reducer::receive(const lease_request& message)
+{
+    auto grant = answerDemands(message.from.id, message.demands);
+    if (!grant.shares.empty())
+        m_effects->push_back(send_to_entry { message.from.address, std::move(grant) });
+}
+
+void entry_reducer::receive(const lease_grant& message)
+{
+    for (const auto& share : message.shares)
+        m_limiter.applyShare(share, message.validFor, m_now);
+}
+
+void entry_reducer::refreshSubset()
+{
+    subset_request request {
+        .entryId = m_options.id,
+        .dataCentre = m_options.dataCentre,
+        .entryCount = m_entryAddresses.size() + 1,
+        .silent = m_directory.silent(m_now),
+        .options = m_options.subset,
+    };
+    auto used = chooseSubset(m_instances, request);
+    // Silent ones may return, and leaving ones may still run requests of ours.
+    for (const auto& item : m_instances) {
+        const bool isExtra = item.leaving || request.silent.contains(item.id);
+        if (item.role == "sidecar" && isExtra && m_directory.find(item.id))
+            used.push_back(item);
+    }
+    m_directory.applyList(used, m_now);
+    constexpr int reportsUntilSilent = 3;
+    m_directory.setReportTimeout(std::max(m_options.reportTimeout, reportInterval() * reportsUntilSilent));
+}
+
+std::chrono::milliseconds entry_reducer::reportInterval() const
+{
+    const std::chrono::milliseconds affordable { m_directory.all().size() * reportBytes * 1000 / std::max(1U, m_options.reportBytesPerSecond) };
+    return std::max(m_options.subscribeInterval, affordable);
+}
+
 void entry_reducer::subscribeToAll()
 {
+    refreshSubset();
+    const auto interval = reportInterval();
     for (const auto& [id, upstream] : m_directory.all())
-        m_effects->push_back(send_to_sidecar { upstream.address, subscribe { self(), generation() } });
-    m_nextSubscribe = m_now + m_options.subscribeInterval;
+        m_effects->push_back(send_to_sidecar { upstream.address, subscribe { self(), generation(), interval } });
+    m_nextSubscribe = m_now + std::min(interval, longestSubscribeInterval);
 }
 
 void entry_reducer::handle(const entry_drain_requested&)
@@ -693,6 +785,8 @@
     while (const auto id = m_timers.popDue(m_now))
         onRequestTimer(m_requests.at(*id));
     resendWithdrawals();
+    if (m_nextLeaseRenewal && *m_nextLeaseRenewal <= m_now)
+        renewLeases();
     if (m_nextSubscribe && *m_nextSubscribe <= m_now)
         subscribeToAll();
     if (m_listenDeadline && *m_listenDeadline <= m_now) {
--- a/servers/entry/entry_reducer.h
+++ b/servers/entry/entry_reducer.h
@@ -3,6 +3,8 @@
 #include "core/timer_queue.h"
 #include "servers/entry/entry_effect.h"
 #include "servers/entry/entry_options.h"
+#include "servers/entry/lease_giver.h"
+#include "servers/entry/organisation_limiter.h"
 #include "servers/entry/request_record.h"
 #include "servers/entry/suspect_registry.h"
 #include "servers/entry/upstream_directory.h"
@@ -56,6 +58,8 @@
     void receive(const wrong_incarnation&);
     void receive(const report&);
     void receive(const suspect_notice&);
+    void receive(const lease_request&);
+    void receive(const lease_grant&);
     // The remaining messages are addressed to sidecars only.
     template <typename Other>
     void receive(const Other&) { }
@@ -99,7 +103,13 @@
     peer_identity self() const { return { m_options.id, m_options.address, m_options.incarnation }; }
     void onRequestTimer(request_record&);
     void resendWithdrawals();
+    // Asks the keepers of organisations' limits for this entry's shares.
+    void renewLeases();
+    lease_grant answerDemands(const std::string& entryId, const std::vector<lease_demand>&);
+    void refreshSubset();
     void subscribeToAll();
+    // Time between two reports of one upstream, so that all of them stay within the stated bytes a second.
+    std::chrono::milliseconds reportInterval() const;
     void stopWhenDrained();
     // Returns the request whose current attempt the answer belongs to, or null for answers of old attempts.
     request_record* findCurrent(const answer_header&);
@@ -119,8 +129,14 @@
     // The request whose attempt is the one running copy of a suspect, by fingerprint, and those that wait for it.
     std::map<std::uint64_t, std::string> m_suspectTurns;
     std::map<std::uint64_t, std::deque<std::string>> m_suspectWaiters;
-    // Addresses of the other entries.
-    std::vector<std::string> m_entryAddresses;
+    organisation_limiter m_limiter;
+    lease_giver m_leaseGiver;
+    std::optional<instant> m_nextLeaseRenewal;
+    // The platform's list as last received.
+    std::vector<instance> m_instances;
+    // Ids of all live entries, this one included, and addresses of the others.
+    std::vector<std::string> m_entryIds;
+    std::map<std::string, std::string> m_entryAddresses;
     std::optional<instant> m_nextSubscribe;
     std::optional<instant> m_listenDeadline;
     std::optional<instant> m_drainDeadline;
--- /dev/null
+++ b/servers/entry/organisation_limiter.cpp
@@ -0,0 +1,127 @@
+#include "servers/entry/organisation_limiter.h"
+
+#include "servers/entry/lease_giver.h"
+
+#include <algorithm>
+
+namespace kumquat {
+
+namespace {
+
+    constexpr std::chrono::seconds idleTime { 30 };
+    constexpr std::chrono::milliseconds retryAfterInFlight { 1000 };
+    constexpr double rateSmoothing = 0.5;
+
+    double seconds(duration span)
+    {
+        return std::chrono::duration<double>(span).count();
+    }
+
+    caller_error rejection(error_code code, const std::string& organisation, std::chrono::milliseconds retryAfter)
+    {
+        const auto* what = code == error_code::rate_limited ? "its rate of requests" : "its number of requests in flight";
+        return { .code = code, .message = "organisation '" + organisation + "' has reached " + what, .ran = ran_state::no, .retryAfter = retryAfter };
+    }
+
+} // namespace
+
+bool hasLimits(const organisation& caller)
+{
+    return caller.limits.requestsPerSecond > 0 || caller.limits.concurrency > 0;
+}
+
+std::optional<caller_error> organisation_limiter::admit(const organisation& caller, std::size_t entryCount, instant now)
+{
+    const auto& limits = caller.limits;
+    if (!hasLimits(caller))
+        return std::nullopt;
+    auto& account = accountFor(caller, entryCount, now);
+    refill(account, now);
+    account.arrivals++;
+    account.lastArrival = now;
+    if (limits.concurrency > 0 && account.inFlight >= account.share.concurrency) {
+        account.crowdedOut++;
+        return rejection(error_code::too_many_in_flight, caller.name, retryAfterInFlight);
+    }
+    if (limits.requestsPerSecond > 0 && account.tokens < 1) {
+        const double wait = (1 - account.tokens) / std::max(account.share.requestsPerSecond, 1e-3);
+        return rejection(error_code::rate_limited, caller.name, std::chrono::milliseconds { static_cast<std::int64_t>(wait * 1000) + 1 });
+    }
+    if (limits.requestsPerSecond > 0)
+        account.tokens -= 1;
+    account.inFlight++;
+    return std::nullopt;
+}
+
+organisation_limiter::account& organisation_limiter::accountFor(const organisation& caller, std::size_t entryCount, instant now)
+{
+    const auto [place, isNew] = m_accounts.try_emplace(caller.name);
+    auto& account = place->second;
+    cutExpiredShare(account, equalShare(caller, entryCount), now);
+    if (isNew) {
+        account.tokens = account.share.burst;
+        account.refilledAt = now;
+        account.demandedAt = now;
+    }
+    return account;
+}
+
+void organisation_limiter::cutExpiredShare(account& account, const lease_share& equal, instant now)
+{
+    if (!account.leasedUntil) {
+        account.share = equal;
+        return;
+    }
+    if (*account.leasedUntil > now)
+        return;
+    account.share.requestsPerSecond = std::min(account.share.requestsPerSecond, equal.requestsPerSecond);
+    account.share.burst = std::min(account.share.burst, equal.burst);
+    account.share.concurrency = std::min(account.share.concurrency, equal.concurrency);
+}
+
+void organisation_limiter::refill(account& account, instant now)
+{
+    account.tokens = std::min(account.share.burst, account.tokens + account.share.requestsPerSecond * seconds(now - account.refilledAt));
+    account.refilledAt = now;
+}
+
+void organisation_limiter::release(const std::string& organisation)
+{
+    const auto found = m_accounts.find(organisation);
+    if (found != m_accounts.end() && found->second.inFlight > 0)
+        found->second.inFlight--;
+}
+
+void organisation_limiter::applyShare(const lease_share& share, std::chrono::milliseconds validFor, instant now)
+{
+    const auto found = m_accounts.find(share.organisation);
+    if (found == m_accounts.end())
+        return;
+    refill(found->second, now);
+    found->second.share = share;
+    // The keeper counts the lease from its answer, which is later than the demand.
+    found->second.leasedUntil = found->second.demandedAt + validFor;
+}
+
+std::vector<lease_demand> organisation_limiter::takeDemands(instant now)
+{
+    std::vector<lease_demand> demands;
+    for (auto place = m_accounts.begin(); place != m_accounts.end();) {
+        auto& [name, account] = *place;
+        if (account.inFlight == 0 && account.lastArrival + idleTime <= now) {
+            place = m_accounts.erase(place);
+            continue;
+        }
+        const double elapsed = seconds(now - account.demandedAt);
+        if (elapsed > 0)
+            account.arrivalRate += rateSmoothing * (account.arrivals / elapsed - account.arrivalRate);
+        demands.push_back({ name, account.arrivalRate, account.inFlight + account.crowdedOut });
+        account.arrivals = 0;
+        account.crowdedOut = 0;
+        account.demandedAt = now;
+        ++place;
+    }
+    return demands;
+}
+
+} // namespace kumquat
--- a/servers/entry/request_record.h
+++ b/servers/entry/request_record.h
@@ -45,6 +45,8 @@
     std::string id;
     channel_id channel = 0;
     std::string organisation;
+    // Whether the request counts as in flight against its organisation's limits.
+    bool limited = false;
     request_class requestClass;
     std::string service;
     service_kind kind = service_kind::engine;
--- a/servers/entry/upstream_directory.cpp
+++ b/servers/entry/upstream_directory.cpp
@@ -1,7 +1,6 @@
 #include "servers/entry/upstream_directory.h"
 
 #include <algorithm>
-#include <set>
 
 namespace kumquat {
 
@@ -10,14 +9,17 @@
 {
 }
 
-void upstream_directory::applyList(const std::vector<instance>& instances)
+void upstream_directory::applyList(const std::vector<instance>& instances, instant now)
 {
     std::set<std::string> listed;
     for (const auto& item : instances) {
         if (item.role != "sidecar")
             continue;
         listed.insert(item.id);
-        auto& upstream = m_upstreams[item.id];
+        const auto [place, isNew] = m_upstreams.try_emplace(item.id);
+        auto& upstream = place->second;
+        if (isNew)
+            upstream.knownSince = now;
         upstream.id = item.id;
         upstream.address = item.address;
         upstream.service = item.service;
@@ -74,6 +76,17 @@
     return found == m_upstreams.end() ? nullptr : &found->second;
 }
 
+std::set<std::string> upstream_directory::silent(instant now) const
+{
+    std::set<std::string> result;
+    for (const auto& [id, upstream] : m_upstreams) {
+        const auto heard = upstream.lastReport ? upstream.reportedAt : upstream.knownSince;
+        if (heard + m_reportTimeout <= now)
+            result.insert(id);
+    }
+    return result;
+}
+
 bool upstream_directory::isUsable(const upstream_state& upstream, instant now) const
 {
     if (upstream.listedLeaving || !upstream.lastReport)
--- a/servers/entry/upstream_directory.h
+++ b/servers/entry/upstream_directory.h
@@ -9,6 +9,7 @@
 #include <chrono>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -27,6 +28,8 @@
     std::string service;
     std::string dataCentre;
     bool listedLeaving = false;
+    // When the upstream was first listed.
+    instant knownSince;
     std::optional<report> lastReport;
     instant reportedAt;
     // Requests that this entry has sent there and that have not ended.
@@ -44,13 +47,16 @@
 public:
     explicit upstream_directory(std::chrono::milliseconds reportTimeout);
 
-    void applyList(const std::vector<instance>&);
+    void applyList(const std::vector<instance>&, instant now);
     // Returns false when the report comes from an upstream that the list does not name.
     bool applyReport(const report&, instant now);
 
     upstream_state* find(const std::string& id);
     // Returns the upstreams of a service that may receive new work: listed, reporting, healthy and not leaving by either source.
     std::vector<upstream_state*> usable(const std::string& service, instant now);
+    // Returns the upstreams that have sent no report for the report timeout.
+    std::set<std::string> silent(instant now) const;
+    void setReportTimeout(std::chrono::milliseconds timeout) { m_reportTimeout = timeout; }
     std::map<std::string, upstream_state>& all() { return m_upstreams; }
     const std::map<std::string, upstream_state>& all() const { return m_upstreams; }
 
--- a/tests/drivers/peer_codec_test.cpp
+++ b/tests/drivers/peer_codec_test.cpp
@@ -46,3 +46,27 @@
     // An array of the unknown type 23 and an empty map.
     CHECK(errorOf(decodePeerMessage("\x82\x17\xa0")) != nullptr);
 }
+
+TEST_CASE("fields at their defaults are left out on the wire and come back")
+{
+    report message;
+    message.from = { "kasa-12", "tcp://10.20.30.40:19000", 0x1234567890abcdefULL };
+    message.service = "kasa";
+    message.dataCentre = "east-legon";
+    message.generation = 1700;
+    message.slots = 64;
+    message.tokensPerSecond = 38.461538461538;
+    message.tiers = { { 0, 3, 0, 300 }, { 1, 20, 2, 4000 }, { 2, 30, 11, 20000 }, { 3, 11, 90, 60000 } };
+    const auto bytes = encodePeerMessage(message);
+    const auto decoded = decodePeerMessage(bytes);
+    const auto& copy = std::get<report>(valueOf(decoded));
+    CHECK(copy.healthy);
+    CHECK_FALSE(copy.leaving);
+    CHECK(copy.tiers[0].queued == 0);
+    CHECK(copy.tiers[3].queued == 90);
+    INFO("report " << bytes.size());
+    CHECK(bytes.size() <= 200);
+    const subscribe subscription { { "entry-12", "tcp://10.20.30.41:19000", 0x1234567890abcdefULL }, 1700, 1000ms };
+    INFO("subscribe " << encodePeerMessage(subscription).size());
+    CHECK(encodePeerMessage(subscription).size() <= 128);
+}
--- /dev/null
+++ b/tests/servers/entry_limits_test.cpp
@@ -0,0 +1,184 @@
+#include "tests/support/entry_fixture.h"
+
+#include <catch2/catch.hpp>
+
+#include <deque>
+
+using namespace kumquat;
+using namespace std::chrono_literals;
+using kumquat_test::entry_fixture;
+using kumquat_test::headerFor;
+using kumquat_test::offersIn;
+using kumquat_test::only;
+
+namespace {
+
+document_ptr limitedDocument(organisation_limits limits)
+{
+    auto contents = kumquat_test::sampleDocument()->contents();
+    contents.generation = 2;
+    contents.organisations.at(0).limits = limits;
+    return std::make_shared<const document_index>(contents);
+}
+
+// Entries that exchange leases in virtual time. Answers end at once, so that only the rate counts.
+struct limited_fleet {
+    std::deque<entry_reducer> entries;
+    instant now { 1h };
+    std::size_t unreachable = noEntry;
+    int admitted = 0;
+    channel_id nextChannel = 1;
+
+    static constexpr std::size_t noEntry = 99;
+
+    limited_fleet(int count, organisation_limits limits)
+    {
+        std::vector<instance> listed { { .id = "kasa-1", .role = "sidecar", .service = "kasa", .address = "tcp://kasa-1" } };
+        for (int index = 0; index < count; ++index)
+            listed.push_back({ .id = "entry-" + std::to_string(index), .role = "entry", .address = std::to_string(index) });
+        for (int index = 0; index < count; ++index) {
+            entries.emplace_back(entry_options { .id = "entry-" + std::to_string(index), .address = std::to_string(index), .incarnation = 3 });
+            step(entries.size() - 1, entry_document_received { limitedDocument(limits) });
+            step(entries.size() - 1, instances_listed { listed });
+        }
+    }
+
+    void step(std::size_t at, const entry_event& event)
+    {
+        entry_effects effects;
+        entries.at(at).step(event, now, effects);
+        for (const auto& send : only<send_to_entry>(effects)) {
+            const auto to = std::stoul(send.address);
+            if (to != unreachable && at != unreachable)
+                step(to, entry_peer_received { send.message });
+        }
+        for (const auto& send : only<send_to_sidecar>(effects)) {
+            const auto* request = std::get_if<offer>(&send.message);
+            if (!request)
+                continue;
+            admitted++;
+            step(at, entry_peer_received { offer_finished { .header = { request->attempt, "kasa-1", request->sidecarIncarnation } } });
+        }
+    }
+
+    // Lets each entry receive so many requests a second, and returns how many were admitted.
+    int run(std::chrono::seconds span, const std::vector<int>& perSecond)
+    {
+        admitted = 0;
+        const auto end = now + span;
+        for (int tick = 0; now < end; ++tick, now += 10ms) {
+            for (std::size_t at = 0; at < entries.size(); ++at) {
+                report message;
+                message.from = { "kasa-1", "tcp://kasa-1", 70 };
+                message.slots = 4;
+                if (tick % 100 == 0)
+                    step(at, entry_peer_received { message });
+                if (entries.at(at).nextDeadline() && *entries.at(at).nextDeadline() <= now)
+                    step(at, entry_timer_due {});
+                if (perSecond.at(at) > 0 && tick % (100 / perSecond.at(at)) == 0)
+                    step(at, caller_arrived { nextChannel++, entry_fixture::request("/v1/chat/completions") });
+            }
+        }
+        return admitted;
+    }
+};
+
+constexpr int limit = 20;
+constexpr int burst = 10;
+
+} // namespace
+
+TEST_CASE("one entry enforces the rate and says when to come back")
+{
+    entry_fixture fixture;
+    fixture.step(entry_document_received { limitedDocument({ .requestsPerSecond = 2, .burst = 3 }) });
+    for (int request = 0; request < 3; ++request)
+        CHECK(only<fail_answer>(fixture.ask()).empty());
+    const auto failed = only<fail_answer>(fixture.ask());
+    REQUIRE(failed.size() == 1);
+    CHECK(failed.at(0).error.code == error_code::rate_limited);
+    CHECK(failed.at(0).error.ran == ran_state::no);
+    REQUIRE(failed.at(0).error.retryAfter);
+    fixture.wait(*failed.at(0).error.retryAfter);
+    CHECK(only<fail_answer>(fixture.ask()).empty());
+}
+
+TEST_CASE("requests in flight are limited until one ends, whichever way it ends")
+{
+    entry_fixture fixture;
+    fixture.step(entry_document_received { limitedDocument({ .concurrency = 2 }) });
+    const auto first = fixture.ask();
+    fixture.ask();
+    const auto failed = only<fail_answer>(fixture.ask());
+    REQUIRE(failed.size() == 1);
+    CHECK(failed.at(0).error.code == error_code::too_many_in_flight);
+    SECTION("answered") { fixture.receive(offer_finished { .header = headerFor(first) }); }
+    SECTION("abandoned") { fixture.step(caller_gone { 1 }); }
+    CHECK(offersIn(fixture.ask()).size() == 1);
+    CHECK(offersIn(fixture.ask()).empty());
+}
+
+TEST_CASE("shares follow demand and together keep to the limit")
+{
+    limited_fleet fleet(3, { .requestsPerSecond = limit, .burst = burst });
+    fleet.run(20s, { 50, 1, 1 });
+    const int admitted = fleet.run(20s, { 50, 1, 1 });
+    CHECK(admitted <= 20 * limit + burst);
+    CHECK(admitted >= 20 * limit * 8 / 10);
+}
+
+TEST_CASE("with the keeper unreachable the entries admit at most twice the limit, and no less than their parts")
+{
+    for (std::size_t keeper = 0; keeper < 3; ++keeper) {
+        limited_fleet fleet(3, { .requestsPerSecond = limit, .burst = burst });
+        fleet.run(20s, { 50, 50, 50 });
+        fleet.unreachable = keeper;
+        const int admitted = fleet.run(60s, { 50, 50, 50 });
+        CHECK(admitted <= 2 * (60 * limit + burst));
+        CHECK(admitted >= 60 * limit * 8 / 10);
+    }
+}
+
+TEST_CASE("shares that outlive their leases stay within one limit, wherever demand moves")
+{
+    limited_fleet fleet(3, { .requestsPerSecond = limit, .burst = burst });
+    // Each entry in turn earns nearly the whole limit and is then cut off from the others.
+    fleet.run(20s, { 50, 0, 0 });
+    fleet.unreachable = 0;
+    fleet.run(20s, { 50, 50, 0 });
+    const int admitted = fleet.run(30s, { 50, 50, 50 });
+    CHECK(admitted <= 2 * (30 * limit + burst));
+}
+
+TEST_CASE("a keeper never has more out on leases than the limit")
+{
+    const organisation keptFor { .name = "osu", .limits = { .requestsPerSecond = 30, .burst = 30, .concurrency = 12 } };
+    lease_giver giver(4s);
+    instant now { 1h };
+    giver.grant(keptFor, "a", { "osu", 1, 1 }, 3, now);
+    now += 5s;
+    std::map<std::string, lease_share> shares;
+    for (int round = 0; round < 200; ++round) {
+        const std::string entry(1, static_cast<char>('a' + round % 3));
+        const auto demand = static_cast<std::uint32_t>(round * 7919 % 50);
+        shares[entry] = giver.grant(keptFor, entry, { "osu", static_cast<double>(demand), demand }, 3, now);
+        now += 300ms;
+        double rate = 0;
+        std::uint32_t concurrency = 0;
+        for (const auto& [id, share] : shares) {
+            rate += share.requestsPerSecond;
+            concurrency += share.concurrency;
+        }
+        CHECK(rate <= 30.0001);
+        CHECK(concurrency <= 12);
+    }
+}
+
+TEST_CASE("a new keeper grants equal parts while shares of an earlier one may be out")
+{
+    const organisation keptFor { .name = "osu", .limits = { .requestsPerSecond = 30 } };
+    lease_giver giver(4s);
+    const instant now { 1h };
+    CHECK(giver.grant(keptFor, "a", { "osu", 100, 0 }, 3, now).requestsPerSecond == Approx(10));
+    CHECK(giver.grant(keptFor, "a", { "osu", 100, 0 }, 3, now + 4s).requestsPerSecond == Approx(30));
+}
--- a/tests/servers/entry_routing_test.cpp
+++ b/tests/servers/entry_routing_test.cpp
@@ -20,7 +20,7 @@
             ids.push_back("kasa-" + std::to_string(index));
             listed.push_back({ .id = ids.back(), .role = "sidecar", .service = "kasa", .dataCentre = "tema", .address = "tcp://" + ids.back() });
         }
-        directory.applyList(listed);
+        directory.applyList(listed, now);
         for (const auto& id : ids)
             reportLoad(id, {});
     }
--- /dev/null
+++ b/tests/servers/upstream_subset_test.cpp
@@ -0,0 +1,134 @@
+#include "servers/entry/upstream_subset.h"
+#include "tests/support/entry_fixture.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace kumquat;
+using namespace std::chrono_literals;
+using kumquat_test::entry_fixture;
+using kumquat_test::only;
+
+namespace {
+
+constexpr int dataCentres = 7;
+
+// Services m-0, m-1, ... with equally many sidecars each, dealt over the data centres.
+std::vector<instance> fleetOf(int services, int sidecarsEach)
+{
+    std::vector<instance> listed;
+    for (int service = 0; service < services; ++service) {
+        for (int index = 0; index < sidecarsEach; ++index) {
+            const auto name = "m-" + std::to_string(service);
+            listed.push_back({ .id = name + "-" + std::to_string(index), .role = "sidecar", .service = name, .dataCentre = "dc-" + std::to_string(index % dataCentres) });
+        }
+    }
+    return listed;
+}
+
+std::set<std::string> idsOf(const std::vector<instance>& instances)
+{
+    std::set<std::string> ids;
+    for (const auto& item : instances)
+        ids.insert(item.id);
+    return ids;
+}
+
+} // namespace
+
+TEST_CASE("a small site is covered entirely")
+{
+    const auto listed = fleetOf(2, 12);
+    CHECK(chooseSubset(listed, { .entryId = "e", .dataCentre = "dc-0", .entryCount = 3 }).size() == listed.size());
+}
+
+TEST_CASE("a large fleet has bounded links, spread over data centres, and every sidecar has entries")
+{
+    const auto listed = fleetOf(29, 27);
+    std::map<std::string, int> entriesOf;
+    for (int entry = 0; entry < 370; ++entry) {
+        const auto home = "dc-" + std::to_string(entry % dataCentres);
+        const auto subset = chooseSubset(listed, { .entryId = "entry-" + std::to_string(entry), .dataCentre = home, .entryCount = 370 });
+        CHECK(subset.size() <= 96);
+        const auto own = std::count_if(subset.begin(), subset.end(), [&](const auto& item) { return item.dataCentre == home; });
+        CHECK(own == 29 * 2);
+        for (const auto& item : subset)
+            entriesOf[item.id]++;
+    }
+    CHECK(entriesOf.size() == listed.size());
+    const auto fewest = std::min_element(entriesOf.begin(), entriesOf.end(), [](const auto& left, const auto& right) { return left.second < right.second; });
+    CHECK(fewest->second >= 3);
+}
+
+TEST_CASE("few entries before many sidecars still reach them all")
+{
+    const auto listed = fleetOf(1, 300);
+    std::set<std::string> reached;
+    for (const auto* id : { "a", "b", "c" })
+        reached.merge(idsOf(chooseSubset(listed, { .entryId = id, .dataCentre = "dc-0", .entryCount = 3 })));
+    CHECK(reached.size() == 300);
+}
+
+TEST_CASE("the loss of one sidecar changes one place, and silent or leaving ones take none")
+{
+    const auto listed = fleetOf(29, 27);
+    subset_request request { .entryId = "e", .dataCentre = "dc-0", .entryCount = 370 };
+    const auto before = idsOf(chooseSubset(listed, request));
+    request.silent = { *before.begin() };
+    const auto after = idsOf(chooseSubset(listed, request));
+    std::vector<std::string> kept;
+    std::set_intersection(before.begin(), before.end(), after.begin(), after.end(), std::back_inserter(kept));
+    CHECK(after.size() == before.size());
+    CHECK(kept.size() == before.size() - 1);
+    auto leaving = listed;
+    for (auto& item : leaving)
+        item.leaving = item.id == *before.begin();
+    request.silent.clear();
+    CHECK(idsOf(chooseSubset(leaving, request)) == after);
+}
+
+TEST_CASE("an entry subscribes to its subset only and replaces what falls silent")
+{
+    entry_options options;
+    options.subset = { .linkLimit = 2, .smallestSubset = 2, .entriesPerSidecar = 0 };
+    entry_fixture fixture(6, options);
+    const auto subscribed = [&](const entry_effects& effects) {
+        std::set<std::string> addresses;
+        for (const auto& send : only<send_to_sidecar>(effects)) {
+            if (std::holds_alternative<subscribe>(send.message) && send.address.starts_with("tcp://kasa"))
+                addresses.insert(send.address);
+        }
+        return addresses;
+    };
+    const auto first = subscribed(fixture.wait(1s));
+    CHECK(first.size() == 2);
+    // Nobody reports any more: the silent two are replaced, and stay subscribed in case they return.
+    fixture.wait(4s);
+    const auto later = subscribed(fixture.wait(1s));
+    CHECK(later.size() == 4);
+    CHECK(std::includes(later.begin(), later.end(), first.begin(), first.end()));
+}
+
+TEST_CASE("many links make reports rarer, and a few keep the shortest interval")
+{
+    const auto asked = [](const entry_effects& effects) { return kumquat_test::sent<subscribe, send_to_sidecar>(effects).at(0).reportInterval; };
+    entry_options options;
+    options.reportBytesPerSecond = 2000;
+    entry_fixture few(4, options);
+    CHECK(asked(few.wait(1s)) == 1s);
+    entry_fixture many(39, options);
+    CHECK(asked(many.wait(4s)) == 4s);
+}
+
+TEST_CASE("an upstream that leaves the list keeps its count until its requests have ended")
+{
+    entry_fixture fixture(2);
+    const auto header = kumquat_test::headerFor(fixture.ask());
+    fixture.step(instances_listed {});
+    REQUIRE(fixture.reducer.upstreams().all().contains(header.sidecarId));
+    CHECK(fixture.reducer.upstreams().all().at(header.sidecarId).ownInFlight == 1);
+    CHECK(only<finish_answer>(fixture.receive(offer_finished { .header = header })).size() == 1);
+    fixture.step(instances_listed {});
+    CHECK(fixture.reducer.upstreams().all().empty());
+}
