Pass over upstreams that leave offers unanswered, and read the entry's knobs from its settings

Cause: with rare reports a dead sidecar would get new work until its report timed out; the new options had no settings. Change: after two unanswered copies an upstream gets new work only when all others are as silent, until heard of again.

--- a/drivers/json/settings_codec.cpp
+++ b/drivers/json/settings_codec.cpp
@@ -54,6 +54,24 @@
         return error { source + ": at /network_key: a key of at least 32 characters is needed, since peer address '" + peerAddress + "' is not on the loopback interface" };
     }
 
+    void readEntryDecisions(const json& root, entry_options& options)
+    {
+        options.subset.linkLimit = root.value("link_limit", options.subset.linkLimit);
+        options.subset.smallestSubset = root.value("smallest_subset", options.subset.smallestSubset);
+        options.subset.entriesPerSidecar = root.value("entries_per_sidecar", options.subset.entriesPerSidecar);
+        options.reportBytesPerSecond = root.value("report_bytes_per_second", options.reportBytesPerSecond);
+        options.refusalLimit = root.value("refusal_limit", options.refusalLimit);
+        options.retryBudget.shareOfSuccesses = root.value("retry_share", options.retryBudget.shareOfSuccesses);
+        options.retryBudget.floorPerSecond = root.value("retry_floor_per_second", options.retryBudget.floorPerSecond);
+        options.retryBudget.limit = root.value("retry_burst", options.retryBudget.limit);
+        readMilliseconds(root, "withdraw_wait_ms", options.withdrawWait);
+        readMilliseconds(root, "retry_backoff_ms", options.retryBackoff.base);
+        readMilliseconds(root, "retry_backoff_limit_ms", options.retryBackoff.limit);
+        readMilliseconds(root, "suspect_time_ms", options.suspects.suspectTime);
+        readMilliseconds(root, "refusal_time_ms", options.suspects.refusalTime);
+        readMilliseconds(root, "lease_time_ms", options.leaseTime);
+    }
+
     std::optional<error> checkSources(const std::string& source, const common_settings& settings)
     {
         if (settings.documentFile.empty() && settings.objectApi.host.empty())
@@ -82,6 +100,7 @@
     if (const auto failure = checkNetworkKey(source, options.address, settings.common))
         return *failure;
     options.dataCentre = root.at("data_centre");
+    readEntryDecisions(root, options);
     options.resendLimit = root.value("resend_limit", options.resendLimit);
     options.maximumAttempts = root.value("maximum_attempts", options.maximumAttempts);
     readMilliseconds(root, "request_timeout_ms", options.requestTimeout);
--- a/servers/entry/entry_reducer.cpp
+++ b/servers/entry/entry_reducer.cpp
@@ -17,6 +17,8 @@
     constexpr std::size_t reportBytes = 200;
     // A sidecar takes an entry for dead that is silent for 10 s, so that one subscription may be lost.
     constexpr std::chrono::milliseconds longestSubscribeInterval { 4500 };
+    // After so many unanswered copies of an offer the upstream gets new work only when all others are as silent.
+    constexpr std::uint32_t unansweredLimit = 2;
     // A queued attempt is asked about less often than one whose chunks are missing.
     constexpr int queuedAskFactor = 4;
     // Upstreams that one request may cost the fleet.
@@ -268,6 +270,8 @@
         return nullptr;
     attempt->unanswered = 0;
     attempt->heardAt = m_now;
+    if (auto* upstream = m_directory.find(attempt->upstreamId))
+        upstream->unresponsive = false;
     return &found->second;
 }
 
@@ -622,6 +626,9 @@
         m_timers.set(record.id, std::min(record.deadline, askAt));
         return;
     }
+    auto* upstream = m_directory.find(record.attempt->upstreamId);
+    if (upstream && record.attempt->unanswered >= unansweredLimit)
+        upstream->unresponsive = true;
     if (record.attempt->unanswered < m_options.resendLimit) {
         sendOffer(record);
         return;
--- a/servers/entry/upstream_directory.cpp
+++ b/servers/entry/upstream_directory.cpp
@@ -45,6 +45,7 @@
         upstream->prefixes.clear();
     upstream->lastReport = message;
     upstream->reportedAt = now;
+    upstream->unresponsive = false;
     upstream->sentSinceReport.clear();
     upstream->speed.observeRate(message.tokensPerSecond, now);
     compareWithPeers(upstream->service, now);
@@ -102,11 +103,12 @@
     const auto found = m_byService.find(service);
     if (found == m_byService.end())
         return result;
+    std::vector<upstream_state*> unresponsive;
     for (auto* upstream : found->second) {
         if (isUsable(*upstream, now))
-            result.push_back(upstream);
+            (upstream->unresponsive ? unresponsive : result).push_back(upstream);
     }
-    return result;
+    return result.empty() ? unresponsive : result;
 }
 
 } // namespace kumquat
--- a/servers/entry/upstream_directory.h
+++ b/servers/entry/upstream_directory.h
@@ -30,6 +30,8 @@
     bool listedLeaving = false;
     // When the upstream was first listed.
     instant knownSince;
+    // Whether offers of ours stay unanswered; it then gets new work only when all others do too.
+    bool unresponsive = false;
     std::optional<report> lastReport;
     instant reportedAt;
     // Requests that this entry has sent there and that have not ended.
@@ -52,7 +54,8 @@
     bool applyReport(const report&, instant now);
 
     upstream_state* find(const std::string& id);
-    // Returns the upstreams of a service that may receive new work: listed, reporting, healthy and not leaving by either source.
+    // Returns the upstreams of a service that may receive new work: listed, reporting, healthy and not leaving by either
+    // source. Unresponsive ones are among them only when there are no others.
     std::vector<upstream_state*> usable(const std::string& service, instant now);
     // Returns the upstreams that have sent no report for the report timeout.
     std::set<std::string> silent(instant now) const;
--- a/tests/drivers/settings_codec_test.cpp
+++ b/tests/drivers/settings_codec_test.cpp
@@ -59,6 +59,23 @@
     }
 }
 
+TEST_CASE("the knobs of an entry's decisions are read and checked")
+{
+    auto root = example();
+    root["link_limit"] = 40;
+    root["retry_share"] = 0.25;
+    root["lease_time_ms"] = 8000;
+    const auto parsed = parseEntrySettings("settings", root.dump());
+    REQUIRE(errorOf(parsed) == nullptr);
+    const auto& options = valueOf(parsed).options;
+    CHECK(options.subset.linkLimit == 40);
+    CHECK(options.retryBudget.shareOfSuccesses == 0.25);
+    CHECK(options.leaseTime == std::chrono::seconds(8));
+    CHECK(options.subset.smallestSubset == entry_options {}.subset.smallestSubset);
+    root["retry_share"] = 2;
+    CHECK_THAT(messageFor(root), Catch::Contains("/retry_share"));
+}
+
 TEST_CASE("settings errors keep secrets out")
 {
     auto root = example();
--- a/tests/servers/entry_retry_test.cpp
+++ b/tests/servers/entry_retry_test.cpp
@@ -187,3 +187,17 @@
     CHECK(asked.at(0).job.body.empty());
     CHECK(asked.at(0).nextChunk == 10);
 }
+
+TEST_CASE("an upstream that leaves offers unanswered gets no new work before it is heard of")
+{
+    entry_options options;
+    options.policy = round_robin_routing {};
+    entry_fixture fixture(2, options);
+    const auto silent = fixture.ask();
+    const auto addressOf = [](const entry_effects& effects) { return only<send_to_sidecar>(effects).at(0).address; };
+    fixture.wait(1s);
+    for (int request = 0; request < 4; ++request)
+        CHECK(addressOf(fixture.ask()) != addressOf(silent));
+    fixture.receive(offer_queued { headerFor(silent) });
+    CHECK(addressOf(fixture.ask()) == addressOf(silent));
+}
