Search large services in windows, so that a request costs the same before any number of upstreams

Cause: a lone entry before hundreds of upstreams of one service looked at all of them for each request, and compared all their speeds at each report. Change: expected wait looks at a window of 32 upstreams, placed by the first prompt block or at random, at a second one when the first has no room, and at all only when neither holds a usable one. Large services compare speeds every 200 ms.

--- a/servers/entry/entry_reducer.cpp
+++ b/servers/entry/entry_reducer.cpp
@@ -49,6 +49,7 @@
     : m_options(std::move(options))
     , m_directory(m_options.reportTimeout)
     , m_selector(m_options.policy, m_options.dataCentre, m_options.seed)
+    , m_random(m_options.seed)
     , m_withdrawals(m_options.resendInterval, m_options.resendLimit)
     , m_retryBudget(m_options.retryBudget)
     , m_retryBackoff(m_options.retryBackoff, m_options.seed)
@@ -161,10 +162,33 @@
 
 upstream_state* entry_reducer::chooseUpstream(request_record& record)
 {
-    const auto candidates = m_directory.usable(record.service, m_now);
     if (m_suspects.isSuspect(record.fingerprint, m_now))
-        return upstream_selector::selectHome(candidates, record.fingerprint, record.tried);
-    auto* chosen = m_selector.select(candidates,
+        return upstream_selector::selectHome(m_directory.usable(record.service, m_now), record.fingerprint, record.tried);
+    auto* chosen = std::holds_alternative<expected_wait_routing>(m_options.policy) ? chooseInWindows(record) : nullptr;
+    if (!chosen)
+        chosen = selectAmong(m_directory.usable(record.service, m_now), record);
+    if (!chosen || record.refusals < m_options.refusalLimit)
+        return chosen;
+    const auto load = estimateLoad(*chosen, record.requestClass.tierRank, m_now);
+    return load.hasRoom() || load.hasLowerWork() ? chosen : nullptr;
+}
+
+// Requests with the same beginning look at the same upstreams first, where it may be cached; then anywhere for room.
+upstream_state* entry_reducer::chooseInWindows(const request_record& record)
+{
+    const bool followsPrefix = !record.prefixHashes.empty() && record.attemptCount == 0;
+    const auto start = followsPrefix ? record.prefixHashes.front() : m_random();
+    auto* chosen = selectAmong(m_directory.usableWindow(record.service, start, m_now), record);
+    const auto hasRoom = [&](const upstream_state& upstream) { return estimateLoad(upstream, record.requestClass.tierRank, m_now).hasRoom(); };
+    if (chosen && hasRoom(*chosen))
+        return chosen;
+    auto* other = selectAmong(m_directory.usableWindow(record.service, m_random(), m_now), record);
+    return other && (!chosen || hasRoom(*other)) ? other : chosen;
+}
+
+upstream_state* entry_reducer::selectAmong(const std::vector<upstream_state*>& candidates, const request_record& record)
+{
+    return m_selector.select(candidates,
         { .service = record.service,
             .tierRank = record.requestClass.tierRank,
             .expectedTokens = record.expectedTokens,
@@ -172,10 +196,6 @@
             .tried = &record.tried,
             .refusedForLoad = record.refusals > 0 },
         m_now);
-    if (!chosen || record.refusals < m_options.refusalLimit)
-        return chosen;
-    const auto load = estimateLoad(*chosen, record.requestClass.tierRank, m_now);
-    return load.hasRoom() || load.hasLowerWork() ? chosen : nullptr;
 }
 
 void entry_reducer::failUndeliverable(request_record& record)
--- a/servers/entry/entry_reducer.h
+++ b/servers/entry/entry_reducer.h
@@ -14,6 +14,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <random>
 #include <string>
 #include <unordered_map>
 
@@ -68,6 +69,8 @@
     void dispatch(request_record&);
     // Returns null when the request cannot be offered anywhere now.
     upstream_state* chooseUpstream(request_record&);
+    upstream_state* chooseInWindows(const request_record&);
+    upstream_state* selectAmong(const std::vector<upstream_state*>&, const request_record&);
     void startAttempt(request_record&, upstream_state&);
     void sendOffer(request_record&);
     void attemptEnded(request_record&);
@@ -122,6 +125,7 @@
     std::map<std::string, request_record> m_requests;
     std::unordered_map<channel_id, std::string> m_channels;
     timer_queue<std::string> m_timers;
+    std::mt19937_64 m_random;
     withdrawal_list m_withdrawals;
     retry_budget m_retryBudget;
     retry_backoff m_retryBackoff;
--- a/servers/entry/upstream_directory.cpp
+++ b/servers/entry/upstream_directory.cpp
@@ -4,6 +4,12 @@
 
 namespace kumquat {
 
+namespace {
+
+    constexpr std::chrono::milliseconds compareInterval { 200 };
+
+} // namespace
+
 upstream_directory::upstream_directory(std::chrono::milliseconds reportTimeout)
     : m_reportTimeout(reportTimeout)
 {
@@ -55,6 +61,11 @@
 void upstream_directory::compareWithPeers(const std::string& service, instant now)
 {
     const auto& members = m_byService[service];
+    // In a large service a comparison at every report would cost the square of its size.
+    auto& comparedAt = m_comparedAt[service];
+    if (members.size() > windowSize && comparedAt + compareInterval > now)
+        return;
+    comparedAt = now;
     std::vector<upstream_speed*> speeds;
     std::vector<double> rates;
     for (auto* member : members) {
@@ -99,12 +110,27 @@
 
 std::vector<upstream_state*> upstream_directory::usable(const std::string& service, instant now)
 {
-    std::vector<upstream_state*> result;
+    const auto found = m_byService.find(service);
+    return found == m_byService.end() ? std::vector<upstream_state*>() : collect(found->second, 0, found->second.size(), now);
+}
+
+std::vector<upstream_state*> upstream_directory::usableWindow(const std::string& service, std::uint64_t start, instant now)
+{
     const auto found = m_byService.find(service);
     if (found == m_byService.end())
-        return result;
+        return {};
+    const auto& members = found->second;
+    if (members.size() <= windowSize)
+        return collect(members, 0, members.size(), now);
+    return collect(members, start % members.size(), windowSize, now);
+}
+
+std::vector<upstream_state*> upstream_directory::collect(const std::vector<upstream_state*>& members, std::size_t start, std::size_t count, instant now) const
+{
+    std::vector<upstream_state*> result;
     std::vector<upstream_state*> unresponsive;
-    for (auto* upstream : found->second) {
+    for (std::size_t offset = 0; offset < count; ++offset) {
+        auto* upstream = members[(start + offset) % members.size()];
         if (isUsable(*upstream, now))
             (upstream->unresponsive ? unresponsive : result).push_back(upstream);
     }
--- a/servers/entry/upstream_directory.h
+++ b/servers/entry/upstream_directory.h
@@ -57,6 +57,10 @@
     // Returns the upstreams of a service that may receive new work: listed, reporting, healthy and not leaving by either
     // source. Unresponsive ones are among them only when there are no others.
     std::vector<upstream_state*> usable(const std::string& service, instant now);
+    // The same of at most windowSize upstreams, found from the start position on, so that the cost of a request does not
+    // grow with the service. Returns all of a service that is no larger.
+    std::vector<upstream_state*> usableWindow(const std::string& service, std::uint64_t start, instant now);
+    static constexpr std::size_t windowSize = 32;
     // Returns the upstreams that have sent no report for the report timeout.
     std::set<std::string> silent(instant now) const;
     void setReportTimeout(std::chrono::milliseconds timeout) { m_reportTimeout = timeout; }
@@ -65,11 +69,13 @@
 
 private:
     void compareWithPeers(const std::string& service, instant now);
+    std::vector<upstream_state*> collect(const std::vector<upstream_state*>& members, std::size_t start, std::size_t count, instant now) const;
     bool isUsable(const upstream_state&, instant now) const;
 
     std::chrono::milliseconds m_reportTimeout;
     std::map<std::string, upstream_state> m_upstreams;
     std::map<std::string, std::vector<upstream_state*>> m_byService;
+    std::map<std::string, instant> m_comparedAt;
 };
 
 } // namespace kumquat
--- a/tests/servers/upstream_subset_test.cpp
+++ b/tests/servers/upstream_subset_test.cpp
@@ -132,3 +132,35 @@
     fixture.step(instances_listed {});
     CHECK(fixture.reducer.upstreams().all().empty());
 }
+
+TEST_CASE("a large service is searched in windows that together reach every upstream")
+{
+    entry_fixture fixture(200);
+    std::set<std::string> used;
+    for (int request = 0; request < 4000; ++request) {
+        const auto effects = fixture.ask();
+        REQUIRE(kumquat_test::offersIn(effects).size() == 1);
+        used.insert(only<send_to_sidecar>(effects).at(0).address);
+        fixture.receive(offer_finished { .header = kumquat_test::headerFor(effects) });
+        if (request % 100 == 0) {
+            for (int index = 1; index <= 200; ++index)
+                fixture.reportFrom("kasa-" + std::to_string(index), "kasa");
+        }
+    }
+    CHECK(used.size() == 200);
+    upstream_directory directory { 3500ms };
+    const auto listed = fleetOf(1, 200);
+    directory.applyList(listed, fixture.now);
+    for (const auto& item : listed)
+        directory.applyReport({ .from = { item.id, "", 1 }, .slots = 4 }, fixture.now);
+    CHECK(directory.usable("m-0", fixture.now).size() == 200);
+    CHECK(directory.usableWindow("m-0", 190, fixture.now).size() == upstream_directory::windowSize);
+}
+
+TEST_CASE("a request finds the last upstream that is left of a large service")
+{
+    entry_fixture fixture(100);
+    for (int index = 1; index < 100; ++index)
+        fixture.reportFrom("kasa-" + std::to_string(index), "kasa", true);
+    CHECK(only<send_to_sidecar>(fixture.ask()).at(0).address == "tcp://kasa-100");
+}
