--- a/core/peer_message.h
+++ b/core/peer_message.h
@@ -87,6 +87,8 @@
     // Version of the document that the entry has in force.
     std::uint64_t generation = 0;
     std::uint64_t documentHash = 0;
+    // Time between two reports that the entry asks for; sharp changes come besides. Zero leaves it to the sidecar.
+    std::chrono::milliseconds reportInterval { 0 };
 };
 
 // Common part of a sidecar's answers about one attempt.
@@ -245,6 +247,7 @@
 struct lease_demand {
     std::string organisation;
     double requestsPerSecond = 0;
+    // Requests in flight, and those refused because too many were.
     std::uint32_t inFlight = 0;
 };
 
--- a/servers/entry/entry_reducer.h
+++ b/servers/entry/entry_reducer.h
@@ -5,6 +5,8 @@
 #include "servers/config/document_keeper.h"
 #include "servers/entry/entry_effect.h"
 #include "servers/entry/entry_options.h"
+#include "servers/entry/lease_giver.h"
+#include "servers/entry/organisation_limiter.h"
 #include "servers/entry/request_record.h"
 #include "servers/entry/suspect_registry.h"
 #include "servers/entry/upstream_directory.h"
@@ -14,6 +16,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <random>
 #include <string>
 #include <unordered_map>
 
@@ -80,6 +83,8 @@
     void apply(const Other& effect) { m_effects->push_back(effect); }
 
     void receive(const suspect_notice&);
+    void receive(const lease_request&);
+    void receive(const lease_grant&);
     // The remaining messages are addressed to sidecars only.
     template <typename Other>
     void receive(const Other&) { }
@@ -88,6 +93,8 @@
     void dispatch(request_record&);
     // Returns null when the request cannot be offered anywhere now.
     upstream_state* chooseUpstream(request_record&);
+    upstream_state* chooseInWindows(const request_record&);
+    upstream_state* selectAmong(const std::vector<upstream_state*>&, const request_record&);
     void startAttempt(request_record&, upstream_state&);
     void sendOffer(request_record&);
     void attemptEnded(request_record&);
@@ -123,8 +130,14 @@
     peer_identity self() const { return { m_options.id, m_options.address, m_options.incarnation }; }
     void onRequestTimer(request_record&);
     void resendWithdrawals();
+    // Asks the keepers of organisations' limits for this entry's shares.
+    void renewLeases();
+    lease_grant answerDemands(const std::string& entryId, const std::vector<lease_demand>&);
+    void refreshSubset();
     void subscribeToAll();
     void stepKeeper(const keeper_event&);
+    // Time between two reports of one upstream, so that all of them stay within the stated bytes a second.
+    std::chrono::milliseconds reportInterval() const;
     void stopWhenDrained();
     // Returns the request whose current attempt the answer belongs to, or null for answers of old attempts.
     request_record* findCurrent(const answer_header&);
@@ -139,6 +152,7 @@
     std::map<std::string, request_record> m_requests;
     std::unordered_map<channel_id, std::string> m_channels;
     timer_queue<std::string> m_timers;
+    std::mt19937_64 m_random;
     withdrawal_list m_withdrawals;
     retry_budget m_retryBudget;
     retry_backoff m_retryBackoff;
@@ -146,8 +160,14 @@
     // The request whose attempt is the one running copy of a suspect, by fingerprint, and those that wait for it.
     std::map<std::uint64_t, std::string> m_suspectTurns;
     std::map<std::uint64_t, std::deque<std::string>> m_suspectWaiters;
-    // Addresses of the other entries.
-    std::vector<std::string> m_entryAddresses;
+    organisation_limiter m_limiter;
+    lease_giver m_leaseGiver;
+    std::optional<instant> m_nextLeaseRenewal;
+    // The platform's list as last received.
+    std::vector<instance> m_instances;
+    // Ids of all live entries, this one included, and addresses of the others.
+    std::vector<std::string> m_entryIds;
+    std::map<std::string, std::string> m_entryAddresses;
     std::optional<instant> m_nextSubscribe;
     std::optional<instant> m_listenDeadline;
     std::optional<instant> m_drainDeadline;
--- a/servers/entry/upstream_directory.cpp
+++ b/servers/entry/upstream_directory.cpp
@@ -1,23 +1,31 @@
 #include "servers/entry/upstream_directory.h"
 
 #include <algorithm>
-#include <set>
 
 namespace kumquat {
 
+namespace {
+
+    constexpr std::chrono::milliseconds compareInterval { 200 };
+
+} // namespace
+
 upstream_directory::upstream_directory(std::chrono::milliseconds reportTimeout)
     : m_reportTimeout(reportTimeout)
 {
 }
 
-void upstream_directory::applyList(const std::vector<instance>& instances)
+void upstream_directory::applyList(const std::vector<instance>& instances, instant now)
 {
     std::set<std::string> listed;
     for (const auto& item : instances) {
         if (item.role != "sidecar")
             continue;
         listed.insert(item.id);
-        auto& upstream = m_upstreams[item.id];
+        const auto [place, isNew] = m_upstreams.try_emplace(item.id);
+        auto& upstream = place->second;
+        if (isNew)
+            upstream.knownSince = now;
         upstream.id = item.id;
         upstream.address = item.address;
         upstream.service = item.service;
@@ -43,6 +51,7 @@
         upstream->prefixes.clear();
     upstream->lastReport = message;
     upstream->reportedAt = now;
+    upstream->unresponsive = false;
     upstream->sentSinceReport.clear();
     upstream->speed.observeRate(message.tokensPerSecond, now);
     compareWithPeers(upstream->service, now);
@@ -52,6 +61,11 @@
 void upstream_directory::compareWithPeers(const std::string& service, instant now)
 {
     const auto& members = m_byService[service];
+    // In a large service a comparison at every report would cost the square of its size.
+    auto& comparedAt = m_comparedAt[service];
+    if (members.size() > windowSize && comparedAt + compareInterval > now)
+        return;
+    comparedAt = now;
     std::vector<upstream_speed*> speeds;
     std::vector<double> rates;
     for (auto* member : members) {
@@ -74,6 +88,17 @@
     return found == m_upstreams.end() ? nullptr : &found->second;
 }
 
+std::set<std::string> upstream_directory::silent(instant now) const
+{
+    std::set<std::string> result;
+    for (const auto& [id, upstream] : m_upstreams) {
+        const auto heard = upstream.lastReport ? upstream.reportedAt : upstream.knownSince;
+        if (heard + m_reportTimeout <= now)
+            result.insert(id);
+    }
+    return result;
+}
+
 bool upstream_directory::isUsable(const upstream_state& upstream, instant now) const
 {
     if (upstream.listedLeaving || !upstream.lastReport)
@@ -85,15 +110,31 @@
 
 std::vector<upstream_state*> upstream_directory::usable(const std::string& service, instant now)
 {
-    std::vector<upstream_state*> result;
+    const auto found = m_byService.find(service);
+    return found == m_byService.end() ? std::vector<upstream_state*>() : collect(found->second, 0, found->second.size(), now);
+}
+
+std::vector<upstream_state*> upstream_directory::usableWindow(const std::string& service, std::uint64_t start, instant now)
+{
     const auto found = m_byService.find(service);
     if (found == m_byService.end())
-        return result;
-    for (auto* upstream : found->second) {
+        return {};
+    const auto& members = found->second;
+    if (members.size() <= windowSize)
+        return collect(members, 0, members.size(), now);
+    return collect(members, start % members.size(), windowSize, now);
+}
+
+std::vector<upstream_state*> upstream_directory::collect(const std::vector<upstream_state*>& members, std::size_t start, std::size_t count, instant now) const
+{
+    std::vector<upstream_state*> result;
+    std::vector<upstream_state*> unresponsive;
+    for (std::size_t offset = 0; offset < count; ++offset) {
+        auto* upstream = members[(start + offset) % members.size()];
         if (isUsable(*upstream, now))
-            result.push_back(upstream);
+            (upstream->unresponsive ? unresponsive : result).push_back(upstream);
     }
-    return result;
+    return result.empty() ? unresponsive : result;
 }
 
 } // namespace kumquat
