Count guaranteed shares in tokens and judge the pace over stretches of output

Change: shares earn and cost expected tokens; a class with something running starves later. The pace is the mean over 32 tokens of one run; a decrease is futile when the line through the pace at two limits misses the target with one run. Shown by: concurrency_limit_test and sidecar_fairness_test.

--- a/servers/sidecar/admission_queue.cpp
+++ b/servers/sidecar/admission_queue.cpp
@@ -6,11 +6,11 @@
 
 namespace kumquat {
 
-admission_queue::admission_queue(const scheduling_policy& policy, const class_terms_source& terms, duration starvationLimit)
+admission_queue::admission_queue(const scheduling_policy& policy, const class_terms_source& terms, const guaranteed_share::options& share)
     : m_policy(policy)
 {
     const auto chooseOrder = overloaded {
-        [&](const fair_scheduling&) { m_order.emplace<fair_queue>(terms, starvationLimit); },
+        [&](const fair_scheduling&) { m_order.emplace<fair_queue>(terms, share); },
         [&](const priority_scheduling&) { m_order.emplace<tiered_queue>(); },
         [&](const fifo_scheduling&) { m_order.emplace<fifo_queue>(); },
         [&](const inverted_scheduling&) { m_order.emplace<inverted_queue>(); },
@@ -168,10 +168,10 @@
         fair->charge(tierRank, organisation, tokens);
 }
 
-void admission_queue::ended(std::uint32_t tierRank, const std::string& organisation)
+void admission_queue::ended(const queued_attempt& attempt, instant now)
 {
     if (auto* fair = std::get_if<fair_queue>(&m_order))
-        fair->ended(tierRank, organisation);
+        fair->ended(attempt, now);
 }
 
 duration admission_queue::runAhead(const queued_attempt& arrival) const
--- a/servers/sidecar/admission_queue.h
+++ b/servers/sidecar/admission_queue.h
@@ -29,7 +29,7 @@
 // Holds the attempts that wait for a slot. The policy decides their order and who is displaced.
 class admission_queue {
 public:
-    admission_queue(const scheduling_policy&, const class_terms_source&, duration starvationLimit);
+    admission_queue(const scheduling_policy&, const class_terms_source&, const guaranteed_share::options&);
 
     void push(queued_attempt, instant now);
     // Removes and returns the attempt that runs next, or nothing when none may run. While a suspect runs, other suspects
@@ -52,7 +52,7 @@
     // Corrects what an organisation was charged for a running attempt.
     void charge(std::uint32_t tierRank, const std::string& organisation, double tokens);
     // Reports that an attempt which had left the queue to run has ended.
-    void ended(std::uint32_t tierRank, const std::string& organisation);
+    void ended(const queued_attempt&, instant now);
 
     std::size_t size() const { return m_waiting.size(); }
     std::size_t unstartedCount() const { return m_unstarted.size(); }
--- a/servers/sidecar/concurrency_limit.cpp
+++ b/servers/sidecar/concurrency_limit.cpp
@@ -12,11 +12,11 @@
     constexpr double toleratedShare = 0.05;
     constexpr double decreaseFactor = 0.85;
     constexpr double increaseStep = 1.0;
-    // A decrease is useful when the gap falls by at least this part of the decrease of the limit.
-    constexpr double usefulShare = 0.2;
-    // A series of decreases is judged when the limit has fallen to this part of where it began.
-    constexpr double judgedShare = 0.65;
-    constexpr std::chrono::seconds pauseAfterFutileDecrease { 10 };
+    // A series of decreases is judged once the number of runs has fallen to this part of where it began.
+    constexpr double judgedShare = 0.75;
+    // Part of the target that a single run may take without being held for out of reach.
+    constexpr double reachableRatio = 0.95;
+    constexpr std::chrono::seconds pauseAfterFutileDecrease { 30 };
 
 } // namespace
 
@@ -26,17 +26,13 @@
 {
 }
 
-std::uint32_t concurrency_limit::value() const
-{
-    return static_cast<std::uint32_t>(m_limit);
-}
-
 void concurrency_limit::observe(duration perToken, duration target, std::uint32_t running, instant now)
 {
     if (m_samples == 0)
         m_windowEnd = now + window;
     m_samples++;
-    m_gapSum += std::chrono::duration<double>(perToken).count();
+    m_sum.running += running;
+    m_sum.ratio += std::chrono::duration<double>(perToken) / std::chrono::duration<double>(target);
     if (perToken > target)
         m_exceeded++;
     if (running >= value())
@@ -47,36 +43,44 @@
 
 void concurrency_limit::closeWindow(instant now)
 {
-    const double meanGap = m_gapSum / m_samples;
+    const pace mean { m_sum.running / m_samples, m_sum.ratio / m_samples };
     const bool isExceeded = m_exceeded > toleratedShare * m_samples;
     if (isExceeded && now >= m_pausedUntil)
-        decrease(meanGap, now);
+        decrease(mean, now);
     else if (!isExceeded && m_reached)
         m_limit = std::min<double>(m_slots, m_limit + increaseStep);
     if (!isExceeded)
-        m_limitBefore = 0;
+        m_paceBefore.reset();
     m_samples = 0;
     m_exceeded = 0;
-    m_gapSum = 0;
+    m_sum = {};
     m_reached = false;
 }
 
-void concurrency_limit::decrease(double meanGap, instant now)
+void concurrency_limit::decrease(const pace& mean, instant now)
 {
-    if (m_limitBefore == 0) {
+    if (!m_paceBefore) {
         m_limitBefore = m_limit;
-        m_gapBefore = meanGap;
+        m_paceBefore = mean;
     }
-    const double limitFall = 1 - m_limit / m_limitBefore;
-    const double gapFall = 1 - meanGap / m_gapBefore;
-    const bool isJudged = m_limit <= judgedShare * m_limitBefore;
-    if (isJudged && gapFall < usefulShare * limitFall) {
+    if (isFutile(mean)) {
         m_limit = m_limitBefore;
-        m_limitBefore = 0;
+        m_paceBefore.reset();
         m_pausedUntil = now + pauseAfterFutileDecrease;
         return;
     }
-    m_limit = std::max(1.0, m_limit * decreaseFactor);
+    // Runs that have started go on, so that the limit follows their number down at once when it was not reached.
+    m_limit = std::max(1.0, std::min(m_limit, mean.running) * decreaseFactor);
+}
+
+// Extends the line through the pace before and now to a single run.
+bool concurrency_limit::isFutile(const pace& mean) const
+{
+    if (mean.running > judgedShare * m_paceBefore->running)
+        return false;
+    const double slope = (m_paceBefore->ratio - mean.ratio) / (m_paceBefore->running - mean.running);
+    const double alone = mean.ratio - slope * (mean.running - 1);
+    return alone > reachableRatio;
 }
 
 } // namespace kumquat
--- a/servers/sidecar/fair_queue.cpp
+++ b/servers/sidecar/fair_queue.cpp
@@ -36,7 +36,7 @@
 void fair_queue::started(const queue_choice& choice, bool inTurn, instant now)
 {
     m_tiers.at(choice.attempt->tierRank).started(*choice.attempt, inTurn && !choice.guaranteed);
-    m_share.started(choice.attempt->className, choice.guaranteed, now);
+    m_share.started(choice, now);
 }
 
 void fair_queue::charge(std::uint32_t tierRank, const std::string& organisation, double tokens)
@@ -44,9 +44,10 @@
     m_tiers.at(tierRank).charge(organisation, tokens);
 }
 
-void fair_queue::ended(std::uint32_t tierRank, const std::string& organisation)
+void fair_queue::ended(const queued_attempt& attempt, instant now)
 {
-    m_tiers.at(tierRank).ended(organisation);
+    m_tiers.at(attempt.tierRank).ended(attempt.organisation);
+    m_share.ended(attempt.className, now);
 }
 
 duration fair_queue::runAhead(std::uint32_t tierRank, const std::string& organisation, duration ownRun) const
--- a/servers/sidecar/fair_queue.h
+++ b/servers/sidecar/fair_queue.h
@@ -12,8 +12,8 @@
 // the organisation that has received the least. The attempts belong to the admission queue and outlive their stay here.
 class fair_queue {
 public:
-    fair_queue(const class_terms_source& terms, duration starvationLimit)
-        : m_share(terms, starvationLimit)
+    fair_queue(const class_terms_source& terms, const guaranteed_share::options& share)
+        : m_share(terms, share)
     {
     }
 
@@ -28,7 +28,7 @@
     // Corrects the charge of a running attempt.
     void charge(std::uint32_t tierRank, const std::string& organisation, double tokens);
     // Ends an attempt that had started.
-    void ended(std::uint32_t tierRank, const std::string& organisation);
+    void ended(const queued_attempt&, instant now);
 
     // Returns the time of slots that is taken by what would run before an arrival.
     duration runAhead(std::uint32_t tierRank, const std::string& organisation, duration ownRun) const;
--- a/servers/sidecar/guaranteed_share.cpp
+++ b/servers/sidecar/guaranteed_share.cpp
@@ -9,10 +9,6 @@
     // A class whose attempts are given up quickly is empty between two arrivals; it has been waiting all the same.
     constexpr std::chrono::seconds longestInterruption { 1 };
 
-    // Just below one, since shares are added up in floating point.
-    constexpr double wholeSlot = 1 - 1e-9;
-    constexpr double largestCredit = 2;
-
 } // namespace
 
 void guaranteed_share::push(const queued_attempt& attempt, instant now)
@@ -21,52 +17,66 @@
     const auto [position, isNew] = m_classes.try_emplace(attempt.className);
     if (isNew)
         position->second.servedAt = now;
-    position->second.attempts.insert(&attempt);
+    position->second.waiting.insert(&attempt);
 }
 
 void guaranteed_share::remove(const queued_attempt& attempt, instant now)
 {
-    auto& waiting = m_classes.at(attempt.className);
-    waiting.attempts.erase(&attempt);
-    waiting.emptySince = now;
+    auto& known = m_classes.at(attempt.className);
+    known.waiting.erase(&attempt);
+    known.emptySince = now;
 }
 
 void guaranteed_share::forgetIdle(instant now)
 {
     std::erase_if(m_classes, [&](const auto& item) {
-        return item.second.attempts.empty() && now - item.second.emptySince > longestInterruption;
+        const auto& known = item.second;
+        return known.waiting.empty() && known.running == 0 && now - known.emptySince > longestInterruption;
     });
 }
 
-void guaranteed_share::started(const std::string& className, bool guaranteed, instant now)
+void guaranteed_share::started(const queue_choice& choice, instant now)
 {
-    m_lastWasGuaranteed = guaranteed;
-    for (auto& [name, waiting] : m_classes) {
-        if (!waiting.attempts.empty())
-            waiting.credit = std::min(largestCredit, waiting.credit + shareOf(name));
+    const auto& attempt = *choice.attempt;
+    m_lastWasGuaranteed = choice.guaranteed;
+    for (auto& [name, known] : m_classes) {
+        if (!known.waiting.empty())
+            known.credit += shareOf(name) * attempt.cost;
     }
-    const auto served = m_classes.find(className);
-    if (served == m_classes.end())
-        return;
-    served->second.credit = std::max(0.0, served->second.credit - wholeSlot);
-    served->second.servedAt = now;
+    auto& served = m_classes.at(attempt.className);
+    served.credit = std::max(0.0, served.credit - attempt.cost);
+    served.servedAt = now;
+    served.running++;
+}
+
+void guaranteed_share::ended(const std::string& className, instant now)
+{
+    auto& known = m_classes.at(className);
+    known.running--;
+    if (known.waiting.empty())
+        known.emptySince = now;
+}
+
+bool guaranteed_share::starves(const known_class& known, instant now) const
+{
+    const auto pause = now - known.servedAt;
+    return pause >= m_options.longestPause || (pause >= m_options.starvationLimit && known.running == 0);
 }
 
 const queued_attempt* guaranteed_share::due(instant now) const
 {
-    const waiting_class* chosen = nullptr;
-    for (const auto& [name, waiting] : m_classes) {
-        if (waiting.attempts.empty())
+    const known_class* chosen = nullptr;
+    for (const auto& [name, known] : m_classes) {
+        if (known.waiting.empty())
             continue;
-        const bool starves = now - waiting.servedAt >= m_starvationLimit;
-        // Two shares never follow each other, so that shares together take at most half of the slots.
-        const bool hasEarned = waiting.credit >= wholeSlot && !m_lastWasGuaranteed;
-        if (!starves && !hasEarned)
+        // Two shares never follow each other, so that shares together take at most half of the starts.
+        const bool hasEarned = shareOf(name) > 0 && known.credit >= (*known.waiting.begin())->cost && !m_lastWasGuaranteed;
+        if (!hasEarned && !starves(known, now))
             continue;
-        if (!chosen || waiting.servedAt < chosen->servedAt)
-            chosen = &waiting;
+        if (!chosen || known.servedAt < chosen->servedAt)
+            chosen = &known;
     }
-    return chosen ? *chosen->attempts.begin() : nullptr;
+    return chosen ? *chosen->waiting.begin() : nullptr;
 }
 
 double guaranteed_share::shareOf(const std::string& className) const
--- a/servers/sidecar/queued_attempt.h
+++ b/servers/sidecar/queued_attempt.h
@@ -17,6 +17,8 @@
     std::uint64_t fingerprint = 0;
     // Tokens that the organisation is charged for the start.
     double charge = 0;
+    // Tokens that the attempt is still expected to cost.
+    double cost = 1;
     // Time for which the attempt is expected to occupy a slot.
     duration expectedRun { 0 };
     instant arrived;
--- a/servers/sidecar/sidecar_options.h
+++ b/servers/sidecar/sidecar_options.h
@@ -28,8 +28,10 @@
     std::chrono::milliseconds tombstoneRetention { 120000 };
     // A draining sidecar stops after this time even when calls are still running.
     std::chrono::milliseconds drainLimit { 600000 };
-    // A class with waiting work gets the next freed slot when it has started nothing for this long.
+    // A class with waiting work gets the next freed slot when it has nothing running and has started nothing for this long,
     std::chrono::milliseconds starvationLimit { 20000 };
+    // or when it has started nothing for this long.
+    std::chrono::milliseconds longestPause { 50000 };
     // Times that one attempt may be preempted.
     std::uint32_t preemptionLimit = 2;
     // Time for which a fingerprint that was running at a crash is suspect, unless it survives a run before.
--- a/servers/sidecar/slot_scheduler.cpp
+++ b/servers/sidecar/slot_scheduler.cpp
@@ -20,6 +20,8 @@
     // An estimate never leaves less than this part of a target for waiting, so that one learned under stress cannot make
     // every later request seem out of reach.
     constexpr int estimateDivisor = 2;
+    constexpr std::uint32_t observedStretchTokens = 32;
+    constexpr std::uint32_t smallestObservedStretchTokens = 8;
     constexpr std::uint32_t smallestExtraCharge = 32;
     constexpr std::uint32_t extraChargeDivisor = 4;
 
@@ -27,7 +29,7 @@
 
 slot_scheduler::slot_scheduler(const sidecar_options& options)
     : m_options(options)
-    , m_queue(m_options.policy, m_terms, m_options.starvationLimit)
+    , m_queue(m_options.policy, m_terms, { .starvationLimit = m_options.starvationLimit, .longestPause = m_options.longestPause })
     , m_limit(m_options.slots)
     , m_suspects({ .suspicion = m_options.suspicionTime, .refusal = m_options.refusalTime })
     , m_invariants(!std::holds_alternative<fifo_scheduling>(m_options.policy))
@@ -66,6 +68,7 @@
     facts.organisation = request.organisation;
     facts.fingerprint = request.fingerprint;
     facts.charge = std::max(attempt.expectedTokens, 1U);
+    facts.cost = facts.charge;
     facts.expectedRun = m_estimator.expectedRun(request.className, attempt.expectedTokens);
     facts.suspect = request.suspect || m_suspects.isSuspect(request.fingerprint);
     facts.arrived = now;
@@ -228,6 +231,8 @@
     attempt.guaranteed = popped.guaranteed;
     attempt.startedAt = now;
     attempt.lastOutputAt.reset();
+    attempt.stretchTokens = 0;
+    attempt.stretchTime = duration { 0 };
     attempt.charged += attempt.facts.charge;
     m_running.insert(id);
     m_runningRun += attempt.facts.expectedRun;
@@ -280,7 +285,7 @@
 {
     auto& attempt = m_attempts.at(victim.attempt);
     auto& facts = attempt.facts;
-    leaveSlot(attempt);
+    leaveSlot(attempt, now);
     m_suspects.ended(victim.attempt);
     m_load.add(load_tally::stage::queued, facts.tierRank, attempt.remainingTokens);
     m_invariants.preempted(victim.attempt, beneficiaryRank);
@@ -288,6 +293,7 @@
     attempt.ranBefore += now - attempt.startedAt;
     facts.resumes = true;
     facts.charge = 0;
+    facts.cost = std::max(attempt.remainingTokens, 1U);
     facts.startBy = instant::min();
     facts.urgentAt = instant::max();
     facts.deadline = attempt.deadline;
@@ -295,13 +301,13 @@
     actions.push_back(interrupt_attempt { victim.attempt });
 }
 
-void slot_scheduler::leaveSlot(const scheduled_attempt& attempt)
+void slot_scheduler::leaveSlot(const scheduled_attempt& attempt, instant now)
 {
     const auto& facts = attempt.facts;
     m_running.erase(facts.attempt);
     m_runningRun -= facts.expectedRun;
     m_candidates.remove(facts.attempt);
-    m_queue.ended(facts.tierRank, facts.organisation);
+    m_queue.ended(facts, now);
     m_load.remove(load_tally::stage::running, facts.tierRank, attempt.remainingTokens);
 }
 
@@ -327,7 +333,7 @@
     const auto counted = std::min(tokens, attempt.remainingTokens);
     attempt.remainingTokens -= counted;
     m_load.produced(attempt.facts.tierRank, counted);
-    observePace(attempt, tokens, now);
+    measurePace(attempt, tokens, now);
     attempt.producedTokens += tokens;
     attempt.lastOutputAt = now;
     if (attempt.kind != service_kind::engine || attempt.producedTokens <= attempt.charged)
@@ -338,15 +344,27 @@
     m_queue.charge(attempt.facts.tierRank, attempt.facts.organisation, extra);
 }
 
-void slot_scheduler::observePace(const scheduled_attempt& attempt, std::uint32_t tokens, instant now)
+void slot_scheduler::measurePace(scheduled_attempt& attempt, std::uint32_t tokens, instant now)
 {
     if (!attempt.lastOutputAt) {
         if (!attempt.facts.resumes)
             m_estimator.sawFirstOutput(now - attempt.startedAt);
         return;
     }
-    if (attempt.betweenTokens && tokens > 0)
-        m_limit.observe((now - *attempt.lastOutputAt) / tokens, *attempt.betweenTokens, runningCount(), now);
+    attempt.stretchTokens += tokens;
+    attempt.stretchTime += now - *attempt.lastOutputAt;
+    observePace(attempt, observedStretchTokens, now);
+}
+
+// Targets hold for the mean of a request, so the pace is judged over stretches and not by the single gap.
+void slot_scheduler::observePace(scheduled_attempt& attempt, std::uint32_t smallestStretch, instant now)
+{
+    if (attempt.stretchTokens < smallestStretch)
+        return;
+    if (attempt.betweenTokens)
+        m_limit.observe(attempt.stretchTime / attempt.stretchTokens, *attempt.betweenTokens, runningCount(), now);
+    attempt.stretchTokens = 0;
+    attempt.stretchTime = duration { 0 };
 }
 
 void slot_scheduler::ended(const attempt_id& id, run_end how, instant now)
@@ -356,7 +374,8 @@
     auto& attempt = m_attempts.at(id);
     if (attempt.kind == service_kind::engine)
         m_queue.charge(attempt.facts.tierRank, attempt.facts.organisation, std::max(attempt.producedTokens, 1U) - attempt.charged);
-    leaveSlot(attempt);
+    observePace(attempt, smallestObservedStretchTokens, now);
+    leaveSlot(attempt, now);
     if (how == run_end::finished) {
         m_estimator.sawFinish(attempt.facts.className, attempt.producedTokens, attempt.ranBefore + (now - attempt.startedAt));
         m_suspects.survived(id);
--- a/servers/sidecar/slot_scheduler.h
+++ b/servers/sidecar/slot_scheduler.h
@@ -82,6 +82,9 @@
         bool guaranteed = false;
         instant startedAt;
         std::optional<instant> lastOutputAt;
+        // Output since the pace was last observed.
+        std::uint32_t stretchTokens = 0;
+        duration stretchTime { 0 };
         duration ranBefore { 0 };
     };
 
@@ -102,8 +105,9 @@
     bool fillOne(slot_cause, instant now, schedule_actions&);
     void begin(const popped_attempt&, instant now, schedule_actions&);
     bool mayPreempt(const scheduled_attempt&) const;
-    void leaveSlot(const scheduled_attempt&);
-    void observePace(const scheduled_attempt&, std::uint32_t tokens, instant now);
+    void leaveSlot(const scheduled_attempt&, instant now);
+    void measurePace(scheduled_attempt&, std::uint32_t tokens, instant now);
+    void observePace(scheduled_attempt&, std::uint32_t smallestStretch, instant now);
     // Applies what crashes have shown to the attempts that wait.
     void applySuspicions(instant now, schedule_actions&);
     // Returns the time until an arrival would start, or zero while nothing is known.
