Predict waits by the rate at which slots become free, and serve what is on time first

Change: slots become free at the sum of the rates of the single runs; first-token times are learned per class with their deviation; on-time attempts of a tier come before late ones of any organisation.

--- a/servers/sidecar/admission_queue.cpp
+++ b/servers/sidecar/admission_queue.cpp
@@ -174,10 +174,10 @@
         fair->ended(attempt, now);
 }
 
-duration admission_queue::runAhead(const queued_attempt& arrival) const
+std::size_t admission_queue::ahead(const queued_attempt& arrival) const
 {
     const auto* fair = std::get_if<fair_queue>(&m_order);
-    return fair ? fair->runAhead(arrival.tierRank, arrival.organisation, arrival.expectedRun) : duration { 0 };
+    return fair ? fair->ahead(arrival.tierRank, arrival.organisation) : m_waiting.size();
 }
 
 } // namespace kumquat
--- a/servers/sidecar/admission_queue.h
+++ b/servers/sidecar/admission_queue.h
@@ -61,8 +61,8 @@
     // Whether an attempt of a higher tier than the given rank waits.
     bool hasAbove(std::uint32_t tierRank) const { return !m_byTier.empty() && (*m_byTier.begin())->tierRank < tierRank; }
     std::optional<instant> nextDeadline() const;
-    // Returns the time of slots that is taken by what would run before an arrival.
-    duration runAhead(const queued_attempt& arrival) const;
+    // Returns how many waiting attempts would run before an arrival.
+    std::size_t ahead(const queued_attempt& arrival) const;
 
 private:
     queued_attempt take(const attempt_id&, instant now);
--- a/servers/sidecar/fair_queue.cpp
+++ b/servers/sidecar/fair_queue.cpp
@@ -50,15 +50,15 @@
     m_share.ended(attempt.className, now);
 }
 
-duration fair_queue::runAhead(std::uint32_t tierRank, const std::string& organisation, duration ownRun) const
+std::size_t fair_queue::ahead(std::uint32_t tierRank, const std::string& organisation) const
 {
-    duration ahead { 0 };
+    std::size_t count = 0;
     for (const auto& [rank, tier] : m_tiers) {
         if (rank < tierRank)
-            ahead += tier.queuedRun();
+            count += tier.size();
     }
     const auto own = m_tiers.find(tierRank);
-    return own == m_tiers.end() ? ahead : ahead + own->second.runAhead(organisation, ownRun);
+    return own == m_tiers.end() ? count : count + own->second.ahead(organisation);
 }
 
 const queued_attempt* fair_queue::surplus(std::uint32_t tierRank, const std::string& organisation) const
--- a/servers/sidecar/fair_queue.h
+++ b/servers/sidecar/fair_queue.h
@@ -30,8 +30,8 @@
     // Ends an attempt that had started.
     void ended(const queued_attempt&, instant now);
 
-    // Returns the time of slots that is taken by what would run before an arrival.
-    duration runAhead(std::uint32_t tierRank, const std::string& organisation, duration ownRun) const;
+    // Returns how many waiting attempts would run before an arrival.
+    std::size_t ahead(std::uint32_t tierRank, const std::string& organisation) const;
     // Returns an attempt of the tier whose organisation has more waiting than the arriving one would have, or null.
     const queued_attempt* surplus(std::uint32_t tierRank, const std::string& organisation) const;
 
--- a/servers/sidecar/run_estimator.cpp
+++ b/servers/sidecar/run_estimator.cpp
@@ -7,13 +7,17 @@
 namespace {
 
     constexpr double smoothing = 0.1;
+    // About 95 in 100 samples lie under the mean and this many mean deviations.
+    constexpr double deviationsToTail = 2;
     constexpr std::size_t maximumClasses = 256;
 
 } // namespace
 
 void running_mean::add(double sample)
 {
-    m_value = m_known ? m_value + smoothing * (sample - m_value) : sample;
+    const double difference = m_known ? sample - m_value : 0;
+    m_value = m_known ? m_value + smoothing * difference : sample;
+    m_deviation += smoothing * (std::abs(difference) - m_deviation);
     m_known = true;
 }
 
@@ -25,6 +29,21 @@
     return m_classes.size() < maximumClasses ? &m_classes[className] : nullptr;
 }
 
+void run_estimator::sawFirstOutput(const std::string& className, duration sinceStart)
+{
+    if (auto* statistics = statisticsOf(className))
+        statistics->firstTokenSeconds.add(seconds(sinceStart));
+}
+
+duration run_estimator::firstToken(const std::string& className) const
+{
+    const auto found = m_classes.find(className);
+    if (found == m_classes.end())
+        return duration { 0 };
+    const auto& sample = found->second.firstTokenSeconds;
+    return fromSeconds(sample.value() + deviationsToTail * sample.deviation());
+}
+
 void run_estimator::sawFinish(const std::string& className, std::uint32_t tokens, duration ran)
 {
     if (tokens > 0 && ran > duration { 0 })
@@ -50,7 +69,7 @@
     if (found != m_classes.end() && found->second.runSeconds.known())
         return fromSeconds(found->second.runSeconds.value());
     if (m_tokensPerSecond.known() && m_tokensPerSecond.value() > 0)
-        return fromSeconds(m_firstToken.value() + tokens / m_tokensPerSecond.value());
+        return firstToken(className) + fromSeconds(tokens / m_tokensPerSecond.value());
     return duration { 0 };
 }
 
--- a/servers/sidecar/run_estimator.h
+++ b/servers/sidecar/run_estimator.h
@@ -9,23 +9,25 @@
 
 namespace kumquat {
 
-// Exponentially weighted mean of a stream of samples.
+// Exponentially weighted mean of a stream of samples, and their mean deviation from it.
 class running_mean {
 public:
     void add(double sample);
     bool known() const { return m_known; }
     double value() const { return m_value; }
+    double deviation() const { return m_deviation; }
 
 private:
     bool m_known = false;
     double m_value = 0;
+    double m_deviation = 0;
 };
 
 // Learns how long answers of each class are and how long they occupy a slot, since neither is known in advance.
 class run_estimator {
 public:
     // Records the first output of a run.
-    void sawFirstOutput(duration sinceStart) { m_firstToken.add(seconds(sinceStart)); }
+    void sawFirstOutput(const std::string& className, duration sinceStart);
     // Records a finished run.
     void sawFinish(const std::string& className, std::uint32_t tokens, duration ran);
 
@@ -33,7 +35,8 @@
     std::optional<std::uint32_t> expectedTokens(const std::string& className) const;
     // Returns the mean time in a slot of an output of this length, or zero while nothing is known.
     duration expectedRun(const std::string& className, std::uint32_t tokens) const;
-    duration firstToken() const { return fromSeconds(m_firstToken.value()); }
+    // Returns the time from start to first output that most runs of the class stay under, or zero while nothing is known.
+    duration firstToken(const std::string& className) const;
     // Output tokens per second of one run.
     double tokensPerSecond() const { return m_tokensPerSecond.value(); }
 
@@ -41,6 +44,7 @@
     struct class_statistics {
         running_mean tokens;
         running_mean runSeconds;
+        running_mean firstTokenSeconds;
     };
 
     static double seconds(duration span) { return std::chrono::duration<double>(span).count(); }
@@ -49,7 +53,6 @@
     class_statistics* statisticsOf(const std::string& className);
 
     std::map<std::string, class_statistics> m_classes;
-    running_mean m_firstToken;
     running_mean m_tokensPerSecond;
 };
 
--- a/servers/sidecar/slot_scheduler.cpp
+++ b/servers/sidecar/slot_scheduler.cpp
@@ -87,7 +87,7 @@
     if (const auto target = terms.targets.total)
         facts.startBy = arrived + std::max<duration>(*target - facts.expectedRun, *target / estimateDivisor);
     if (const auto target = terms.targets.firstToken) {
-        const auto startBy = arrived + std::max<duration>(*target - m_estimator.firstToken(), *target / estimateDivisor);
+        const auto startBy = arrived + std::max<duration>(*target - m_estimator.firstToken(facts.className), *target / estimateDivisor);
         facts.startBy = std::min(facts.startBy, startBy);
         facts.urgentAt = facts.startBy - *target / urgencyDivisor;
     }
@@ -235,7 +235,7 @@
     attempt.stretchTime = duration { 0 };
     attempt.charged += attempt.facts.charge;
     m_running.insert(id);
-    m_runningRun += attempt.facts.expectedRun;
+    m_releasesPerSecond += releaseRate(attempt);
     m_load.remove(load_tally::stage::queued, attempt.facts.tierRank, attempt.remainingTokens);
     m_load.add(load_tally::stage::running, attempt.facts.tierRank, attempt.remainingTokens);
     m_suspects.started(id, attempt.facts.fingerprint, attempt.facts.suspect);
@@ -305,7 +305,7 @@
 {
     const auto& facts = attempt.facts;
     m_running.erase(facts.attempt);
-    m_runningRun -= facts.expectedRun;
+    m_releasesPerSecond = m_running.empty() ? 0 : m_releasesPerSecond - releaseRate(attempt);
     m_candidates.remove(facts.attempt);
     m_queue.ended(facts, now);
     m_load.remove(load_tally::stage::running, facts.tierRank, attempt.remainingTokens);
@@ -348,7 +348,7 @@
 {
     if (!attempt.lastOutputAt) {
         if (!attempt.facts.resumes)
-            m_estimator.sawFirstOutput(now - attempt.startedAt);
+            m_estimator.sawFirstOutput(attempt.facts.className, now - attempt.startedAt);
         return;
     }
     attempt.stretchTokens += tokens;
@@ -420,11 +420,17 @@
 
 duration slot_scheduler::predictedWait(const queued_attempt& arrival) const
 {
-    const auto running = static_cast<duration::rep>(runningCount());
-    if (running == 0 || runningCount() < usableSlots())
+    if (runningCount() < usableSlots() || m_releasesPerSecond <= 0)
         return duration { 0 };
-    const auto nextRelease = m_runningRun / (running * running);
-    return nextRelease + m_queue.runAhead(arrival) / running;
+    const double wait = static_cast<double>(m_queue.ahead(arrival) + 1) / m_releasesPerSecond;
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(wait));
+}
+
+// Slots become free at the sum of the rates at which the single runs end.
+double slot_scheduler::releaseRate(const scheduled_attempt& attempt)
+{
+    const auto expected = std::chrono::duration<double>(attempt.facts.expectedRun).count();
+    return expected > 0 ? 1 / expected : 0;
 }
 
 milliseconds slot_scheduler::retryAfter(duration wait) const
--- a/servers/sidecar/slot_scheduler.h
+++ b/servers/sidecar/slot_scheduler.h
@@ -110,6 +110,7 @@
     void observePace(scheduled_attempt&, std::uint32_t smallestStretch, instant now);
     // Applies what crashes have shown to the attempts that wait.
     void applySuspicions(instant now, schedule_actions&);
+    static double releaseRate(const scheduled_attempt&);
     // Returns the time until an arrival would start, or zero while nothing is known.
     duration predictedWait(const queued_attempt& arrival) const;
     std::chrono::milliseconds retryAfter(duration wait) const;
@@ -124,9 +125,9 @@
     load_tally m_load;
     scheduling_invariants m_invariants;
     std::map<attempt_id, scheduled_attempt> m_attempts;
-    // Attempts that occupy a slot, and the time for which they are expected to, together.
+    // Attempts that occupy a slot, and the rate at which they are expected to leave it.
     std::set<attempt_id> m_running;
-    duration m_runningRun { 0 };
+    double m_releasesPerSecond = 0;
     bool m_healthy = true;
     std::uint64_t m_appliedSuspicions = 0;
 };
--- a/servers/sidecar/tier_queue.cpp
+++ b/servers/sidecar/tier_queue.cpp
@@ -15,7 +15,7 @@
 
 bool tier_queue::position::operator<(const position& other) const
 {
-    return std::tie(bucket, late, startBy, sequence) < std::tie(other.bucket, other.late, other.startBy, other.sequence);
+    return std::tie(late, bucket, startBy, sequence) < std::tie(other.late, other.bucket, other.startBy, other.sequence);
 }
 
 tier_queue::position tier_queue::positionOf(member& organisation) const
@@ -23,7 +23,7 @@
     const auto* head = organisation.head();
     const bool late = organisation.onTime.empty();
     const auto bucket = static_cast<std::int64_t>(std::floor(organisation.counter / fairnessQuantumTokens));
-    return { bucket, late, late ? instant {} : head->startBy, head->sequence, &organisation };
+    return { late, bucket, late ? instant {} : head->startBy, head->sequence, &organisation };
 }
 
 template <typename Change>
@@ -49,11 +49,10 @@
         if (!organisation.hasWaiting())
             organisation.counter = std::max(organisation.counter, m_virtualTime);
         organisation.onTime.insert(&attempt);
-        organisation.queuedRun += attempt.expectedRun;
         if (!attempt.resumes)
             organisation.unstarted.insert(&attempt);
     });
-    m_queuedRun += attempt.expectedRun;
+    m_size++;
 }
 
 void tier_queue::remove(const queued_attempt& attempt)
@@ -63,9 +62,8 @@
         organisation.onTime.erase(&attempt);
         organisation.late.erase(&attempt);
         organisation.unstarted.erase(&attempt);
-        organisation.queuedRun -= attempt.expectedRun;
     });
-    m_queuedRun -= attempt.expectedRun;
+    m_size--;
     forgetIfIdle(organisation);
 }
 
@@ -123,13 +121,13 @@
     m_members.erase(std::string(organisation.name));
 }
 
-duration tier_queue::runAhead(const std::string& name, duration ownRun) const
+std::size_t tier_queue::ahead(const std::string& name) const
 {
     const auto found = m_members.find(name);
-    const auto own = found == m_members.end() ? duration { 0 } : found->second.queuedRun;
-    const auto isWaiting = found != m_members.end() && found->second.hasWaiting();
-    const auto sharers = static_cast<duration::rep>(m_order.size() + (isWaiting ? 0 : 1));
-    return std::min(m_queuedRun, sharers * (own + ownRun) - ownRun);
+    const auto own = found == m_members.end() ? 0 : found->second.size();
+    const auto sharers = m_order.size() + (own == 0 ? 1 : 0);
+    // Each other organisation is served as often as this one until the new attempt has its turn.
+    return std::min(m_size, sharers * (own + 1) - 1);
 }
 
 const queued_attempt* tier_queue::surplus(const std::string& name) const
--- a/servers/sidecar/tier_queue.h
+++ b/servers/sidecar/tier_queue.h
@@ -11,7 +11,7 @@
 // The waiting attempts of one tier, shared fairly between organisations by start-time fair queueing: each organisation
 // has a virtual counter of the tokens it has received, and the one with the smallest counter comes next. Organisations
 // whose counters lie within one quantum are equal; among those, and inside an organisation, the attempt whose start is
-// due first comes next. What can no longer meet its target yields to what still can. Decisions cost the logarithm of
+// due first comes next. What can no longer meet its target yields to what still can, of any organisation. Decisions cost the logarithm of
 // the number of attempts and organisations.
 class tier_queue {
 public:
@@ -28,9 +28,9 @@
     void charge(const std::string& organisation, double tokens);
     void ended(const std::string& organisation);
 
-    duration queuedRun() const { return m_queuedRun; }
-    // Returns the share of the waiting time that comes before a new attempt of the organisation.
-    duration runAhead(const std::string& organisation, duration ownRun) const;
+    std::size_t size() const { return m_size; }
+    // Returns how many waiting attempts come before a new one of the organisation.
+    std::size_t ahead(const std::string& organisation) const;
     // Returns the youngest attempt of the organisation with the most waiting if it has more than the given one would.
     const queued_attempt* surplus(const std::string& organisation) const;
 
@@ -51,16 +51,16 @@
         std::set<const queued_attempt*, by_sequence> late;
         std::set<const queued_attempt*, by_sequence> unstarted;
         std::uint32_t running = 0;
-        duration queuedRun { 0 };
 
+        std::size_t size() const { return onTime.size() + late.size(); }
         bool hasWaiting() const { return !onTime.empty() || !late.empty(); }
         const queued_attempt* head() const { return onTime.empty() ? *late.begin() : *onTime.begin(); }
     };
 
     // Place of an organisation with waiting work in the order of service.
     struct position {
-        std::int64_t bucket = 0;
         bool late = false;
+        std::int64_t bucket = 0;
         instant startBy;
         std::uint64_t sequence = 0;
         member* organisation = nullptr;
@@ -81,7 +81,7 @@
     // Counters of organisations without work that are ahead of the virtual time and must not be forgotten yet.
     std::set<std::pair<double, std::string>> m_ahead;
     double m_virtualTime = 0;
-    duration m_queuedRun { 0 };
+    std::size_t m_size = 0;
 };
 
 } // namespace kumquat
