--- a/servers/sidecar/load_tally.cpp
+++ b/servers/sidecar/load_tally.cpp
@@ -25,6 +25,14 @@
     m_tiers.at(tierRank).expectedTokens -= tokens;
 }
 
+std::uint32_t load_tally::runningBelow(std::uint32_t tierRank) const
+{
+    std::uint32_t count = 0;
+    for (auto position = m_tiers.upper_bound(tierRank); position != m_tiers.end(); ++position)
+        count += position->second.running;
+    return count;
+}
+
 std::vector<tier_load> load_tally::tiers() const
 {
     std::vector<tier_load> result;
--- a/servers/sidecar/load_tally.h
+++ b/servers/sidecar/load_tally.h
@@ -19,6 +19,8 @@
     // Takes tokens that a running attempt has produced off the expected ones.
     void produced(std::uint32_t tierRank, std::uint32_t tokens);
 
+    // Returns how many attempts of lower tiers run.
+    std::uint32_t runningBelow(std::uint32_t tierRank) const;
     // Returns the tiers that have work, highest first.
     std::vector<tier_load> tiers() const;
 
--- a/servers/sidecar/slot_scheduler.cpp
+++ b/servers/sidecar/slot_scheduler.cpp
@@ -124,7 +124,7 @@
     if (!waiting || now + predicted <= waiting->startBy)
         return;
     if (waiting->urgentAt != instant::max())
-        preemptFor(queued_attempt(*waiting), now, actions);
+        startUrgent(queued_attempt(*waiting), now, actions);
     waiting = m_queue.find(id);
     if (!waiting || !m_attempts.at(id).lateIsUseless)
         return;
@@ -144,10 +144,8 @@
         shed(*displaced, shed_cause::queue_full, { .reason = error_code::overloaded, .message = message, .retryAfter = retryAfter(predictedWait(*displaced)) }, actions);
         return true;
     }
-    const auto victim = m_candidates.below(arrival.tierRank);
-    if (!victim || m_queue.size() == 0)
+    if (!m_healthy || m_queue.size() == 0 || !openSlotFor(arrival, now, actions))
         return false;
-    interrupt(*victim, arrival.tierRank, now, actions);
     fillOne(slot_cause::preempted, now, actions);
     return m_queue.unstartedCount() < m_options.queueLimit;
 }
@@ -205,13 +203,13 @@
 {
     m_suspects.expire(now);
     applySuspicions(now, actions);
-    preemptForUrgent(now, actions);
+    startAllUrgent(now, actions);
     giveUpExpired(now, actions);
     while (m_healthy && runningCount() < usableSlots()) {
         if (!fillOne(slot_cause::freed, now, actions))
             break;
     }
-    preemptForUrgent(now, actions);
+    startAllUrgent(now, actions);
 }
 
 bool slot_scheduler::fillOne(slot_cause cause, instant now, schedule_actions& actions)
@@ -256,31 +254,52 @@
     return canResume && attempt.repeatable && attempt.preemptions < m_options.preemptionLimit;
 }
 
-void slot_scheduler::preemptForUrgent(instant now, schedule_actions& actions)
+void slot_scheduler::startAllUrgent(instant now, schedule_actions& actions)
 {
     if (!m_healthy || runningCount() < usableSlots())
         return;
     while (const auto id = m_queue.popUrgent(now))
-        preemptFor(queued_attempt(*m_queue.find(*id)), now, actions);
+        startUrgent(queued_attempt(*m_queue.find(*id)), now, actions);
 }
 
-void slot_scheduler::preemptFor(const queued_attempt& urgent, instant now, schedule_actions& actions)
+void slot_scheduler::startUrgent(const queued_attempt& urgent, instant now, schedule_actions& actions)
 {
     while (m_healthy && m_queue.find(urgent.attempt)) {
-        const auto victim = m_candidates.below(urgent.tierRank);
         const bool mustWait = urgent.suspect && m_suspects.suspectRuns();
-        if (!victim || mustWait)
+        if (mustWait || !openSlotFor(urgent, now, actions))
             return;
-        interrupt(*victim, urgent.tierRank, now, actions);
-        // A slot that was freed for one attempt goes to it, unless a higher tier waits as well.
+        // A slot that was opened for one attempt goes to it, unless a higher tier waits as well.
         if (m_queue.hasAbove(urgent.tierRank)) {
-            fillOne(slot_cause::preempted, now, actions);
+            if (!fillOne(slot_cause::preempted, now, actions))
+                return;
             continue;
         }
         begin({ *m_queue.popOne(urgent.attempt, now), false }, now, actions);
     }
 }
 
+bool slot_scheduler::openSlotFor(const queued_attempt& urgent, instant now, schedule_actions& actions)
+{
+    if (mayExceedLimit(urgent.tierRank))
+        return true;
+    const auto victim = m_candidates.below(urgent.tierRank);
+    if (!victim)
+        return false;
+    interrupt(*victim, urgent.tierRank, now, actions);
+    return true;
+}
+
+// One more run costs every run a little pace, and a preempted one costs reading its prompt again. So a stream yields its
+// slot only when the upstream has none left; below that, the limit takes the slot back from the lower tiers as runs end.
+bool slot_scheduler::mayExceedLimit(std::uint32_t tierRank) const
+{
+    if (runningCount() >= m_options.slots)
+        return false;
+    const auto usable = usableSlots();
+    const auto exceeding = runningCount() > usable ? runningCount() - usable : 0;
+    return exceeding < m_load.runningBelow(tierRank);
+}
+
 void slot_scheduler::interrupt(const preemption_candidates::candidate& victim, std::uint32_t beneficiaryRank, instant now, schedule_actions& actions)
 {
     auto& attempt = m_attempts.at(victim.attempt);
--- a/servers/sidecar/slot_scheduler.h
+++ b/servers/sidecar/slot_scheduler.h
@@ -98,9 +98,11 @@
     void giveUpExpired(instant now, schedule_actions&);
     void refuseSuspected(const queued_attempt&, instant now, schedule_actions&);
     void forget(const attempt_id&);
-    void preemptForUrgent(instant now, schedule_actions&);
-    // Preempts lower streams until the attempt runs or none is left.
-    void preemptFor(const queued_attempt&, instant now, schedule_actions&);
+    void startAllUrgent(instant now, schedule_actions&);
+    // Starts an attempt that would miss its first token otherwise, as long as lower tiers can make room for it.
+    void startUrgent(const queued_attempt&, instant now, schedule_actions&);
+    bool openSlotFor(const queued_attempt&, instant now, schedule_actions&);
+    bool mayExceedLimit(std::uint32_t tierRank) const;
     void interrupt(const preemption_candidates::candidate&, std::uint32_t beneficiaryRank, instant now, schedule_actions&);
     bool fillOne(slot_cause, instant now, schedule_actions&);
     void begin(const popped_attempt&, instant now, schedule_actions&);
