Keep a margin in the concurrency limit

Cause: in a trial of the festival scenario the limit held the mean pace at the target, so that reading prompts pushed one in four lookups over it. Change: the pace is judged against 0.9 of the target and the limit rises half as fast.

--- a/servers/sidecar/concurrency_limit.cpp
+++ b/servers/sidecar/concurrency_limit.cpp
@@ -11,7 +11,9 @@
     // Targets are stated for 95 in 100.
     constexpr double toleratedShare = 0.05;
     constexpr double decreaseFactor = 0.85;
-    constexpr double increaseStep = 1.0;
+    constexpr double increaseStep = 0.5;
+    // Runs that start read their prompts and slow the others down, so that the pace needs this margin.
+    constexpr double targetMargin = 0.9;
     // A series of decreases is judged once the number of runs has fallen to this part of where it began.
     constexpr double judgedShare = 0.75;
     // Part of the target that a single run may take without being held for out of reach.
@@ -33,7 +35,7 @@
     m_samples++;
     m_sum.running += running;
     m_sum.ratio += std::chrono::duration<double>(perToken) / std::chrono::duration<double>(target);
-    if (perToken > target)
+    if (std::chrono::duration<double>(perToken) > targetMargin * std::chrono::duration<double>(target))
         m_exceeded++;
     if (running >= value())
         m_reached = true;
