Never refuse a useless-late attempt beside a lower stream while a slot is left

Cause: a class that is refused when late could not exceed the learned limit when lower tiers held few slots, and was refused beside them. A suspect that waits for another suspect is no inversion; the checker counted it as one.

--- a/servers/sidecar/slot_scheduler.cpp
+++ b/servers/sidecar/slot_scheduler.cpp
@@ -132,7 +132,9 @@
     if (std::chrono::duration<double>(predicted) <= unreachableFactor * std::chrono::duration<double>(allowed))
         return;
     const auto facts = *m_queue.remove(id, now);
-    shed(facts, shed_cause::target_unreachable, { .reason = error_code::target_unreachable, .message = "upstream '" + m_options.id + "' cannot meet the target of class '" + facts.className + "' now", .retryAfter = retryAfter(predicted - allowed) }, actions);
+    // A suspect may have to wait for another one, whoever else runs.
+    const auto cause = facts.suspect ? shed_cause::other : shed_cause::target_unreachable;
+    shed(facts, cause, { .reason = error_code::target_unreachable, .message = "upstream '" + m_options.id + "' cannot meet the target of class '" + facts.className + "' now", .retryAfter = retryAfter(predicted - allowed) }, actions);
 }
 
 bool slot_scheduler::makeRoomFor(const queued_attempt& arrival, instant now, schedule_actions& actions)
@@ -280,7 +282,7 @@
 
 bool slot_scheduler::openSlotFor(const queued_attempt& urgent, instant now, schedule_actions& actions)
 {
-    if (mayExceedLimit(urgent.tierRank))
+    if (mayExceedLimit(urgent))
         return true;
     const auto victim = m_candidates.below(urgent.tierRank);
     if (!victim)
@@ -291,13 +293,17 @@
 
 // One more run costs every run a little pace, and a preempted one costs reading its prompt again. So a stream yields its
 // slot only when the upstream has none left; below that, the limit takes the slot back from the lower tiers as runs end.
-bool slot_scheduler::mayExceedLimit(std::uint32_t tierRank) const
+bool slot_scheduler::mayExceedLimit(const queued_attempt& urgent) const
 {
-    if (runningCount() >= m_options.slots)
+    const auto lowerRunning = m_load.runningBelow(urgent.tierRank);
+    if (runningCount() >= m_options.slots || lowerRunning == 0)
         return false;
+    // What would be refused is never refused beside a lower stream; the rest takes no more than lower tiers hold.
+    if (urgent.deadline == urgent.startBy)
+        return true;
     const auto usable = usableSlots();
     const auto exceeding = runningCount() > usable ? runningCount() - usable : 0;
-    return exceeding < m_load.runningBelow(tierRank);
+    return exceeding < lowerRunning;
 }
 
 void slot_scheduler::interrupt(const preemption_candidates::candidate& victim, std::uint32_t beneficiaryRank, instant now, schedule_actions& actions)
@@ -339,7 +345,8 @@
             continue;
         }
         // After its time an attempt could have gone nowhere, so that nobody stands in its way any more.
-        const auto cause = facts.startBy == now ? shed_cause::target_unreachable : shed_cause::other;
+        const bool couldHaveGone = facts.startBy == now && !facts.suspect;
+        const auto cause = couldHaveGone ? shed_cause::target_unreachable : shed_cause::other;
         shed(facts, cause, { .reason = error_code::target_unreachable, .message = "no slot became free within the target of class '" + facts.className + "'", .retryAfter = retryAfter(predictedWait(facts)) }, actions);
     }
 }
--- a/servers/sidecar/slot_scheduler.h
+++ b/servers/sidecar/slot_scheduler.h
@@ -102,7 +102,7 @@
     // Starts an attempt that would miss its first token otherwise, as long as lower tiers can make room for it.
     void startUrgent(const queued_attempt&, instant now, schedule_actions&);
     bool openSlotFor(const queued_attempt&, instant now, schedule_actions&);
-    bool mayExceedLimit(std::uint32_t tierRank) const;
+    bool mayExceedLimit(const queued_attempt&) const;
     void interrupt(const preemption_candidates::candidate&, std::uint32_t beneficiaryRank, instant now, schedule_actions&);
     bool fillOne(slot_cause, instant now, schedule_actions&);
     void begin(const popped_attempt&, instant now, schedule_actions&);
