--- a/servers/sidecar/slot_scheduler.cpp
+++ b/servers/sidecar/slot_scheduler.cpp
@@ -20,6 +20,8 @@
     // An estimate never leaves less than this part of a target for waiting, so that one learned under stress cannot make
     // every later request seem out of reach.
     constexpr int estimateDivisor = 2;
+    constexpr std::uint32_t observedStretchTokens = 32;
+    constexpr std::uint32_t smallestObservedStretchTokens = 8;
     constexpr std::uint32_t smallestExtraCharge = 32;
     constexpr std::uint32_t extraChargeDivisor = 4;
 
@@ -27,7 +29,7 @@
 
 slot_scheduler::slot_scheduler(const sidecar_options& options)
     : m_options(options)
-    , m_queue(m_options.policy, m_terms, m_options.starvationLimit)
+    , m_queue(m_options.policy, m_terms, { .starvationLimit = m_options.starvationLimit, .longestPause = m_options.longestPause })
     , m_limit(m_options.slots)
     , m_suspects({ .suspicion = m_options.suspicionTime, .refusal = m_options.refusalTime })
     , m_invariants(!std::holds_alternative<fifo_scheduling>(m_options.policy))
@@ -66,6 +68,7 @@
     facts.organisation = request.organisation;
     facts.fingerprint = request.fingerprint;
     facts.charge = std::max(attempt.expectedTokens, 1U);
+    facts.cost = facts.charge;
     facts.expectedRun = m_estimator.expectedRun(request.className, attempt.expectedTokens);
     facts.suspect = request.suspect || m_suspects.isSuspect(request.fingerprint);
     facts.arrived = now;
@@ -84,7 +87,7 @@
     if (const auto target = terms.targets.total)
         facts.startBy = arrived + std::max<duration>(*target - facts.expectedRun, *target / estimateDivisor);
     if (const auto target = terms.targets.firstToken) {
-        const auto startBy = arrived + std::max<duration>(*target - m_estimator.firstToken(), *target / estimateDivisor);
+        const auto startBy = arrived + std::max<duration>(*target - m_estimator.firstToken(facts.className), *target / estimateDivisor);
         facts.startBy = std::min(facts.startBy, startBy);
         facts.urgentAt = facts.startBy - *target / urgencyDivisor;
     }
@@ -121,7 +124,7 @@
     if (!waiting || now + predicted <= waiting->startBy)
         return;
     if (waiting->urgentAt != instant::max())
-        preemptFor(queued_attempt(*waiting), now, actions);
+        startUrgent(queued_attempt(*waiting), now, actions);
     waiting = m_queue.find(id);
     if (!waiting || !m_attempts.at(id).lateIsUseless)
         return;
@@ -129,7 +132,9 @@
     if (std::chrono::duration<double>(predicted) <= unreachableFactor * std::chrono::duration<double>(allowed))
         return;
     const auto facts = *m_queue.remove(id, now);
-    shed(facts, shed_cause::target_unreachable, { .reason = error_code::target_unreachable, .message = "upstream '" + m_options.id + "' cannot meet the target of class '" + facts.className + "' now", .retryAfter = retryAfter(predicted - allowed) }, actions);
+    // A suspect may have to wait for another one, whoever else runs.
+    const auto cause = facts.suspect ? shed_cause::other : shed_cause::target_unreachable;
+    shed(facts, cause, { .reason = error_code::target_unreachable, .message = "upstream '" + m_options.id + "' cannot meet the target of class '" + facts.className + "' now", .retryAfter = retryAfter(predicted - allowed) }, actions);
 }
 
 bool slot_scheduler::makeRoomFor(const queued_attempt& arrival, instant now, schedule_actions& actions)
@@ -141,10 +146,8 @@
         shed(*displaced, shed_cause::queue_full, { .reason = error_code::overloaded, .message = message, .retryAfter = retryAfter(predictedWait(*displaced)) }, actions);
         return true;
     }
-    const auto victim = m_candidates.below(arrival.tierRank);
-    if (!victim || m_queue.size() == 0)
+    if (!m_healthy || m_queue.size() == 0 || !openSlotFor(arrival, now, actions))
         return false;
-    interrupt(*victim, arrival.tierRank, now, actions);
     fillOne(slot_cause::preempted, now, actions);
     return m_queue.unstartedCount() < m_options.queueLimit;
 }
@@ -202,13 +205,13 @@
 {
     m_suspects.expire(now);
     applySuspicions(now, actions);
-    preemptForUrgent(now, actions);
+    startAllUrgent(now, actions);
     giveUpExpired(now, actions);
     while (m_healthy && runningCount() < usableSlots()) {
         if (!fillOne(slot_cause::freed, now, actions))
             break;
     }
-    preemptForUrgent(now, actions);
+    startAllUrgent(now, actions);
 }
 
 bool slot_scheduler::fillOne(slot_cause cause, instant now, schedule_actions& actions)
@@ -228,9 +231,11 @@
     attempt.guaranteed = popped.guaranteed;
     attempt.startedAt = now;
     attempt.lastOutputAt.reset();
+    attempt.stretchTokens = 0;
+    attempt.stretchTime = duration { 0 };
     attempt.charged += attempt.facts.charge;
     m_running.insert(id);
-    m_runningRun += attempt.facts.expectedRun;
+    m_releasesPerSecond += releaseRate(attempt);
     m_load.remove(load_tally::stage::queued, attempt.facts.tierRank, attempt.remainingTokens);
     m_load.add(load_tally::stage::running, attempt.facts.tierRank, attempt.remainingTokens);
     m_suspects.started(id, attempt.facts.fingerprint, attempt.facts.suspect);
@@ -251,36 +256,61 @@
     return canResume && attempt.repeatable && attempt.preemptions < m_options.preemptionLimit;
 }
 
-void slot_scheduler::preemptForUrgent(instant now, schedule_actions& actions)
+void slot_scheduler::startAllUrgent(instant now, schedule_actions& actions)
 {
     if (!m_healthy || runningCount() < usableSlots())
         return;
     while (const auto id = m_queue.popUrgent(now))
-        preemptFor(queued_attempt(*m_queue.find(*id)), now, actions);
+        startUrgent(queued_attempt(*m_queue.find(*id)), now, actions);
 }
 
-void slot_scheduler::preemptFor(const queued_attempt& urgent, instant now, schedule_actions& actions)
+void slot_scheduler::startUrgent(const queued_attempt& urgent, instant now, schedule_actions& actions)
 {
     while (m_healthy && m_queue.find(urgent.attempt)) {
-        const auto victim = m_candidates.below(urgent.tierRank);
         const bool mustWait = urgent.suspect && m_suspects.suspectRuns();
-        if (!victim || mustWait)
+        if (mustWait || !openSlotFor(urgent, now, actions))
             return;
-        interrupt(*victim, urgent.tierRank, now, actions);
-        // A slot that was freed for one attempt goes to it, unless a higher tier waits as well.
+        // A slot that was opened for one attempt goes to it, unless a higher tier waits as well.
         if (m_queue.hasAbove(urgent.tierRank)) {
-            fillOne(slot_cause::preempted, now, actions);
+            if (!fillOne(slot_cause::preempted, now, actions))
+                return;
             continue;
         }
         begin({ *m_queue.popOne(urgent.attempt, now), false }, now, actions);
     }
 }
 
+bool slot_scheduler::openSlotFor(const queued_attempt& urgent, instant now, schedule_actions& actions)
+{
+    if (mayExceedLimit(urgent))
+        return true;
+    const auto victim = m_candidates.below(urgent.tierRank);
+    if (!victim)
+        return false;
+    interrupt(*victim, urgent.tierRank, now, actions);
+    return true;
+}
+
+// One more run costs every run a little pace, and a preempted one costs reading its prompt again. So a stream yields its
+// slot only when the upstream has none left; below that, the limit takes the slot back from the lower tiers as runs end.
+bool slot_scheduler::mayExceedLimit(const queued_attempt& urgent) const
+{
+    const auto lowerRunning = m_load.runningBelow(urgent.tierRank);
+    if (runningCount() >= m_options.slots || lowerRunning == 0)
+        return false;
+    // What would be refused is never refused beside a lower stream; the rest takes no more than lower tiers hold.
+    if (urgent.deadline == urgent.startBy)
+        return true;
+    const auto usable = usableSlots();
+    const auto exceeding = runningCount() > usable ? runningCount() - usable : 0;
+    return exceeding < lowerRunning;
+}
+
 void slot_scheduler::interrupt(const preemption_candidates::candidate& victim, std::uint32_t beneficiaryRank, instant now, schedule_actions& actions)
 {
     auto& attempt = m_attempts.at(victim.attempt);
     auto& facts = attempt.facts;
-    leaveSlot(attempt);
+    leaveSlot(attempt, now);
     m_suspects.ended(victim.attempt);
     m_load.add(load_tally::stage::queued, facts.tierRank, attempt.remainingTokens);
     m_invariants.preempted(victim.attempt, beneficiaryRank);
@@ -288,6 +318,7 @@
     attempt.ranBefore += now - attempt.startedAt;
     facts.resumes = true;
     facts.charge = 0;
+    facts.cost = std::max(attempt.remainingTokens, 1U);
     facts.startBy = instant::min();
     facts.urgentAt = instant::max();
     facts.deadline = attempt.deadline;
@@ -295,13 +326,13 @@
     actions.push_back(interrupt_attempt { victim.attempt });
 }
 
-void slot_scheduler::leaveSlot(const scheduled_attempt& attempt)
+void slot_scheduler::leaveSlot(const scheduled_attempt& attempt, instant now)
 {
     const auto& facts = attempt.facts;
     m_running.erase(facts.attempt);
-    m_runningRun -= facts.expectedRun;
+    m_releasesPerSecond = m_running.empty() ? 0 : m_releasesPerSecond - releaseRate(attempt);
     m_candidates.remove(facts.attempt);
-    m_queue.ended(facts.tierRank, facts.organisation);
+    m_queue.ended(facts, now);
     m_load.remove(load_tally::stage::running, facts.tierRank, attempt.remainingTokens);
 }
 
@@ -314,7 +345,8 @@
             continue;
         }
         // After its time an attempt could have gone nowhere, so that nobody stands in its way any more.
-        const auto cause = facts.startBy == now ? shed_cause::target_unreachable : shed_cause::other;
+        const bool couldHaveGone = facts.startBy == now && !facts.suspect;
+        const auto cause = couldHaveGone ? shed_cause::target_unreachable : shed_cause::other;
         shed(facts, cause, { .reason = error_code::target_unreachable, .message = "no slot became free within the target of class '" + facts.className + "'", .retryAfter = retryAfter(predictedWait(facts)) }, actions);
     }
 }
@@ -327,7 +359,7 @@
     const auto counted = std::min(tokens, attempt.remainingTokens);
     attempt.remainingTokens -= counted;
     m_load.produced(attempt.facts.tierRank, counted);
-    observePace(attempt, tokens, now);
+    measurePace(attempt, tokens, now);
     attempt.producedTokens += tokens;
     attempt.lastOutputAt = now;
     if (attempt.kind != service_kind::engine || attempt.producedTokens <= attempt.charged)
@@ -338,15 +370,27 @@
     m_queue.charge(attempt.facts.tierRank, attempt.facts.organisation, extra);
 }
 
-void slot_scheduler::observePace(const scheduled_attempt& attempt, std::uint32_t tokens, instant now)
+void slot_scheduler::measurePace(scheduled_attempt& attempt, std::uint32_t tokens, instant now)
 {
     if (!attempt.lastOutputAt) {
         if (!attempt.facts.resumes)
-            m_estimator.sawFirstOutput(now - attempt.startedAt);
+            m_estimator.sawFirstOutput(attempt.facts.className, now - attempt.startedAt);
         return;
     }
-    if (attempt.betweenTokens && tokens > 0)
-        m_limit.observe((now - *attempt.lastOutputAt) / tokens, *attempt.betweenTokens, runningCount(), now);
+    attempt.stretchTokens += tokens;
+    attempt.stretchTime += now - *attempt.lastOutputAt;
+    observePace(attempt, observedStretchTokens, now);
+}
+
+// Targets hold for the mean of a request, so the pace is judged over stretches and not by the single gap.
+void slot_scheduler::observePace(scheduled_attempt& attempt, std::uint32_t smallestStretch, instant now)
+{
+    if (attempt.stretchTokens < smallestStretch)
+        return;
+    if (attempt.betweenTokens)
+        m_limit.observe(attempt.stretchTime / attempt.stretchTokens, *attempt.betweenTokens, runningCount(), now);
+    attempt.stretchTokens = 0;
+    attempt.stretchTime = duration { 0 };
 }
 
 void slot_scheduler::ended(const attempt_id& id, run_end how, instant now)
@@ -356,7 +400,8 @@
     auto& attempt = m_attempts.at(id);
     if (attempt.kind == service_kind::engine)
         m_queue.charge(attempt.facts.tierRank, attempt.facts.organisation, std::max(attempt.producedTokens, 1U) - attempt.charged);
-    leaveSlot(attempt);
+    observePace(attempt, smallestObservedStretchTokens, now);
+    leaveSlot(attempt, now);
     if (how == run_end::finished) {
         m_estimator.sawFinish(attempt.facts.className, attempt.producedTokens, attempt.ranBefore + (now - attempt.startedAt));
         m_suspects.survived(id);
@@ -401,11 +446,17 @@
 
 duration slot_scheduler::predictedWait(const queued_attempt& arrival) const
 {
-    const auto running = static_cast<duration::rep>(runningCount());
-    if (running == 0 || runningCount() < usableSlots())
+    if (runningCount() < usableSlots() || m_releasesPerSecond <= 0)
         return duration { 0 };
-    const auto nextRelease = m_runningRun / (running * running);
-    return nextRelease + m_queue.runAhead(arrival) / running;
+    const double wait = static_cast<double>(m_queue.ahead(arrival) + 1) / m_releasesPerSecond;
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(wait));
+}
+
+// Slots become free at the sum of the rates at which the single runs end.
+double slot_scheduler::releaseRate(const scheduled_attempt& attempt)
+{
+    const auto expected = std::chrono::duration<double>(attempt.facts.expectedRun).count();
+    return expected > 0 ? 1 / expected : 0;
 }
 
 milliseconds slot_scheduler::retryAfter(duration wait) const
--- a/servers/sidecar/slot_scheduler.h
+++ b/servers/sidecar/slot_scheduler.h
@@ -82,6 +82,9 @@
         bool guaranteed = false;
         instant startedAt;
         std::optional<instant> lastOutputAt;
+        // Output since the pace was last observed.
+        std::uint32_t stretchTokens = 0;
+        duration stretchTime { 0 };
         duration ranBefore { 0 };
     };
 
@@ -95,17 +98,21 @@
     void giveUpExpired(instant now, schedule_actions&);
     void refuseSuspected(const queued_attempt&, instant now, schedule_actions&);
     void forget(const attempt_id&);
-    void preemptForUrgent(instant now, schedule_actions&);
-    // Preempts lower streams until the attempt runs or none is left.
-    void preemptFor(const queued_attempt&, instant now, schedule_actions&);
+    void startAllUrgent(instant now, schedule_actions&);
+    // Starts an attempt that would miss its first token otherwise, as long as lower tiers can make room for it.
+    void startUrgent(const queued_attempt&, instant now, schedule_actions&);
+    bool openSlotFor(const queued_attempt&, instant now, schedule_actions&);
+    bool mayExceedLimit(const queued_attempt&) const;
     void interrupt(const preemption_candidates::candidate&, std::uint32_t beneficiaryRank, instant now, schedule_actions&);
     bool fillOne(slot_cause, instant now, schedule_actions&);
     void begin(const popped_attempt&, instant now, schedule_actions&);
     bool mayPreempt(const scheduled_attempt&) const;
-    void leaveSlot(const scheduled_attempt&);
-    void observePace(const scheduled_attempt&, std::uint32_t tokens, instant now);
+    void leaveSlot(const scheduled_attempt&, instant now);
+    void measurePace(scheduled_attempt&, std::uint32_t tokens, instant now);
+    void observePace(scheduled_attempt&, std::uint32_t smallestStretch, instant now);
     // Applies what crashes have shown to the attempts that wait.
     void applySuspicions(instant now, schedule_actions&);
+    static double releaseRate(const scheduled_attempt&);
     // Returns the time until an arrival would start, or zero while nothing is known.
     duration predictedWait(const queued_attempt& arrival) const;
     std::chrono::milliseconds retryAfter(duration wait) const;
@@ -120,9 +127,9 @@
     load_tally m_load;
     scheduling_invariants m_invariants;
     std::map<attempt_id, scheduled_attempt> m_attempts;
-    // Attempts that occupy a slot, and the time for which they are expected to, together.
+    // Attempts that occupy a slot, and the rate at which they are expected to leave it.
     std::set<attempt_id> m_running;
-    duration m_runningRun { 0 };
+    double m_releasesPerSecond = 0;
     bool m_healthy = true;
     std::uint64_t m_appliedSuspicions = 0;
 };
