Count the instructions of one request by upstreams and organisations

Cause: the decision must grow no faster than logarithmically in either, and times on a shared machine do not repeat.

--- /dev/null
+++ b/bench/cost_bench_main.cpp
@@ -0,0 +1,28 @@
+#include "bench/harness/cost_workload.h"
+
+#include <benchmark/benchmark.h>
+
+// Time of one request in the reducers of entry and sidecar, by upstreams and organisations.
+
+using namespace kumquat_bench;
+
+namespace {
+
+template <typename Workload>
+void serveRequests(benchmark::State& state)
+{
+    Workload workload({ static_cast<std::uint32_t>(state.range(0)), static_cast<std::uint32_t>(state.range(1)) });
+    for (auto _ : state) {
+        state.PauseTiming();
+        workload.refresh();
+        state.ResumeTiming();
+        workload.serveOne();
+    }
+}
+
+} // namespace
+
+BENCHMARK_TEMPLATE(serveRequests, entry_workload)->ArgNames({ "upstreams", "organisations" })->ArgsProduct({ { 10, 100, 800 }, { 10, 3100 } })->Iterations(5000);
+BENCHMARK_TEMPLATE(serveRequests, sidecar_workload)->ArgNames({ "upstreams", "organisations" })->ArgsProduct({ { 10 }, { 10, 200, 3100 } })->Iterations(5000);
+
+BENCHMARK_MAIN();
--- /dev/null
+++ b/bench/cost_count_main.cpp
@@ -0,0 +1,55 @@
+#include "bench/harness/cost_workload.h"
+
+#include <cstdio>
+#include <string>
+#include <valgrind/callgrind.h>
+
+// Serves a number of requests through one reducer, so that callgrind counts the instructions of just these.
+// Arguments: entry, report or sidecar; upstreams; organisations; requests.
+
+using namespace kumquat_bench;
+
+namespace {
+
+template <typename Workload, typename Action>
+void serve(Workload& workload, unsigned long requests, Action action)
+{
+    // A short run fills the allocator's free lists and the reducers' learned state.
+    constexpr unsigned long warmUp = 200;
+    for (unsigned long index = 0; index < warmUp + requests; ++index) {
+        workload.refresh();
+        if (index >= warmUp)
+            CALLGRIND_TOGGLE_COLLECT;
+        action(workload);
+        if (index >= warmUp)
+            CALLGRIND_TOGGLE_COLLECT;
+    }
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    constexpr int expectedArguments = 5;
+    if (argc != expectedArguments) {
+        std::fprintf(stderr, "usage: %s entry|report|sidecar UPSTREAMS ORGANISATIONS REQUESTS\n", argv[0]);
+        return 2;
+    }
+    const std::string role = argv[1];
+    const cost_size size { static_cast<std::uint32_t>(std::stoul(argv[2])), static_cast<std::uint32_t>(std::stoul(argv[3])) };
+    const auto requests = std::stoul(argv[4]);
+    if (role == "entry") {
+        entry_workload workload(size);
+        serve(workload, requests, [](auto& item) { item.serveOne(); });
+    } else if (role == "report") {
+        entry_workload workload(size);
+        serve(workload, requests, [](auto& item) { item.applyReport(); });
+    } else if (role == "sidecar") {
+        sidecar_workload workload(size);
+        serve(workload, requests, [](auto& item) { item.serveOne(); });
+    } else {
+        std::fprintf(stderr, "role '%s' does not exist\n", role.c_str());
+        return 2;
+    }
+    return 0;
+}
