--- a/bench/harness/invariant_checks.h
+++ b/bench/harness/invariant_checks.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -20,6 +21,7 @@
     nothingNewWhileLeaving,
     drainCutsNothing,
     noInversion,
+    timersMakeProgress,
 };
 
 const char* toString(invariant);
@@ -47,8 +49,10 @@
     void answerFailed(caller_record&, const kumquat::caller_error&, instant now);
     void stillOpen(const caller_record&, instant now);
     void stoppedAfterDrain(const std::string& sidecar, std::size_t running, instant now);
-    // A sidecar refused an attempt for lack of room or time.
-    void shed(const kumquat::sidecar_reducer&, const std::string& requestId, kumquat::error_code reason, instant now);
+    // A reducer asks for a timer again and again at one instant.
+    void timerSpins(const std::string& process, instant now);
+    // A sidecar refused an attempt for lack of room or time, while others were live.
+    void shed(const kumquat::sidecar_reducer&, const std::set<kumquat::attempt_id>& live, const std::string& requestId, kumquat::error_code reason, instant now);
 
     const std::vector<violation>& violations() const { return m_violations; }
     std::size_t count(invariant) const;
--- a/bench/harness/virtual_world.h
+++ b/bench/harness/virtual_world.h
@@ -48,6 +48,9 @@
         // What arrived during a pause, in order.
         std::deque<event_queue::action> backlog;
         std::optional<instant> timer;
+        // Timers that fired without time going on.
+        instant lastTimer;
+        std::uint32_t timersAtOnce = 0;
     };
 
     struct entry_process : process {
@@ -63,6 +66,8 @@
         std::set<kumquat::run_id> plainRuns;
         std::optional<instant> leavingSince;
         std::set<kumquat::attempt_id> refused;
+        // Attempts offered and not yet known to have ended.
+        std::set<kumquat::attempt_id> live;
         std::optional<instant> scheduledIteration;
     };
 
@@ -92,6 +97,8 @@
     void step(sidecar_process&, const kumquat::sidecar_event&);
     template <typename Process>
     void scheduleTimer(Process&);
+    template <typename Process>
+    void fireTimer(Process&);
     void pause(process&, duration);
     // Runs an action of a process now, or when its pause ends.
     void whenAwake(process&, event_queue::action);
