--- a/servers/entry/entry_event.h
+++ b/servers/entry/entry_event.h
@@ -4,6 +4,8 @@
 #include "core/document_index.h"
 #include "core/instance.h"
 #include "core/peer_message.h"
+#include "servers/claims/claim_event.h"
+#include "servers/config/keeper_event.h"
 
 #include <cstdint>
 #include <variant>
@@ -42,6 +44,16 @@
 
 struct entry_timer_due { };
 
-using entry_event = std::variant<caller_arrived, caller_gone, entry_peer_received, entry_document_received, instances_listed, entry_drain_requested, entry_timer_due>;
+// An answer of the object API to a call for the claims.
+struct entry_claim_answered {
+    claim_event answer;
+};
+
+// News for the document keeper.
+struct entry_keeper_event {
+    keeper_event event;
+};
+
+using entry_event = std::variant<caller_arrived, caller_gone, entry_peer_received, entry_document_received, instances_listed, entry_drain_requested, entry_timer_due, entry_claim_answered, entry_keeper_event>;
 
 } // namespace kumquat
