--- a/servers/entry/entry_reducer.cpp
+++ b/servers/entry/entry_reducer.cpp
@@ -810,8 +810,8 @@
         return;
     }
     withdrawAttempt(record);
-    // A request that may run again needs no certainty, and one that has started cannot get any.
-    const bool needsTruth = !record.requestClass.repeatable && record.ran == ran_state::no;
+    // A request that may run again needs no certainty, one that has started cannot get any, and claimed work runs on.
+    const bool needsTruth = !record.requestClass.repeatable && !record.claimed && record.ran == ran_state::no;
     record.attempt->settling = std::move(error);
     if (!needsTruth) {
         settled(record, true);
--- a/tests/drivers/peer_codec_test.cpp
+++ b/tests/drivers/peer_codec_test.cpp
@@ -66,7 +66,7 @@
     CHECK(copy.tiers[3].queued == 90);
     INFO("report " << bytes.size());
     CHECK(bytes.size() <= 200);
-    const subscribe subscription { { "entry-12", "tcp://10.20.30.41:19000", 0x1234567890abcdefULL }, 1700, 1000ms };
+    const subscribe subscription { { "entry-12", "tcp://10.20.30.41:19000", 0x1234567890abcdefULL }, 1700, 0, 1000ms };
     INFO("subscribe " << encodePeerMessage(subscription).size());
     CHECK(encodePeerMessage(subscription).size() <= 128);
 }
--- a/tests/servers/entry_reducer_test.cpp
+++ b/tests/servers/entry_reducer_test.cpp
@@ -159,7 +159,7 @@
 TEST_CASE("entry that gives up a silent sidecar leaves claimed work running there and tells that the outcome is unknown")
 {
     entry_fixture fixture;
-    const auto list = std::get<list_claim_segments>(only<claim_store_call>(fixture.ask("/services/dwumadie/passes", "k1")).at(0));
+    const auto list = std::get<list_claim_segments>(only<claim_store_call>(fixture.askWithKey("/services/dwumadie/passes", "k1")).at(0));
     fixture.step(entry_claim_answered { claim_segments_listed { list.shard, std::vector<numbered_segment> {} } });
     const auto granted = fixture.step(entry_claim_answered { claim_segment_written { list.shard, 1, claim_write_outcome::written, 1 } });
     REQUIRE(offersIn(granted).size() == 1);
@@ -173,7 +173,7 @@
     REQUIRE(failures.size() == 1);
     CHECK(failures[0].error.ran == ran_state::unknown);
     // The repeat asks the sidecars, since this entry does not know the outcome.
-    const auto repeated = fixture.ask("/services/dwumadie/passes", "k1");
+    const auto repeated = fixture.askWithKey("/services/dwumadie/passes", "k1");
     CHECK(kumquat_test::sent<claim_query, send_to_sidecar>(repeated).size() == 1);
     const auto answered = fixture.receive(claim_status { headerFor(granted).attempt.requestId, claim_state::finished, { .text = "ok" } });
     CHECK(textOf(answered) == "ok");
