--- a/drivers/json/settings_codec.cpp
+++ b/drivers/json/settings_codec.cpp
@@ -126,6 +126,11 @@
     readMilliseconds(root, "report_interval_ms", options.reportInterval);
     readMilliseconds(root, "entry_timeout_ms", options.entryTimeout);
     readMilliseconds(root, "tombstone_retention_ms", options.tombstoneRetention);
+    readMilliseconds(root, "starvation_limit_ms", options.starvationLimit);
+    readMilliseconds(root, "longest_pause_ms", options.longestPause);
+    readMilliseconds(root, "suspicion_time_ms", options.suspicionTime);
+    readMilliseconds(root, "refusal_time_ms", options.refusalTime);
+    options.preemptionLimit = root.value("preemption_limit", options.preemptionLimit);
     readMilliseconds(root, "drain_limit_ms", options.drainLimit);
     return settings;
 }
