--- a/servers/entry/entry_reducer.cpp
+++ b/servers/entry/entry_reducer.cpp
@@ -159,6 +159,7 @@
         .streaming = record.format == answer_format::chat_stream || record.format == answer_format::completion_stream,
         .nextChunk = attempt.chunks.nextChunk(),
         .job = record.job,
+        .waited = std::chrono::duration_cast<std::chrono::milliseconds>(m_now - record.arrivedAt),
     };
     m_effects->push_back(send_to_sidecar { attempt.address, std::move(message) });
     m_timers.set(record.id, std::min(record.deadline, m_now + m_options.resendInterval));
