--- a/servers/entry/entry_reducer.cpp
+++ b/servers/entry/entry_reducer.cpp
@@ -259,6 +259,7 @@
         .deliveredPrefix = record.deliveredText.substr(0, attempt.prefixBytes),
         .deliveredTokens = attempt.prefixTokens,
         .job = record.job,
+        .waited = std::chrono::duration_cast<std::chrono::milliseconds>(m_now - record.arrivedAt),
     };
     // A sidecar that has answered holds the body; a copy only asks for its state.
     if (attempt.heardAt) {
