Make the tests of resumed prefixes and of outliving shares catch their faults

Cause: trials with the feature taken out passed: the cut of expired shares, since one cut-off entry stays within the bound; and the fixed length of a resumed prefix, since copies behind an answer carry no prefix and none can grow. Change: the limits test cuts off four of five entries, each after it has earned nearly the whole limit; the needless prefix length is gone and its test now looks at the copies that are sent.

--- a/servers/entry/entry_reducer.cpp
+++ b/servers/entry/entry_reducer.cpp
@@ -220,7 +220,6 @@
     attempt.address = upstream.address;
     attempt.sidecarIncarnation = upstream.lastReport->from.incarnation;
     attempt.suspect = m_suspects.isSuspect(record.fingerprint, m_now);
-    attempt.prefixBytes = record.deliveredText.size();
     attempt.prefixTokens = record.deliveredTokens;
     record.attempt = std::move(attempt);
     upstream.ownInFlight++;
@@ -250,11 +249,11 @@
         .suspect = attempt.suspect,
         .streaming = record.isShownEarly(),
         .nextChunk = attempt.chunks.nextChunk(),
-        .deliveredPrefix = record.deliveredText.substr(0, attempt.prefixBytes),
+        .deliveredPrefix = record.deliveredText,
         .deliveredTokens = attempt.prefixTokens,
         .job = record.job,
     };
-    // A sidecar that has answered holds the body; a copy only asks for its state.
+    // A sidecar that has answered holds body and prefix; a copy only asks for its state.
     if (attempt.heardAt) {
         message.job.body.clear();
         message.deliveredPrefix.clear();
--- a/servers/entry/request_record.h
+++ b/servers/entry/request_record.h
@@ -31,8 +31,7 @@
     std::optional<instant> lastProgress;
     // Whether it was offered as a request that has been running at a crash.
     bool suspect = false;
-    // Part of the answer that earlier attempts had delivered when this one began.
-    std::size_t prefixBytes = 0;
+    // Tokens that earlier attempts had delivered when this one began.
     std::uint32_t prefixTokens = 0;
     answer_assembler chunks;
     std::optional<offer_finished> finished;
--- a/tests/servers/entry_limits_test.cpp
+++ b/tests/servers/entry_limits_test.cpp
@@ -25,12 +25,10 @@
 struct limited_fleet {
     std::deque<entry_reducer> entries;
     instant now { 1h };
-    std::size_t unreachable = noEntry;
+    std::set<std::size_t> unreachable;
     int admitted = 0;
     channel_id nextChannel = 1;
 
-    static constexpr std::size_t noEntry = 99;
-
     limited_fleet(int count, organisation_limits limits)
     {
         std::vector<instance> listed { { .id = "kasa-1", .role = "sidecar", .service = "kasa", .address = "tcp://kasa-1" } };
@@ -49,7 +47,7 @@
         entries.at(at).step(event, now, effects);
         for (const auto& send : only<send_to_entry>(effects)) {
             const auto to = std::stoul(send.address);
-            if (to != unreachable && at != unreachable)
+            if (!unreachable.contains(to) && !unreachable.contains(at))
                 step(to, entry_peer_received { send.message });
         }
         for (const auto& send : only<send_to_sidecar>(effects)) {
@@ -132,7 +130,7 @@
     for (std::size_t keeper = 0; keeper < 3; ++keeper) {
         limited_fleet fleet(3, { .requestsPerSecond = limit, .burst = burst });
         fleet.run(20s, { 50, 50, 50 });
-        fleet.unreachable = keeper;
+        fleet.unreachable = { keeper };
         const int admitted = fleet.run(60s, { 50, 50, 50 });
         CHECK(admitted <= 2 * (60 * limit + burst));
         CHECK(admitted >= 60 * limit * 8 / 10);
@@ -141,12 +139,22 @@
 
 TEST_CASE("shares that outlive their leases stay within one limit, wherever demand moves")
 {
-    limited_fleet fleet(3, { .requestsPerSecond = limit, .burst = burst });
+    constexpr std::size_t count = 5;
+    limited_fleet fleet(count, { .requestsPerSecond = limit, .burst = burst });
+    std::vector<std::string> ids;
+    for (const auto& entry : fleet.entries)
+        ids.push_back(entry.options().id);
+    const auto keeper = keeperOf("osu", ids);
     // Each entry in turn earns nearly the whole limit and is then cut off from the others.
-    fleet.run(20s, { 50, 0, 0 });
-    fleet.unreachable = 0;
-    fleet.run(20s, { 50, 50, 0 });
-    const int admitted = fleet.run(30s, { 50, 50, 50 });
+    for (std::size_t at = 0; at < count; ++at) {
+        if (ids.at(at) == keeper)
+            continue;
+        std::vector<int> demand(count, 0);
+        demand.at(at) = 50;
+        fleet.run(20s, demand);
+        fleet.unreachable.insert(at);
+    }
+    const int admitted = fleet.run(30s, std::vector<int>(count, 50));
     CHECK(admitted <= 2 * (30 * limit + burst));
 }
 
--- a/tests/servers/entry_retry_test.cpp
+++ b/tests/servers/entry_retry_test.cpp
@@ -39,14 +39,19 @@
     CHECK(last.at(0).promptTokens == 10);
 }
 
-TEST_CASE("the prefix of a resumed attempt does not grow with its own chunks")
+TEST_CASE("copies of a resumed attempt never name its own chunks as prefix")
 {
     entry_fixture fixture;
     breakAfter(fixture, "one ", headerFor(fixture.ask()));
-    fixture.wait(50ms);
-    const auto again = offersIn(fixture.wait(500ms));
-    REQUIRE_FALSE(again.empty());
-    CHECK(again.at(0).deliveredPrefix == "one ");
+    const auto resumed = fixture.wait(50ms);
+    const auto unanswered = offersIn(fixture.wait(500ms));
+    REQUIRE_FALSE(unanswered.empty());
+    CHECK(unanswered.at(0).deliveredPrefix == "one ");
+    fixture.receive(output_chunk { headerFor(resumed), 0, 1, "two " });
+    const auto answered = offersIn(fixture.wait(500ms));
+    REQUIRE_FALSE(answered.empty());
+    CHECK(answered.at(0).deliveredPrefix.empty());
+    CHECK(answered.at(0).deliveredTokens == 3);
 }
 
 TEST_CASE("a shown stream that cannot be resumed ends with an error")
