Let a suspect that waits beside a free slot not wake the sidecar without end

Cause: an urgent time stays due in the queue when its attempt is a suspect that must wait while slots are free, since preemption is then not tried; the process would be woken again at once, for ever. Change: a due urgency is dropped while slots are free, as there is nobody to preempt. The property of random schedules is the test.

--- a/servers/sidecar/slot_scheduler.cpp
+++ b/servers/sidecar/slot_scheduler.cpp
@@ -209,6 +209,15 @@
             break;
     }
     preemptForUrgent(now, actions);
+    dropUrgencyBesideFreeSlots(now);
+}
+
+void slot_scheduler::dropUrgencyBesideFreeSlots(instant now)
+{
+    if (runningCount() >= usableSlots())
+        return;
+    while (m_queue.popUrgent(now))
+        continue;
 }
 
 bool slot_scheduler::fillOne(slot_cause cause, instant now, schedule_actions& actions)
--- a/servers/sidecar/slot_scheduler.h
+++ b/servers/sidecar/slot_scheduler.h
@@ -96,6 +96,8 @@
     void refuseSuspected(const queued_attempt&, instant now, schedule_actions&);
     void forget(const attempt_id&);
     void preemptForUrgent(instant now, schedule_actions&);
+    // A suspect that waits beside a free slot has nobody to preempt, so its due time must not wake the process again.
+    void dropUrgencyBesideFreeSlots(instant now);
     // Preempts lower streams until the attempt runs or none is left.
     void preemptFor(const queued_attempt&, instant now, schedule_actions&);
     void interrupt(const preemption_candidates::candidate&, std::uint32_t beneficiaryRank, instant now, schedule_actions&);
