--- a/servers/sidecar/slot_scheduler.h
+++ b/servers/sidecar/slot_scheduler.h
@@ -103,6 +103,9 @@
     void startUrgent(const queued_attempt&, instant now, schedule_actions&);
     bool openSlotFor(const queued_attempt&, instant now, schedule_actions&);
     bool mayExceedLimit(const queued_attempt&) const;
+    // A suspect that waits beside a free slot has nobody to preempt, and neither has anybody while the upstream is down:
+    // their due times must not wake the process again.
+    void dropUrgencyBesideFreeSlots(instant now);
     void interrupt(const preemption_candidates::candidate&, std::uint32_t beneficiaryRank, instant now, schedule_actions&);
     bool fillOne(slot_cause, instant now, schedule_actions&);
     void begin(const popped_attempt&, instant now, schedule_actions&);
