--- a/core/peer_message.h
+++ b/core/peer_message.h
@@ -4,6 +4,7 @@
 #include "core/claim_message.h"
 #include "core/clock.h"
 #include "core/document.h"
+#include "core/document_version.h"
 
 #include <chrono>
 #include <cstdint>
@@ -63,6 +64,8 @@
     std::string deliveredPrefix;
     std::uint32_t deliveredTokens = 0;
     work job;
+    // Time since the request arrived at the entry, which counts against the targets of its class.
+    std::chrono::milliseconds waited { 0 };
 };
 
 // Ends the entry's interest in an attempt that it has not acknowledged.
@@ -81,7 +84,9 @@
 // Asks for reports and proves that the entry lives.
 struct subscribe {
     peer_identity from;
+    // Version of the document that the entry has in force.
     std::uint64_t generation = 0;
+    std::uint64_t documentHash = 0;
 };
 
 // Common part of a sidecar's answers about one attempt.
@@ -163,7 +168,9 @@
     peer_identity from;
     std::string service;
     std::string dataCentre;
+    // Version of the document that the sidecar has in force.
     std::uint64_t generation = 0;
+    std::uint64_t documentHash = 0;
     bool leaving = false;
     bool healthy = true;
     std::uint32_t slots = 0;
@@ -190,6 +197,77 @@
     kept_answer answer;
 };
 
-using peer_message = std::variant<offer, withdraw, acknowledge, subscribe, offer_refused, offer_queued, offer_started, output_chunk, offer_finished, offer_failed, offer_withdrawn, wrong_incarnation, report, claim_query, claim_status>;
+// Changes one version of the document into the next.
+struct document_step {
+    document_version from;
+    document_version to;
+    // JSON patch (RFC 6902) between the canonical texts.
+    std::string patch;
+};
+
+// States the sender's version of the document. A receiver that is ahead answers with what the sender lacks; a receiver
+// that is behind asks in return. Always answered, so it also proves that the receiver lives.
+struct document_request {
+    peer_identity from;
+    document_version version;
+};
+
+// Consecutive steps that lead to the sender's version; no steps when the receiver has that version already.
+struct document_difference {
+    peer_identity from;
+    document_version version;
+    std::vector<document_step> steps;
+};
+
+// The whole canonical text, for a receiver to which no kept step applies.
+struct document_whole {
+    peer_identity from;
+    document_version version;
+    std::string text;
+};
+
+// What one entry knows of a request that crashed an upstream.
+struct suspect_fact {
+    std::uint64_t fingerprint = 0;
+    // Whether it crashed an upstream while it ran as a suspect; nobody runs it then.
+    bool refused = false;
+    // How long the fact holds; a peer never extends it.
+    std::chrono::milliseconds timeLeft { 0 };
+};
+
+// Tells the other entries at once of requests that crashed an upstream.
+struct suspect_notice {
+    peer_identity from;
+    std::vector<suspect_fact> facts;
+};
+
+// How much one organisation asks of one entry.
+struct lease_demand {
+    std::string organisation;
+    double requestsPerSecond = 0;
+    std::uint32_t inFlight = 0;
+};
+
+// Asks the entry that keeps an organisation's limits for a share of them.
+struct lease_request {
+    peer_identity from;
+    std::vector<lease_demand> demands;
+};
+
+// A share of one organisation's limits.
+struct lease_share {
+    std::string organisation;
+    double requestsPerSecond = 0;
+    double burst = 0;
+    std::uint32_t concurrency = 0;
+};
+
+struct lease_grant {
+    peer_identity from;
+    std::vector<lease_share> shares;
+    std::chrono::milliseconds validFor { 0 };
+};
+
+using peer_message = std::variant<offer, withdraw, acknowledge, subscribe, offer_refused, offer_queued, offer_started, output_chunk, offer_finished, offer_failed, offer_withdrawn, wrong_incarnation, report, claim_query, claim_status, document_request, document_difference, document_whole, suspect_notice, lease_request, lease_grant>;
 
 } // namespace kumquat
--- a/servers/entry/entry_effect.h
+++ b/servers/entry/entry_effect.h
@@ -6,6 +6,7 @@
 #include "core/metric.h"
 #include "core/peer_message.h"
 #include "servers/claims/claim_effect.h"
+#include "servers/config/keeper_effect.h"
 #include "servers/entry/entry_event.h"
 
 #include <string>
@@ -19,6 +20,11 @@
     peer_message message;
 };
 
+struct send_to_entry {
+    std::string address;
+    peer_message message;
+};
+
 // Starts the answer to a caller.
 struct begin_answer {
     channel_id channel = 0;
@@ -55,7 +61,7 @@
 // Ends the process with exit code 0.
 struct stop_entry { };
 
-using entry_effect = std::variant<send_to_sidecar, begin_answer, append_answer, finish_answer, fail_answer, stop_listening, stop_entry, claim_store_call, log_event, count_metric, gauge_metric, observe_metric>;
+using entry_effect = std::variant<send_to_sidecar, begin_answer, append_answer, finish_answer, fail_answer, stop_listening, stop_entry, claim_store_call, log_event, count_metric, gauge_metric, observe_metric, assemble_document, make_step, watch_store, repair_store, send_to_entry>;
 using entry_effects = std::vector<entry_effect>;
 
 } // namespace kumquat
--- a/servers/entry/entry_options.h
+++ b/servers/entry/entry_options.h
@@ -1,11 +1,15 @@
 #pragma once
 
 #include "servers/claims/claim_options.h"
+#include "servers/entry/retry_backoff.h"
+#include "servers/entry/retry_budget.h"
 #include "servers/entry/routing_policy.h"
+#include "servers/entry/suspect_registry.h"
 
 #include <chrono>
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace kumquat {
 
@@ -24,7 +28,15 @@
     std::chrono::milliseconds resendInterval { 500 };
     // Copies of an offer that may stay unanswered before the attempt is given up.
     std::uint32_t resendLimit = 6;
+    // Attempts that may fail before the request does; refusals count apart.
     std::uint32_t maximumAttempts = 4;
+    // Refusals for load after which a request is offered only where reports show room or lower work.
+    std::uint32_t refusalLimit = 2;
+    // How long a withdrawn request that must not run twice waits for the sidecar's word on whether it ran.
+    std::chrono::milliseconds withdrawWait { 1000 };
+    retry_budget::options retryBudget;
+    retry_backoff::options retryBackoff;
+    suspect_registry::options suspects;
     // Time between the drain request and the end of listening, so that the balancer notices.
     std::chrono::milliseconds drainGrace { 2000 };
     std::chrono::milliseconds drainLimit { 600000 };
@@ -32,6 +44,8 @@
     routing_policy policy;
     // The identity inside is taken from this entry.
     claim_options claims;
+    // Peers that are asked for the document while this entry has none.
+    std::vector<std::string> documentPeers;
 };
 
 } // namespace kumquat
