--- a/core/stored_publication.h
+++ b/core/stored_publication.h
@@ -20,6 +20,9 @@
     submission latest;
     // The latest submissions in ascending order of generation, the present one included.
     std::vector<submission> history;
+    // Greatest generation that a node has written back to a store that lost it; what stood there before is not in the
+    // history. 0 when that never happened.
+    std::uint64_t lastRepair = 0;
 };
 
 } // namespace kumquat
--- a/drivers/json/document_text.cpp
+++ b/drivers/json/document_text.cpp
@@ -12,6 +12,8 @@
     using nlohmann::json;
 
     constexpr const char* namedLists[] = { "tiers", "classes", "services", "organisations" };
+    // Says of the store's object, and not of the publication in it, that a node wrote it back.
+    constexpr const char* repairField = "last_repair";
     constexpr std::size_t hashDigits = 16;
 
     json toKeyed(json contents)
@@ -79,6 +81,7 @@
     {
         if (const auto failure = checkPublication(source, root))
             return *failure;
+        root.erase(repairField);
         root["document"]["generation"] = root.at("generation");
         auto parsed = parseDocument(source, root.at("document").dump());
         if (const auto* failure = errorOf(parsed))
@@ -150,10 +153,11 @@
     return { from.version, to.version, json::diff(json::parse(from.text), json::parse(to.text)).dump() };
 }
 
-std::string formatPublication(const held_document& held)
+std::string formatRepair(const held_document& held)
 {
     json root = json::parse(held.text);
     root["document"] = fromKeyed(std::move(root["document"]));
+    root[repairField] = held.version.generation;
     return root.dump();
 }
 
--- a/drivers/json/document_text.h
+++ b/drivers/json/document_text.h
@@ -23,7 +23,7 @@
 
 document_step makeDocumentStep(const held_document& from, const held_document& to);
 
-// Writes the publication in the form that the store holds.
-std::string formatPublication(const held_document&);
+// Writes the publication for a store that lost it, marked as written back.
+std::string formatRepair(const held_document&);
 
 } // namespace kumquat
--- a/tests/drivers/document_text_test.cpp
+++ b/tests/drivers/document_text_test.cpp
@@ -106,7 +106,7 @@
     const auto received = openCanonicalDocument(held->text);
     REQUIRE(errorOf(received) == nullptr);
     CHECK(valueOf(received)->version == held->version);
-    const auto repaired = openPublishedDocument("store", formatPublication(*valueOf(received)));
+    const auto repaired = openPublishedDocument("store", formatRepair(*valueOf(received)));
     REQUIRE(errorOf(repaired) == nullptr);
     CHECK(valueOf(repaired)->version == held->version);
 }
--- a/tests/drivers/publication_codec_test.cpp
+++ b/tests/drivers/publication_codec_test.cpp
@@ -26,11 +26,12 @@
 {
     const auto first = composePublication(example(), { { 9, "s9", "ama" }, { 10, "s10", "kofi" } });
     REQUIRE(errorOf(first) == nullptr);
-    const auto again = composePublication(valueOf(first), { { 10, "s10", "kofi" }, { 11, "s11", "esi" } });
+    const auto again = composePublication(valueOf(first), { { 10, "s10", "kofi" }, { 11, "s11", "esi" } }, 10);
     const auto stored = parseStoredPublication(7, valueOf(again));
     REQUIRE(errorOf(stored) == nullptr);
     CHECK(valueOf(stored).storeVersion == 7);
     CHECK(valueOf(stored).latest.operatorName == "esi");
+    CHECK(valueOf(stored).lastRepair == 10);
     REQUIRE(valueOf(stored).history.size() == 2);
     CHECK(valueOf(stored).history[0].id == "s10");
     CHECK(valueOf(stored).history[1].generation == 11);
--- a/tests/servers/config_publisher_test.cpp
+++ b/tests/servers/config_publisher_test.cpp
@@ -36,6 +36,7 @@
         stored.storeVersion++;
         stored.history = write.history;
         stored.latest = write.history.back();
+        stored.lastRepair = write.lastRepair;
         if (nodesFollow)
             spread();
         return true;
@@ -306,6 +307,25 @@
     CHECK(isUnknown(run.finish()));
 }
 
+TEST_CASE("a repair of the store hides whether a lost write took effect")
+{
+    publishing world;
+    world.fates = { fate::answer_lost };
+    publishing::operator_run run(world, "a");
+    const auto before = world.stored;
+    while (!world.effective)
+        run.advance();
+    // Another document of the generation, which no node had told of, was written back over the publication.
+    world.stored = before;
+    world.stored.storeVersion = 9;
+    world.stored.latest = { 6, "z", "z" };
+    world.stored.history.push_back(world.stored.latest);
+    world.stored.lastRepair = 6;
+    for (auto& node : world.nodes)
+        node = { node.node, 6, "z" };
+    CHECK(isUnknown(run.finish()));
+}
+
 TEST_CASE("acceptance tells of a node that has another document of the generation")
 {
     publishing world;
