--- a/core/peer_message.h
+++ b/core/peer_message.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/caller_error.h"
+#include "core/claim_message.h"
 #include "core/clock.h"
 #include "core/document.h"
 #include "core/document_version.h"
@@ -63,6 +64,8 @@
     std::string deliveredPrefix;
     std::uint32_t deliveredTokens = 0;
     work job;
+    // Time since the request arrived at the entry, which counts against the targets of its class.
+    std::chrono::milliseconds waited { 0 };
 };
 
 // Ends the entry's interest in an attempt that it has not acknowledged.
@@ -181,6 +184,19 @@
     std::vector<std::uint64_t> refusedFingerprints;
 };
 
+// Asks what became of the request that holds an idempotency key. Entries ask its claimant, then the sidecars.
+struct claim_query {
+    peer_identity from;
+    std::string requestId;
+};
+
+struct claim_status {
+    std::string requestId;
+    claim_state state = claim_state::unknown;
+    // Set when the state is finished.
+    kept_answer answer;
+};
+
 // Changes one version of the document into the next.
 struct document_step {
     document_version from;
@@ -210,6 +226,48 @@
     std::string text;
 };
 
-using peer_message = std::variant<offer, withdraw, acknowledge, subscribe, offer_refused, offer_queued, offer_started, output_chunk, offer_finished, offer_failed, offer_withdrawn, wrong_incarnation, report, document_request, document_difference, document_whole>;
+// What one entry knows of a request that crashed an upstream.
+struct suspect_fact {
+    std::uint64_t fingerprint = 0;
+    // Whether it crashed an upstream while it ran as a suspect; nobody runs it then.
+    bool refused = false;
+    // How long the fact holds; a peer never extends it.
+    std::chrono::milliseconds timeLeft { 0 };
+};
+
+// Tells the other entries at once of requests that crashed an upstream.
+struct suspect_notice {
+    peer_identity from;
+    std::vector<suspect_fact> facts;
+};
+
+// How much one organisation asks of one entry.
+struct lease_demand {
+    std::string organisation;
+    double requestsPerSecond = 0;
+    std::uint32_t inFlight = 0;
+};
+
+// Asks the entry that keeps an organisation's limits for a share of them.
+struct lease_request {
+    peer_identity from;
+    std::vector<lease_demand> demands;
+};
+
+// A share of one organisation's limits.
+struct lease_share {
+    std::string organisation;
+    double requestsPerSecond = 0;
+    double burst = 0;
+    std::uint32_t concurrency = 0;
+};
+
+struct lease_grant {
+    peer_identity from;
+    std::vector<lease_share> shares;
+    std::chrono::milliseconds validFor { 0 };
+};
+
+using peer_message = std::variant<offer, withdraw, acknowledge, subscribe, offer_refused, offer_queued, offer_started, output_chunk, offer_finished, offer_failed, offer_withdrawn, wrong_incarnation, report, claim_query, claim_status, document_request, document_difference, document_whole, suspect_notice, lease_request, lease_grant>;
 
 } // namespace kumquat
