--- a/servers/sidecar/sidecar_reducer.cpp
+++ b/servers/sidecar/sidecar_reducer.cpp
@@ -28,6 +28,7 @@
 
 sidecar_reducer::sidecar_reducer(sidecar_options options)
     : m_options(std::move(options))
+    , m_keeper({ .self = { m_options.id, m_options.address, m_options.incarnation }, .dataCentre = m_options.dataCentre, .bootstrapPeers = m_options.documentPeers })
     , m_scheduler(std::make_unique<slot_scheduler>(m_options))
     , m_entries(m_options.entryTimeout)
 {
@@ -50,6 +51,7 @@
 {
     auto next = earlier(m_scheduler->nextDeadline(), m_tombstones.nextDeadline());
     next = earlier(next, m_nextReport);
+    next = earlier(next, m_keeper.nextDeadline());
     return earlier(next, m_drainDeadline);
 }
 
@@ -262,7 +264,11 @@
     const auto known = m_attempts.find(request.attempt);
     if (known == m_attempts.end() || !hasEnded(known->second.state))
         return;
-    dropAnswer(known->second);
+    // The answer of work that must not run twice is kept for claim queries.
+    if (known->second.request.repeatable)
+        dropAnswer(known->second);
+    else
+        m_entries.droppedAnswer(known->second.request.from, request.attempt);
 }
 
 void sidecar_reducer::receive(const subscribe& request)
@@ -270,6 +276,7 @@
     heardFrom(request.from);
     if (m_entries.subscribe(request.from, m_now))
         send(request.from.address, makeReport());
+    stepKeeper(peer_version_seen { request.from, { request.generation, request.documentHash } });
 }
 
 void sidecar_reducer::heardFrom(const peer_identity& entry)
@@ -279,6 +286,69 @@
         m_nextReport = m_now + m_options.reportInterval;
 }
 
+void sidecar_reducer::receive(const document_request& message)
+{
+    stepKeeper(message);
+}
+
+void sidecar_reducer::receive(const document_difference& message)
+{
+    stepKeeper(message);
+}
+
+void sidecar_reducer::receive(const document_whole& message)
+{
+    stepKeeper(message);
+}
+
+void sidecar_reducer::handle(const sidecar_keeper_event& event)
+{
+    stepKeeper(event.event);
+}
+
+void sidecar_reducer::stepKeeper(const keeper_event& event)
+{
+    keeper_effects effects;
+    m_keeper.step(event, m_now, effects);
+    const auto visitor = overloaded {
+        [this](send_to_keeper& message) { send(message.address, std::move(message.message)); },
+        [this](adopt_document& adopt) { handle(document_received { adopt.document->contents }); },
+        // Only entries watch the store.
+        [](watch_store&) {},
+        [](repair_store&) {},
+        [this](auto& other) { m_effects->push_back(std::move(other)); },
+    };
+    for (auto& effect : effects)
+        std::visit(visitor, effect);
+}
+
+// Says how a not-repeatable request fared whose entry is gone. Silence means that it is not known here.
+void sidecar_reducer::receive(const claim_query& query)
+{
+    for (auto position = m_attempts.lower_bound({ query.requestId, 0 }); position != m_attempts.end() && position->first.requestId == query.requestId; ++position) {
+        const auto status = claimStatusOf(position->second);
+        if (status.state != claim_state::unknown)
+            send(query.from.address, status);
+    }
+}
+
+claim_status sidecar_reducer::claimStatusOf(const attempt_record& record) const
+{
+    claim_status status { .requestId = record.request.attempt.requestId };
+    if (!hasEnded(record.state)) {
+        status.state = claim_state::in_progress;
+        return status;
+    }
+    const auto* finished = std::get_if<attempt_finished>(&record.state);
+    if (!finished || record.request.repeatable)
+        return status;
+    status.state = claim_state::finished;
+    status.answer = { true, record.status, record.contentType, {}, finished->finishReason, finished->promptTokens, record.producedTokens };
+    for (const auto& chunk : record.chunks)
+        status.answer.text += chunk.text;
+    return status;
+}
+
 void sidecar_reducer::handle(const run_head& event)
 {
     auto* record = findRunning(event.run);
@@ -340,7 +410,8 @@
 
 void sidecar_reducer::handle(const document_received& event)
 {
-    if (event.contents->generation() <= generation())
+    // The keeper decides between documents of one generation.
+    if (event.contents->generation() < generation())
         return;
     m_scheduler->adopt(event.contents);
     m_effects->push_back(log_event { log_level::info, "document_adopted", { { "generation", std::to_string(generation()) } } });
@@ -361,6 +432,7 @@
 
 void sidecar_reducer::handle(const timer_due&)
 {
+    stepKeeper(keeper_timer_due {});
     while (const auto attempt = m_tombstones.popDue(m_now)) {
         dropAnswer(m_attempts.at(*attempt));
         m_scheduler->forgotten(*attempt);
@@ -393,6 +465,7 @@
     result.service = m_options.service;
     result.dataCentre = m_options.dataCentre;
     result.generation = generation();
+    result.documentHash = m_keeper.version().hash;
     result.leaving = m_leaving;
     result.healthy = m_healthy;
     result.slots = m_scheduler->usableSlots();
--- a/servers/sidecar/sidecar_reducer.h
+++ b/servers/sidecar/sidecar_reducer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/timer_queue.h"
+#include "servers/config/document_keeper.h"
 #include "servers/sidecar/attempt_record.h"
 #include "servers/sidecar/entry_watch.h"
 #include "servers/sidecar/sidecar_effect.h"
@@ -31,6 +32,7 @@
     const sidecar_options& options() const { return m_options; }
     const std::map<attempt_id, attempt_record>& attempts() const { return m_attempts; }
     std::uint32_t runningCount() const { return static_cast<std::uint32_t>(m_runs.size()); }
+    const document_keeper& keeper() const { return m_keeper; }
     std::size_t queuedCount() const { return m_scheduler->queuedCount(); }
     const slot_scheduler& scheduler() const { return *m_scheduler; }
     const scheduling_invariants& invariants() const { return m_scheduler->invariants(); }
@@ -49,11 +51,16 @@
     void handle(const document_received&);
     void handle(const drain_requested&);
     void handle(const timer_due&);
+    void handle(const sidecar_keeper_event&);
 
     void receive(const offer&);
     void receive(const withdraw&);
     void receive(const acknowledge&);
     void receive(const subscribe&);
+    void receive(const claim_query&);
+    void receive(const document_request&);
+    void receive(const document_difference&);
+    void receive(const document_whole&);
     // Answers of sidecars are never addressed to a sidecar.
     template <typename Other>
     void receive(const Other&) { }
@@ -74,6 +81,8 @@
     void cancelWorkOfSilentEntries();
     void publishReport();
     void publishReportOnSharpChange();
+    void stepKeeper(const keeper_event&);
+    claim_status claimStatusOf(const attempt_record&) const;
     void reportViolations();
     void stopWhenDrained();
     attempt_record* findRunning(run_id);
@@ -83,6 +92,7 @@
     void log(log_level, std::string name, const attempt_record&, std::vector<std::pair<std::string, std::string>> more = {});
 
     sidecar_options m_options;
+    document_keeper m_keeper;
     std::unique_ptr<slot_scheduler> m_scheduler;
     schedule_actions m_actions;
     std::map<attempt_id, attempt_record> m_attempts;
