--- a/core/peer_message.h
+++ b/core/peer_message.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "core/caller_error.h"
+#include "core/claim_message.h"
 #include "core/clock.h"
 #include "core/document.h"
+#include "core/document_version.h"
 
 #include <chrono>
 #include <cstdint>
@@ -62,6 +64,8 @@
     std::string deliveredPrefix;
     std::uint32_t deliveredTokens = 0;
     work job;
+    // Time since the request arrived at the entry, which counts against the targets of its class.
+    std::chrono::milliseconds waited { 0 };
 };
 
 // Ends the entry's interest in an attempt that it has not acknowledged.
@@ -80,7 +84,9 @@
 // Asks for reports and proves that the entry lives.
 struct subscribe {
     peer_identity from;
+    // Version of the document that the entry has in force.
     std::uint64_t generation = 0;
+    std::uint64_t documentHash = 0;
     // Time between two reports that the entry asks for; sharp changes come besides. Zero leaves it to the sidecar.
     std::chrono::milliseconds reportInterval { 0 };
 };
@@ -164,7 +170,9 @@
     peer_identity from;
     std::string service;
     std::string dataCentre;
+    // Version of the document that the sidecar has in force.
     std::uint64_t generation = 0;
+    std::uint64_t documentHash = 0;
     bool leaving = false;
     bool healthy = true;
     std::uint32_t slots = 0;
@@ -178,6 +186,48 @@
     std::vector<std::uint64_t> refusedFingerprints;
 };
 
+// Asks what became of the request that holds an idempotency key. Entries ask its claimant, then the sidecars.
+struct claim_query {
+    peer_identity from;
+    std::string requestId;
+};
+
+struct claim_status {
+    std::string requestId;
+    claim_state state = claim_state::unknown;
+    // Set when the state is finished.
+    kept_answer answer;
+};
+
+// Changes one version of the document into the next.
+struct document_step {
+    document_version from;
+    document_version to;
+    // JSON patch (RFC 6902) between the canonical texts.
+    std::string patch;
+};
+
+// States the sender's version of the document. A receiver that is ahead answers with what the sender lacks; a receiver
+// that is behind asks in return. Always answered, so it also proves that the receiver lives.
+struct document_request {
+    peer_identity from;
+    document_version version;
+};
+
+// Consecutive steps that lead to the sender's version; no steps when the receiver has that version already.
+struct document_difference {
+    peer_identity from;
+    document_version version;
+    std::vector<document_step> steps;
+};
+
+// The whole canonical text, for a receiver to which no kept step applies.
+struct document_whole {
+    peer_identity from;
+    document_version version;
+    std::string text;
+};
+
 // What one entry knows of a request that crashed an upstream.
 struct suspect_fact {
     std::uint64_t fingerprint = 0;
@@ -221,6 +271,6 @@
     std::chrono::milliseconds validFor { 0 };
 };
 
-using peer_message = std::variant<offer, withdraw, acknowledge, subscribe, offer_refused, offer_queued, offer_started, output_chunk, offer_finished, offer_failed, offer_withdrawn, wrong_incarnation, report, suspect_notice, lease_request, lease_grant>;
+using peer_message = std::variant<offer, withdraw, acknowledge, subscribe, offer_refused, offer_queued, offer_started, output_chunk, offer_finished, offer_failed, offer_withdrawn, wrong_incarnation, report, claim_query, claim_status, document_request, document_difference, document_whole, suspect_notice, lease_request, lease_grant>;
 
 } // namespace kumquat
--- a/drivers/json/settings_codec.cpp
+++ b/drivers/json/settings_codec.cpp
@@ -3,6 +3,8 @@
 #include "drivers/json/embedded_schemas.h"
 #include "drivers/json/schema_check.h"
 
+#include <algorithm>
+
 namespace kumquat {
 
 namespace {
@@ -46,6 +48,26 @@
         value = std::chrono::milliseconds(root.value(name, value.count()));
     }
 
+    void readClaims(const json& root, claim_options& claims)
+    {
+        claims.shards = root.value("shards", claims.shards);
+        claims.answerLimitBytes = root.value("answer_limit_bytes", claims.answerLimitBytes);
+        readMilliseconds(root, "timeout_ms", claims.claimTimeout);
+        readMilliseconds(root, "commit_interval_ms", claims.commitInterval);
+        readMilliseconds(root, "store_retry_interval_ms", claims.storeRetryInterval);
+        readMilliseconds(root, "query_timeout_ms", claims.queryTimeout);
+        readMilliseconds(root, "retention_ms", claims.retention);
+    }
+
+    // A key that is forgotten while its request may still be running could run again.
+    std::optional<error> checkRetention(const std::string& source, const entry_options& options)
+    {
+        const auto shortest = 4 * std::max(options.requestTimeout, options.claims.claimTimeout);
+        if (options.claims.retention >= shortest)
+            return std::nullopt;
+        return error { source + ": at /claims/retention_ms: " + std::to_string(options.claims.retention.count()) + " is below four times the longest life of a request, " + std::to_string(shortest.count()) };
+    }
+
     // Without a key anybody who reaches the listener can give orders, so that is for the loopback interface only.
     std::optional<error> checkNetworkKey(const std::string& source, const std::string& peerAddress, const common_settings& settings)
     {
@@ -108,7 +130,9 @@
     readMilliseconds(root, "report_timeout_ms", options.reportTimeout);
     readMilliseconds(root, "resend_interval_ms", options.resendInterval);
     readMilliseconds(root, "drain_grace_ms", options.drainGrace);
+    options.documentPeers = root.value("document_peers", options.documentPeers);
     readMilliseconds(root, "drain_limit_ms", options.drainLimit);
+    readClaims(root.value("claims", json::object()), options.claims);
     for (const auto& item : root.value("upstreams", json::array())) {
         settings.upstreams.push_back({ .id = item.at("id"),
             .role = "sidecar",
@@ -116,6 +140,8 @@
             .dataCentre = item.value("data_centre", options.dataCentre),
             .address = item.at("peer_address") });
     }
+    if (const auto failure = checkRetention(source, options))
+        return *failure;
     return settings;
 }
 
@@ -127,8 +153,6 @@
     const auto& root = valueOf(parsed);
     sidecar_settings settings;
     settings.common = readCommon(root);
-    if (const auto failure = checkSources(source, settings.common))
-        return *failure;
     settings.bodyLimitBytes = root.value("body_limit_bytes", settings.bodyLimitBytes);
     const auto& upstream = root.at("upstream");
     settings.upstream = readListen(upstream);
@@ -145,6 +169,7 @@
     readMilliseconds(root, "report_interval_ms", options.reportInterval);
     readMilliseconds(root, "entry_timeout_ms", options.entryTimeout);
     readMilliseconds(root, "tombstone_retention_ms", options.tombstoneRetention);
+    options.documentPeers = root.value("document_peers", options.documentPeers);
     readMilliseconds(root, "drain_limit_ms", options.drainLimit);
     return settings;
 }
--- a/servers/entry/entry_options.h
+++ b/servers/entry/entry_options.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "servers/claims/claim_options.h"
 #include "servers/entry/retry_backoff.h"
 #include "servers/entry/retry_budget.h"
 #include "servers/entry/routing_policy.h"
@@ -9,6 +10,7 @@
 #include <chrono>
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace kumquat {
 
@@ -46,6 +48,10 @@
     std::chrono::milliseconds drainLimit { 600000 };
     std::uint64_t seed = 1;
     routing_policy policy;
+    // The identity inside is taken from this entry.
+    claim_options claims;
+    // Peers that are asked for the document while this entry has none.
+    std::vector<std::string> documentPeers;
 };
 
 } // namespace kumquat
--- a/servers/entry/entry_reducer.cpp
+++ b/servers/entry/entry_reducer.cpp
@@ -1,6 +1,8 @@
 #include "servers/entry/entry_reducer.h"
 
 #include "core/hash.h"
+#include "core/overloaded.h"
+#include "core/request_id.h"
 #include "servers/entry/classifier.h"
 #include "servers/entry/expected_wait.h"
 
@@ -29,13 +31,11 @@
         return hashBytes(body, hashBytes(service, hashBytes(organisation)));
     }
 
-    std::string hexadecimal(std::uint64_t value)
+    claim_options claimOptionsOf(const entry_options& options)
     {
-        constexpr char digits[] = "0123456789abcdef";
-        std::string text;
-        for (int shift = 60; shift >= 0; shift -= 4)
-            text += digits[(value >> shift) & 0xf];
-        return text;
+        auto claims = options.claims;
+        claims.self = { options.id, options.address, options.incarnation };
+        return claims;
     }
 
     double seconds(duration span)
@@ -47,8 +47,10 @@
 
 entry_reducer::entry_reducer(entry_options options)
     : m_options(std::move(options))
+    , m_keeper({ .self = { m_options.id, m_options.address, m_options.incarnation }, .dataCentre = m_options.dataCentre, .mayWatch = true, .bootstrapPeers = m_options.documentPeers })
     , m_directory(m_options.reportTimeout)
     , m_selector(m_options.policy, m_options.dataCentre, m_options.seed)
+    , m_claims(claimOptionsOf(m_options))
     , m_random(m_options.seed)
     , m_withdrawals(m_options.resendInterval, m_options.resendLimit)
     , m_retryBudget(m_options.retryBudget)
@@ -71,7 +73,7 @@
 std::optional<instant> entry_reducer::nextDeadline() const
 {
     std::optional<instant> next;
-    for (const auto& candidate : { m_timers.nextDeadline(), m_withdrawals.nextDeadline(), m_nextSubscribe, m_nextLeaseRenewal, m_listenDeadline, m_drainDeadline }) {
+    for (const auto& candidate : { m_timers.nextDeadline(), m_withdrawals.nextDeadline(), m_nextSubscribe, m_nextLeaseRenewal, m_listenDeadline, m_drainDeadline, m_claims.nextDeadline(), m_keeper.nextDeadline() }) {
         if (candidate && (!next || *candidate < *next))
             next = candidate;
     }
@@ -85,7 +87,7 @@
 
 void entry_reducer::handle(const caller_arrived& event)
 {
-    const auto id = m_options.id + "-" + hexadecimal(m_options.incarnation) + "-" + std::to_string(m_nextRequest++);
+    const auto id = requestIdPrefix({ m_options.id, m_options.address, m_options.incarnation }) + std::to_string(m_nextRequest++);
     const auto reject = [&](const caller_error& error) {
         m_effects->push_back(fail_answer { event.channel, id, error });
         m_effects->push_back(log_event { log_level::info, "request_rejected", { { "request", id }, { "code", toString(error.code) }, { "message", error.message } } });
@@ -130,15 +132,19 @@
     }
     record.arrivedAt = m_now;
     record.deadline = m_now + m_options.requestTimeout;
-    accept(std::move(record));
+    accept(std::move(record), event.request);
 }
 
-void entry_reducer::accept(request_record accepted)
+void entry_reducer::accept(request_record accepted, const caller_request& request)
 {
     const auto id = accepted.id;
     m_channels.emplace(accepted.channel, id);
     auto& record = m_requests.emplace(id, std::move(accepted)).first->second;
     log(log_level::info, "request_accepted", record, { { "organisation", record.organisation }, { "class", record.requestClass.name }, { "service", record.service } });
+    if (!record.requestClass.repeatable && !request.idempotencyKey.empty()) {
+        claimKey(record, request);
+        return;
+    }
     dispatch(record);
 }
 
@@ -270,6 +276,12 @@
     auto& record = m_requests.at(found->second);
     log(log_level::info, "caller_gone", record, { { "delivered_tokens", std::to_string(record.deliveredTokens) } });
     m_effects->push_back(count_metric { "kumquat_entry_abandoned_total", { { "class", record.requestClass.name } } });
+    // A repeat with the same idempotency key may still ask for the answer.
+    if (record.claimed) {
+        m_channels.erase(found);
+        record.channel = 0;
+        return;
+    }
     withdrawAttempt(record);
     forget(record);
 }
@@ -393,6 +405,8 @@
     const auto finished = *attempt.finished;
     m_effects->push_back(send_to_sidecar { attempt.address, acknowledge { { record.id, attempt.number }, attempt.sidecarIncarnation } });
     begin(record, finished.status, finished.contentType);
+    record.status = finished.status;
+    record.contentType = finished.contentType;
     // The engine counts the part that earlier attempts delivered as prompt.
     const auto promptTokens = finished.promptTokens - std::min(finished.promptTokens, attempt.prefixTokens);
     m_suspects.recordSurvival(record.fingerprint);
@@ -406,6 +420,7 @@
     if (!record.isShownEarly())
         m_effects->push_back(append_answer { record.channel, record.deliveredText, 0 });
     m_effects->push_back(finish_answer { record.channel, finishReason, promptTokens, record.deliveredTokens });
+    storeOutcome(record, finishReason, promptTokens);
     m_effects->push_back(count_metric { "kumquat_entry_finished_total", { { "class", record.requestClass.name } } });
     m_effects->push_back(observe_metric { "kumquat_total_seconds", { { "class", record.requestClass.name } }, seconds(m_now - record.arrivedAt) });
     forget(record);
@@ -517,6 +532,126 @@
 {
     m_directory.applyReport(message, m_now);
     m_suspects.learn(message, m_now);
+    stepKeeper(peer_version_seen { message.from, { message.generation, message.documentHash } });
+}
+
+void entry_reducer::receive(const document_request& message)
+{
+    stepKeeper(message);
+}
+
+void entry_reducer::receive(const document_difference& message)
+{
+    stepKeeper(message);
+}
+
+void entry_reducer::receive(const document_whole& message)
+{
+    stepKeeper(message);
+}
+
+void entry_reducer::handle(const entry_keeper_event& event)
+{
+    stepKeeper(event.event);
+}
+
+void entry_reducer::stepKeeper(const keeper_event& event)
+{
+    keeper_effects effects;
+    m_keeper.step(event, m_now, effects);
+    const auto visitor = overloaded {
+        [this](send_to_keeper& send) { m_effects->push_back(send_to_sidecar { std::move(send.address), std::move(send.message) }); },
+        [this](adopt_document& adopt) { handle(entry_document_received { adopt.document->contents }); },
+        [this](auto& other) { m_effects->push_back(std::move(other)); },
+    };
+    for (auto& effect : effects)
+        std::visit(visitor, effect);
+}
+
+void entry_reducer::receive(const claim_query& message)
+{
+    stepClaims(claim_peer_received { message });
+}
+
+void entry_reducer::receive(const claim_status& message)
+{
+    stepClaims(claim_peer_received { message });
+}
+
+void entry_reducer::handle(const entry_claim_answered& event)
+{
+    stepClaims(event.answer);
+}
+
+void entry_reducer::claimKey(request_record& record, const caller_request& request)
+{
+    const auto fingerprint = hashBytes(request.path, hashBytes(request.method, record.fingerprint));
+    stepClaims(claim_wanted { record.id, record.organisation + "/" + request.idempotencyKey, fingerprint, record.service });
+}
+
+// Keeps the whole answer of a claimed request for repeats of its key.
+void entry_reducer::storeOutcome(const request_record& record, const std::string& finishReason, std::uint32_t promptTokens)
+{
+    if (!record.claimed)
+        return;
+    kept_answer answer { .whole = true, .status = record.status, .contentType = record.contentType, .text = record.deliveredText, .finishReason = finishReason, .promptTokens = promptTokens, .outputTokens = record.deliveredTokens };
+    stepClaims(claimed_request_finished { record.id, std::move(answer) });
+}
+
+void entry_reducer::stepClaims(const claim_event& event)
+{
+    claim_effects effects;
+    m_claims.step(event, m_now, effects);
+    for (const auto& effect : effects)
+        std::visit([this](const auto& concrete) { apply(concrete); }, effect);
+}
+
+void entry_reducer::apply(const claim_granted& effect)
+{
+    const auto found = m_requests.find(effect.requestId);
+    // The caller has left while the claim was being made.
+    if (found == m_requests.end()) {
+        stepClaims(claimed_request_failed { effect.requestId, false });
+        return;
+    }
+    found->second.claimed = true;
+    dispatch(found->second);
+}
+
+void entry_reducer::apply(const claim_answered& effect)
+{
+    const auto found = m_requests.find(effect.requestId);
+    if (found == m_requests.end())
+        return;
+    auto& record = found->second;
+    const auto& kept = effect.answer;
+    begin(record, kept.status, kept.contentType);
+    m_effects->push_back(append_answer { record.channel, kept.text, kept.outputTokens });
+    m_effects->push_back(finish_answer { record.channel, kept.finishReason, kept.promptTokens, kept.outputTokens });
+    log(log_level::info, "request_answered_again", record);
+    forget(record);
+}
+
+void entry_reducer::apply(const claim_denied& effect)
+{
+    const auto found = m_requests.find(effect.requestId);
+    if (found == m_requests.end())
+        return;
+    found->second.ran = effect.error.ran;
+    fail(found->second, effect.error);
+}
+
+void entry_reducer::apply(const send_claim_message& effect)
+{
+    m_effects->push_back(send_to_sidecar { effect.address, effect.message });
+}
+
+void entry_reducer::apply(const ask_sidecars& effect)
+{
+    for (const auto& [id, upstream] : m_directory.all()) {
+        if (upstream.service == effect.service)
+            m_effects->push_back(send_to_sidecar { upstream.address, effect.query });
+    }
 }
 
 void entry_reducer::attemptEnded(request_record& record)
@@ -593,6 +728,8 @@
 void entry_reducer::fail(request_record& record, caller_error error)
 {
     error.ran = record.ran;
+    if (record.claimed)
+        stepClaims(claimed_request_failed { record.id, record.ran != ran_state::no });
     log(log_level::warning, "request_failed", record, { { "code", toString(error.code) }, { "ran", toString(error.ran) }, { "message", error.message } });
     m_effects->push_back(count_metric { "kumquat_entry_failed_total", { { "class", record.requestClass.name }, { "code", toString(error.code) } } });
     m_effects->push_back(fail_answer { record.channel, record.id, std::move(error) });
@@ -698,7 +835,8 @@
 
 void entry_reducer::handle(const entry_document_received& event)
 {
-    if (event.contents->generation() <= generation())
+    // The keeper decides between documents of one generation.
+    if (event.contents->generation() < generation())
         return;
     m_document = event.contents;
     m_effects->push_back(log_event { log_level::info, "document_adopted", { { "generation", std::to_string(generation()) } } });
@@ -707,6 +845,7 @@
 void entry_reducer::handle(const instances_listed& event)
 {
     m_instances = event.instances;
+    stepKeeper(keeper_peers_listed { event.instances });
     m_entryAddresses.clear();
     m_entryIds = { m_options.id };
     for (const auto& item : event.instances) {
@@ -793,7 +932,7 @@
     refreshSubset();
     const auto interval = reportInterval();
     for (const auto& [id, upstream] : m_directory.all())
-        m_effects->push_back(send_to_sidecar { upstream.address, subscribe { self(), generation(), interval } });
+        m_effects->push_back(send_to_sidecar { upstream.address, subscribe { self(), generation(), m_keeper.version().hash, interval } });
     m_nextSubscribe = m_now + std::min(interval, longestSubscribeInterval);
 }
 
@@ -808,8 +947,10 @@
 
 void entry_reducer::handle(const entry_timer_due&)
 {
+    stepKeeper(keeper_timer_due {});
     while (const auto id = m_timers.popDue(m_now))
         onRequestTimer(m_requests.at(*id));
+    stepClaims(claim_timer_due {});
     resendWithdrawals();
     if (m_nextLeaseRenewal && *m_nextLeaseRenewal <= m_now)
         renewLeases();
@@ -825,7 +966,8 @@
 {
     if (!draining() || m_listenDeadline || m_stopped)
         return;
-    if (!m_requests.empty() && m_now < *m_drainDeadline)
+    const bool isBusy = !m_requests.empty() || m_claims.unstoredAnswers() > 0;
+    if (isBusy && m_now < *m_drainDeadline)
         return;
     m_stopped = true;
     m_effects->push_back(log_event { log_level::info, "drain_finished", { { "requests", std::to_string(m_requests.size()) } } });
--- a/servers/entry/entry_reducer.h
+++ b/servers/entry/entry_reducer.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "core/timer_queue.h"
+#include "servers/claims/claim_reducer.h"
+#include "servers/config/document_keeper.h"
 #include "servers/entry/entry_effect.h"
 #include "servers/entry/entry_options.h"
 #include "servers/entry/lease_giver.h"
@@ -34,7 +36,9 @@
     // State for the dump and for tests.
     const entry_options& options() const { return m_options; }
     const std::map<std::string, request_record>& requests() const { return m_requests; }
+    const claim_reducer& claims() const { return m_claims; }
     const upstream_directory& upstreams() const { return m_directory; }
+    const document_keeper& keeper() const { return m_keeper; }
     bool draining() const { return m_drainDeadline.has_value(); }
     std::uint64_t generation() const;
     // Whether new callers can be served.
@@ -48,6 +52,8 @@
     void handle(const instances_listed&);
     void handle(const entry_drain_requested&);
     void handle(const entry_timer_due&);
+    void handle(const entry_claim_answered&);
+    void handle(const entry_keeper_event&);
 
     void receive(const offer_refused&);
     void receive(const offer_queued&);
@@ -58,6 +64,24 @@
     void receive(const offer_withdrawn&);
     void receive(const wrong_incarnation&);
     void receive(const report&);
+    void receive(const claim_query&);
+    void receive(const claim_status&);
+    void receive(const document_request&);
+    void receive(const document_difference&);
+    void receive(const document_whole&);
+    // Not-repeatable requests with an idempotency key hold a claim before they are dispatched.
+    void claimKey(request_record&, const caller_request&);
+    void storeOutcome(const request_record&, const std::string& finishReason, std::uint32_t promptTokens);
+    void stepClaims(const claim_event&);
+    void apply(const claim_granted&);
+    void apply(const claim_answered&);
+    void apply(const claim_denied&);
+    void apply(const send_claim_message&);
+    void apply(const ask_sidecars&);
+    // Store calls, log lines and metrics are passed on.
+    template <typename Other>
+    void apply(const Other& effect) { m_effects->push_back(effect); }
+
     void receive(const suspect_notice&);
     void receive(const lease_request&);
     void receive(const lease_grant&);
@@ -65,7 +89,7 @@
     template <typename Other>
     void receive(const Other&) { }
 
-    void accept(request_record);
+    void accept(request_record, const caller_request&);
     void dispatch(request_record&);
     // Returns null when the request cannot be offered anywhere now.
     upstream_state* chooseUpstream(request_record&);
@@ -113,15 +137,18 @@
     void subscribeToAll();
     // Time between two reports of one upstream, so that all of them stay within the stated bytes a second.
     std::chrono::milliseconds reportInterval() const;
+    void stepKeeper(const keeper_event&);
     void stopWhenDrained();
     // Returns the request whose current attempt the answer belongs to, or null for answers of old attempts.
     request_record* findCurrent(const answer_header&);
     void log(log_level, std::string name, const request_record&, std::vector<std::pair<std::string, std::string>> more = {});
 
     entry_options m_options;
+    document_keeper m_keeper;
     document_ptr m_document;
     upstream_directory m_directory;
     upstream_selector m_selector;
+    claim_reducer m_claims;
     std::map<std::string, request_record> m_requests;
     std::unordered_map<channel_id, std::string> m_channels;
     timer_queue<std::string> m_timers;
--- a/servers/entry/request_record.h
+++ b/servers/entry/request_record.h
@@ -80,6 +80,11 @@
     std::string deliveredText;
     std::uint32_t deliveredTokens = 0;
     std::optional<instant> firstTokenAt;
+    // Whether an idempotency key is held for the request; its whole answer is then kept for repeats.
+    bool claimed = false;
+    // Status and content type of the answer, once it has begun.
+    int status = 200;
+    std::string contentType;
 
     // Whether the answer is written to the caller as it arrives; otherwise it is kept and written at its end.
     bool isShownEarly() const { return format == answer_format::chat_stream || format == answer_format::completion_stream; }
--- a/tests/support/entry_fixture.h
+++ b/tests/support/entry_fixture.h
@@ -83,6 +83,13 @@
 
     entry_effects ask(const std::string& path = "/v1/chat/completions", const std::string& body = "{}") { return step(caller_arrived { nextChannel++, request(path, body) }); }
 
+    entry_effects askWithKey(const std::string& path, const std::string& key)
+    {
+        auto wanted = request(path);
+        wanted.idempotencyKey = key;
+        return step(caller_arrived { nextChannel++, wanted });
+    }
+
     static caller_request request(const std::string& path, const std::string& body = "{}")
     {
         caller_request request;
