--- a/misc/test.sh
+++ b/misc/test.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
-# Installs packages, checks format and lint, builds, and runs all tests.
+# Installs packages, checks format and lint, builds, and runs all tests, the scenario and cost benches with their
+# bounds, and the model checks.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 misc/install.sh
@@ -8,3 +9,6 @@
 misc/build.sh debug
 ctest --test-dir build/debug --output-on-failure
 ctest --test-dir build/release --output-on-failure
+BENCH_THREADS=$(nproc) misc/bench.sh
+misc/cost_bench.sh
+misc/check_model.sh
