Name the bench's constants as the linter asks

Cause: misc/lint.sh failed on main: constants of the bench's enums were in camel case. Change: renamed; nothing else.

--- a/bench/harness/bound_check.cpp
+++ b/bench/harness/bound_check.cpp
@@ -72,7 +72,7 @@
             if (m_product.inversions > m_bounds.inversions)
                 miss("inversions", std::to_string(m_product.inversions) + " inversions");
             for (const auto& item : m_product.violations) {
-                if (item.broken == invariant::noInversion)
+                if (item.broken == invariant::no_inversion)
                     continue;
                 miss("invariants", std::string(toString(item.broken)) + ": " + item.detail);
                 return;
--- a/bench/harness/caller_record.h
+++ b/bench/harness/caller_record.h
@@ -15,7 +15,7 @@
     answered,
     failed,
     left,
-    connectionLost };
+    connection_lost };
 
 // One caller: what it asks, what the right answer is, and what it has seen.
 struct caller_record {
--- a/bench/harness/invariant_checks.cpp
+++ b/bench/harness/invariant_checks.cpp
@@ -20,21 +20,21 @@
 const char* toString(invariant broken)
 {
     switch (broken) {
-    case invariant::exactlyOneEnd:
+    case invariant::exactly_one_end:
         return "exactly one end for each caller";
-    case invariant::ownWholeText:
+    case invariant::own_whole_text:
         return "whole answer in order and its own";
-    case invariant::truthfulNotRun:
+    case invariant::truthful_not_run:
         return "told not run only when not run";
-    case invariant::runsAtMostOnce:
+    case invariant::runs_at_most_once:
         return "not repeatable runs at most once";
-    case invariant::nothingNewWhileLeaving:
+    case invariant::nothing_new_while_leaving:
         return "no new work while leaving";
-    case invariant::drainCutsNothing:
+    case invariant::drain_cuts_nothing:
         return "graceful shutdown cuts off nothing";
-    case invariant::noInversion:
+    case invariant::no_inversion:
         return "no inversion of tiers";
-    case invariant::timersMakeProgress:
+    case invariant::timers_make_progress:
         return "a timer makes progress";
     }
     return "";
@@ -62,15 +62,15 @@
 {
     caller.starts++;
     if (caller.starts > 1 && !caller.requestClass->repeatable)
-        record(invariant::runsAtMostOnce, now, caller.body + " reached an upstream " + std::to_string(caller.starts) + " times");
+        record(invariant::runs_at_most_once, now, caller.body + " reached an upstream " + std::to_string(caller.starts) + " times");
     if (caller.end == caller_end::failed && caller.ran == ran_state::no)
-        record(invariant::truthfulNotRun, now, caller.body + " ran after its caller had been told that it had not");
+        record(invariant::truthful_not_run, now, caller.body + " ran after its caller had been told that it had not");
 }
 
 void invariant_checks::runDecided(const std::string& sidecar, std::optional<instant> leavingSince, instant now)
 {
     if (leavingSince && now > *leavingSince + leavingGrace)
-        record(invariant::nothingNewWhileLeaving, now, sidecar + " started new work while leaving");
+        record(invariant::nothing_new_while_leaving, now, sidecar + " started new work while leaving");
 }
 
 void invariant_checks::textReceived(caller_record& caller, const std::string& text, instant now)
@@ -78,9 +78,9 @@
     if (caller.end == caller_end::left)
         return;
     if (caller.end != caller_end::open)
-        record(invariant::exactlyOneEnd, now, caller.body + " received text after its end");
+        record(invariant::exactly_one_end, now, caller.body + " received text after its end");
     if (!continuesAnswer(caller.bodyHash, caller.receivedBytes, text))
-        record(invariant::ownWholeText, now, caller.body + " received wrong text at byte " + std::to_string(caller.receivedBytes));
+        record(invariant::own_whole_text, now, caller.body + " received wrong text at byte " + std::to_string(caller.receivedBytes));
     if (!caller.firstTokenAt)
         caller.firstTokenAt = now;
     caller.lastTokenAt = now;
@@ -92,7 +92,7 @@
     if (caller.end == caller_end::left)
         return false;
     if (caller.end != caller_end::open) {
-        record(invariant::exactlyOneEnd, now, caller.body + " received a second end");
+        record(invariant::exactly_one_end, now, caller.body + " received a second end");
         return false;
     }
     caller.end = end;
@@ -105,7 +105,7 @@
     if (!endOnce(caller, caller_end::answered, now))
         return;
     if (caller.receivedBytes != caller.answerBytes())
-        record(invariant::ownWholeText, now, caller.body + " received " + std::to_string(caller.receivedBytes) + " of " + std::to_string(caller.answerBytes()) + " bytes");
+        record(invariant::own_whole_text, now, caller.body + " received " + std::to_string(caller.receivedBytes) + " of " + std::to_string(caller.answerBytes()) + " bytes");
 }
 
 void invariant_checks::answerFailed(caller_record& caller, const caller_error& error, instant now)
@@ -115,23 +115,23 @@
     caller.error = error.code;
     caller.ran = error.ran;
     if (error.ran == ran_state::no && caller.starts > 0)
-        record(invariant::truthfulNotRun, now, caller.body + " was told that it had not run, but it had");
+        record(invariant::truthful_not_run, now, caller.body + " was told that it had not run, but it had");
 }
 
 void invariant_checks::stillOpen(const caller_record& caller, instant now)
 {
-    record(invariant::exactlyOneEnd, now, caller.body + " never received an end");
+    record(invariant::exactly_one_end, now, caller.body + " never received an end");
 }
 
 void invariant_checks::stoppedAfterDrain(const std::string& sidecar, std::size_t running, instant now)
 {
     if (running > 0)
-        record(invariant::drainCutsNothing, now, sidecar + " stopped with " + std::to_string(running) + " requests running");
+        record(invariant::drain_cuts_nothing, now, sidecar + " stopped with " + std::to_string(running) + " requests running");
 }
 
 void invariant_checks::timerSpins(const std::string& process, instant now)
 {
-    record(invariant::timersMakeProgress, now, process + " asks for a timer that is already due, without end");
+    record(invariant::timers_make_progress, now, process + " asks for a timer that is already due, without end");
 }
 
 void invariant_checks::shed(const sidecar_reducer& sidecar, const std::set<attempt_id>& live, const std::string& requestId, error_code reason, instant now)
@@ -153,7 +153,7 @@
         const bool takesSlot = std::holds_alternative<attempt_running>(other.state) && lower->requestClass->repeatable && !lower->isPlain() && !isCapped;
         if (!takesRoom && !takesSlot)
             continue;
-        record(invariant::noInversion, now, sidecar.options().id + " refused " + higher->requestClass->name + " (" + kumquat::toString(reason) + ") while " + lower->requestClass->name + (takesRoom ? " waited" : " ran"));
+        record(invariant::no_inversion, now, sidecar.options().id + " refused " + higher->requestClass->name + " (" + kumquat::toString(reason) + ") while " + lower->requestClass->name + (takesRoom ? " waited" : " ran"));
         return;
     }
 }
--- a/bench/harness/invariant_checks.h
+++ b/bench/harness/invariant_checks.h
@@ -14,20 +14,20 @@
 
 // What must hold in every run, whatever fails.
 enum class invariant {
-    exactlyOneEnd,
-    ownWholeText,
-    truthfulNotRun,
-    runsAtMostOnce,
-    nothingNewWhileLeaving,
-    drainCutsNothing,
-    noInversion,
-    timersMakeProgress,
+    exactly_one_end,
+    own_whole_text,
+    truthful_not_run,
+    runs_at_most_once,
+    nothing_new_while_leaving,
+    drain_cuts_nothing,
+    no_inversion,
+    timers_make_progress,
 };
 
 const char* toString(invariant);
 
 struct violation {
-    invariant broken = invariant::exactlyOneEnd;
+    invariant broken = invariant::exactly_one_end;
     instant at;
     std::string detail;
 };
--- a/bench/harness/measurement.cpp
+++ b/bench/harness/measurement.cpp
@@ -179,7 +179,7 @@
     }
     figures.wastedShare = computed > 0 ? wasted / computed : 0;
     figures.crashesByOneRequest = world.mostCrashesByOneRequest();
-    figures.inversions = world.checks().count(invariant::noInversion);
+    figures.inversions = world.checks().count(invariant::no_inversion);
     figures.violations = world.checks().violations();
     figures.steps = world.steps();
     return figures;
--- a/bench/harness/virtual_world.cpp
+++ b/bench/harness/virtual_world.cpp
@@ -243,7 +243,7 @@
     for (auto& caller : m_callers) {
         if (caller.end != caller_end::open || caller.entry != event.entry || caller.arrival > m_queue.now())
             continue;
-        caller.end = caller_end::connectionLost;
+        caller.end = caller_end::connection_lost;
         caller.endedAt = m_queue.now();
         noteEnd(caller);
     }
--- a/tests/properties/schedule_property_test.cpp
+++ b/tests/properties/schedule_property_test.cpp
@@ -69,7 +69,7 @@
     const auto invertTiers = [](kumquat::offer& message, const kumquat::sidecar_reducer&) { message.tierRank = 3 - message.tierRank; };
     virtual_world world(overloadedSite(), product(), invertTiers);
     world.run();
-    REQUIRE(world.checks().count(invariant::noInversion) > 0);
+    REQUIRE(world.checks().count(invariant::no_inversion) > 0);
 }
 
 TEST_CASE("Equal seeds give equal runs")
