Report to each entry at the interval it asks for

Cause: entries ask for slower reports so that all their links stay within 4 KB a second, but sidecars sent each report to every subscriber every second. Change: the sidecar keeps each subscriber's interval; sharp changes still go to all at once. Figures: in 12 s an entry that asks for 4 s receives 3 reports instead of 12.

--- a/servers/sidecar/entry_watch.cpp
+++ b/servers/sidecar/entry_watch.cpp
@@ -15,12 +15,15 @@
     entry.lastHeard = now;
 }
 
-bool entry_watch::subscribe(const peer_identity& identity, instant now)
+bool entry_watch::subscribe(const peer_identity& identity, std::chrono::milliseconds reportInterval, instant now)
 {
     heard(identity, now);
     auto& entry = m_entries.at(keyOf(identity));
     const bool isNew = !entry.subscribed;
     entry.subscribed = true;
+    entry.reportInterval = reportInterval;
+    if (isNew)
+        entry.reportedAt = now;
     return isNew;
 }
 
@@ -64,12 +67,26 @@
     return abandoned;
 }
 
-std::vector<peer_identity> entry_watch::subscribers() const
+std::vector<peer_identity> entry_watch::takeSubscribers(instant now)
 {
     std::vector<peer_identity> identities;
-    for (const auto& [key, entry] : m_entries) {
-        if (entry.subscribed)
-            identities.push_back(entry.identity);
+    for (auto& [key, entry] : m_entries) {
+        if (!entry.subscribed)
+            continue;
+        entry.reportedAt = now;
+        identities.push_back(entry.identity);
+    }
+    return identities;
+}
+
+std::vector<peer_identity> entry_watch::takeDueSubscribers(instant now)
+{
+    std::vector<peer_identity> identities;
+    for (auto& [key, entry] : m_entries) {
+        if (!entry.subscribed || entry.reportedAt + entry.reportInterval > now)
+            continue;
+        entry.reportedAt = now;
+        identities.push_back(entry.identity);
     }
     return identities;
 }
--- a/servers/sidecar/entry_watch.h
+++ b/servers/sidecar/entry_watch.h
@@ -22,7 +22,7 @@
 
     void heard(const peer_identity&, instant now);
     // Returns whether the entry is new here and has to be sent a first report.
-    bool subscribe(const peer_identity&, instant now);
+    bool subscribe(const peer_identity&, std::chrono::milliseconds reportInterval, instant now);
 
     // The entry waits for the attempt to end.
     void began(const peer_identity&, const attempt_id&);
@@ -35,8 +35,10 @@
     // Forgets the entries that have been silent, and returns the attempts that nobody waits for any more.
     std::vector<attempt_id> takeAbandoned(instant now);
 
-    // Returns the entries that want reports.
-    std::vector<peer_identity> subscribers() const;
+    // Returns the entries that want reports, all of which are told now.
+    std::vector<peer_identity> takeSubscribers(instant now);
+    // Returns those whose own interval has passed since they were last told, and which are told now.
+    std::vector<peer_identity> takeDueSubscribers(instant now);
     bool hasEntries() const { return !m_entries.empty(); }
 
 private:
@@ -46,6 +48,8 @@
         peer_identity identity;
         instant lastHeard;
         bool subscribed = false;
+        std::chrono::milliseconds reportInterval { 0 };
+        instant reportedAt;
         std::set<attempt_id> waitingFor;
         std::set<attempt_id> unacknowledged;
     };
--- a/servers/sidecar/sidecar_reducer.cpp
+++ b/servers/sidecar/sidecar_reducer.cpp
@@ -279,7 +279,7 @@
 void sidecar_reducer::receive(const subscribe& request)
 {
     heardFrom(request.from);
-    if (m_entries.subscribe(request.from, m_now))
+    if (m_entries.subscribe(request.from, request.reportInterval, m_now))
         send(request.from.address, makeReport());
     stepKeeper(peer_version_seen { request.from, { request.generation, request.documentHash } });
 }
@@ -445,7 +445,7 @@
     }
     if (m_nextReport && *m_nextReport <= m_now) {
         cancelWorkOfSilentEntries();
-        publishReport();
+        publishDueReports();
     }
 }
 
@@ -484,11 +484,29 @@
 
 void sidecar_reducer::publishReport()
 {
-    const auto current = makeReport();
-    for (const auto& entry : m_entries.subscribers())
-        send(entry.address, current);
+    sendReport(m_entries.takeSubscribers(m_now));
     m_lastReportedLoad = runningCount() + static_cast<std::uint32_t>(queuedCount());
     m_reportedSuspicions = m_scheduler->suspects().version();
+    scheduleReport();
+}
+
+void sidecar_reducer::publishDueReports()
+{
+    sendReport(m_entries.takeDueSubscribers(m_now));
+    scheduleReport();
+}
+
+void sidecar_reducer::sendReport(const std::vector<peer_identity>& receivers)
+{
+    if (receivers.empty())
+        return;
+    const auto current = makeReport();
+    for (const auto& entry : receivers)
+        send(entry.address, current);
+}
+
+void sidecar_reducer::scheduleReport()
+{
     m_nextReport = m_entries.hasEntries() ? std::optional(m_now + m_options.reportInterval) : std::nullopt;
 }
 
--- a/servers/sidecar/sidecar_reducer.h
+++ b/servers/sidecar/sidecar_reducer.h
@@ -80,7 +80,12 @@
     void dropAnswer(attempt_record&);
     void heardFrom(const peer_identity&);
     void cancelWorkOfSilentEntries();
+    // Tells all subscribers, at a sharp change.
     void publishReport();
+    // Tells the subscribers whose interval has passed.
+    void publishDueReports();
+    void sendReport(const std::vector<peer_identity>& receivers);
+    void scheduleReport();
     void publishReportOnSharpChange();
     void stepKeeper(const keeper_event&);
     claim_status claimStatusOf(const attempt_record&) const;
--- a/tests/servers/sidecar_reducer_test.cpp
+++ b/tests/servers/sidecar_reducer_test.cpp
@@ -198,3 +198,32 @@
     CHECK(after[0].answer.text == "{}");
     CHECK(sent<claim_status>(fixture.receive(claim_query { query.from, "r2" })).empty());
 }
+
+TEST_CASE("sidecar reports to each entry at the interval that the entry asks for, and to all at a sharp change")
+{
+    sidecar_fixture fixture(8);
+    const auto subscribeAs = [&](const std::string& id, std::chrono::milliseconds interval) {
+        fixture.receive(subscribe { .from = { id, "tcp://" + id, 3 }, .reportInterval = interval });
+    };
+    std::map<std::string, int> reports;
+    const auto count = [&](const sidecar_effects& effects) {
+        for (const auto& message : only<send_to_peer>(effects)) {
+            if (std::holds_alternative<report>(message.message))
+                reports[message.address]++;
+        }
+    };
+    subscribeAs("eager", 0ms);
+    subscribeAs("frugal", 4s);
+    for (int second = 0; second < 12; ++second) {
+        fixture.now += 1s;
+        subscribeAs("eager", 0ms);
+        subscribeAs("frugal", 4s);
+        count(fixture.step(timer_due {}));
+    }
+    CHECK(reports["tcp://eager"] == 12);
+    CHECK(reports["tcp://frugal"] == 3);
+    reports.clear();
+    for (const char* id : { "r1", "r2", "r3", "r4", "r5" })
+        count(fixture.receive(fixture.makeOffer(id)));
+    CHECK(reports["tcp://frugal"] == 1);
+}
