--- a/misc/demo.sh
+++ b/misc/demo.sh
@@ -9,9 +9,12 @@
 out=out/demo
 mkdir -p "$out"
 pids=()
+# Ends the processes in reverse order: an entry that drains still stores the outcomes of claimed requests.
 stop() {
-    for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
-    for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
+    for ((index = ${#pids[@]} - 1; index >= 0; --index)); do
+        kill "${pids[index]}" 2>/dev/null || true
+        wait "${pids[index]}" 2>/dev/null || true
+    done
 }
 trap stop EXIT
 start() {
@@ -20,6 +23,9 @@
     "$@" >"$out/$name.out" 2>"$out/$name.log" &
     pids+=($!)
 }
+# Idempotency keys of gate passes and receipts are claimed in the object API of each deployment.
+start object-api-consortium $bin/tests/stand-in-object-api 18064
+start object-api-archive $bin/tests/stand-in-object-api 18065
 start engine-kasa $bin/tests/stand-in-model-engine 18060 8 40 8
 start service-dwumadie $bin/tests/stand-in-plain-service 18061
 start engine-kumquat-llm $bin/tests/stand-in-model-engine 18062 8 40 8
