--- a/tests/drivers/settings_codec_test.cpp
+++ b/tests/drivers/settings_codec_test.cpp
@@ -48,6 +48,7 @@
     SECTION("no document")
     {
         root.erase("document_file");
+        root.erase("object_api");
         CHECK_THAT(messageFor(root), Catch::Contains("'object_api'") && Catch::Contains("'document_file'"));
     }
     SECTION("no key on a real network")
