--- a/drivers/json/settings_codec.cpp
+++ b/drivers/json/settings_codec.cpp
@@ -18,6 +18,15 @@
         return { .host = from.value("host", "127.0.0.1"), .port = from.at("port") };
     }
 
+    // Returns an empty address when the settings name no object API.
+    object_api_address readObjectApi(const json& root)
+    {
+        if (!root.contains("object_api"))
+            return {};
+        const auto address = readListen(root.at("object_api"));
+        return { address.host, address.port };
+    }
+
     log_level readLevel(const std::string& name)
     {
         if (name == "debug")
@@ -36,10 +45,7 @@
         settings.logLevel = readLevel(root.value("log_level", "info"));
         settings.documentFile = root.value("document_file", "");
         settings.networkKey = root.value("network_key", "");
-        if (root.contains("object_api")) {
-            const auto address = readListen(root.at("object_api"));
-            settings.objectApi = { address.host, address.port };
-        }
+        settings.objectApi = readObjectApi(root);
         return settings;
     }
 
@@ -186,10 +192,7 @@
         return *failure;
     const auto& root = valueOf(parsed);
     operator_settings settings;
-    if (root.contains("object_api")) {
-        const auto address = readListen(root.at("object_api"));
-        settings.objectApi = { address.host, address.port };
-    }
+    settings.objectApi = readObjectApi(root);
     settings.nodes = root.value("nodes", settings.nodes);
     settings.operatorName = root.value("operator", "");
     return settings;
