--- /dev/null
+++ b/core/router_settings.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "core/clock.h"
+#include "core/http_message.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace kumquat {
+
+// What a router learns when it starts, and again whenever its settings change.
+struct router_settings {
+    std::string instance;
+    std::string dataCentre;
+    endpoint callers;
+    // Readiness, metrics and state dump.
+    endpoint admin;
+    endpoint store;
+    // Routers may talk to each other on this port.
+    std::uint16_t peerPort = 0;
+    // The instance's own address, at which peers reach it.
+    std::string address;
+    // Memory of the process, in bytes.
+    std::size_t memoryBytes = 0;
+    // A key that was taken away is refused everywhere by then; requests with a key are refused when the store has been
+    // out of reach for that long.
+    duration revocationDeadline = std::chrono::seconds(5);
+    // From SIGTERM to SIGKILL.
+    duration shutdownGrace = std::chrono::seconds(8);
+    // The share of a service's requests that may be sent a second time within the window, besides the allowance.
+    double retryRatio = 0.1;
+    double retryAllowance = 10;
+    duration retryWindow = std::chrono::seconds(10);
+    // How long lapsed upstream records may take to come back after an outage of the store.
+    duration recordReturn = std::chrono::seconds(2);
+    // An upstream that leaves must get no new work after this time.
+    duration leavingDeadline = std::chrono::seconds(2);
+
+    bool operator==(const router_settings&) const = default;
+};
+
+} // namespace kumquat
--- /dev/null
+++ b/core/routing_config.cpp
@@ -0,0 +1,35 @@
+#include "core/routing_config.h"
+
+namespace kumquat {
+
+namespace {
+
+    std::string routeKey(std::string_view host, std::string_view prefix)
+    {
+        std::string key;
+        key.reserve(host.size() + prefix.size() + 1);
+        key.append(host).append("\n").append(prefix);
+        return key;
+    }
+
+} // namespace
+
+void routing_config::addRoute(route added)
+{
+    auto key = routeKey(added.host, added.pathPrefix);
+    m_routes.insert_or_assign(std::move(key), std::move(added));
+}
+
+const route* routing_config::match(std::string_view host, std::string_view path) const
+{
+    for (auto end = path.rfind('/'); end != std::string_view::npos; end = path.rfind('/', end - 1)) {
+        const auto found = m_routes.find(routeKey(host, path.substr(0, end + 1)));
+        if (found != m_routes.end())
+            return &found->second;
+        if (end == 0)
+            break;
+    }
+    return nullptr;
+}
+
+} // namespace kumquat
--- a/drivers/asio/reactor.cpp
+++ b/drivers/asio/reactor.cpp
@@ -14,15 +14,15 @@
     asio::executor_work_guard<asio::io_context::executor_type> guard { context.get_executor() };
     asio::steady_timer timer { context };
     asio::signal_set signals { context };
-    std::function<void()> onTerminate;
+    asio::signal_set hangups { context };
 
-    void awaitSignal()
+    static void awaitSignal(asio::signal_set& signals, const std::function<void()>& task)
     {
-        signals.async_wait([this](const asio::error_code& failure, int) {
+        signals.async_wait([&signals, task](const asio::error_code& failure, int) {
             if (failure)
                 return;
-            onTerminate();
-            awaitSignal();
+            task();
+            awaitSignal(signals, task);
         });
     }
 };
@@ -53,10 +53,20 @@
 
 void reactor::onTerminate(std::function<void()> task)
 {
-    m_implementation->onTerminate = std::move(task);
     m_implementation->signals.add(SIGTERM);
     m_implementation->signals.add(SIGINT);
-    m_implementation->awaitSignal();
+    implementation::awaitSignal(m_implementation->signals, task);
+}
+
+void reactor::onHangup(std::function<void()> task)
+{
+    m_implementation->hangups.add(SIGHUP);
+    implementation::awaitSignal(m_implementation->hangups, task);
+}
+
+asio::io_context& reactor::context()
+{
+    return m_implementation->context;
 }
 
 void reactor::run()
--- a/drivers/asio/reactor.h
+++ b/drivers/asio/reactor.h
@@ -6,6 +6,10 @@
 #include <memory>
 #include <optional>
 
+namespace asio {
+class io_context;
+}
+
 namespace kumquat {
 
 // Runs functions one after another on the thread that calls run(). Wraps an Asio context, one timer and the
@@ -23,6 +27,10 @@
     void setTimer(std::optional<instant> at, std::function<void()> onDue);
     // Calls the function at each SIGTERM or SIGINT.
     void onTerminate(std::function<void()>);
+    // Calls the function at each SIGHUP.
+    void onHangup(std::function<void()>);
+    // For the other drivers that run on this thread.
+    asio::io_context& context();
     void run();
     void stop();
 
--- /dev/null
+++ b/drivers/http_parser/request_reader.cpp
@@ -0,0 +1,156 @@
+#include "drivers/http_parser/request_reader.h"
+
+#include "drivers/http_parser/head_scanner.h"
+
+#include <http_parser.h>
+
+namespace kumquat {
+
+struct request_reader::implementation {
+    http_parser parser {};
+    http_read_limits limits;
+    head_scanner head;
+    bool headParsed = false;
+    bool valueFollows = false;
+    state current = state::reading;
+    http_request request;
+
+    // Returns how many bytes belong to the request.
+    std::size_t parse(std::string_view bytes);
+    void parseHead();
+};
+
+namespace {
+
+    template <typename Implementation>
+    Implementation& ownerOf(http_parser* parser)
+    {
+        return *static_cast<Implementation*>(parser->data);
+    }
+
+    // Field names and values may arrive in pieces; a name after a value starts the next header.
+    template <typename Implementation>
+    http_parser_settings makeCallbacks()
+    {
+        http_parser_settings callbacks;
+        http_parser_settings_init(&callbacks);
+        callbacks.on_url = [](http_parser* parser, const char* at, std::size_t size) {
+            ownerOf<Implementation>(parser).request.target.append(at, size);
+            return 0;
+        };
+        callbacks.on_header_field = [](http_parser* parser, const char* at, std::size_t size) {
+            auto& owner = ownerOf<Implementation>(parser);
+            if (owner.valueFollows || owner.request.headers.empty())
+                owner.request.headers.emplace_back();
+            owner.valueFollows = false;
+            owner.request.headers.back().name.append(at, size);
+            return 0;
+        };
+        callbacks.on_header_value = [](http_parser* parser, const char* at, std::size_t size) {
+            auto& owner = ownerOf<Implementation>(parser);
+            owner.valueFollows = true;
+            owner.request.headers.back().value.append(at, size);
+            return 0;
+        };
+        callbacks.on_headers_complete = [](http_parser* parser) {
+            auto& owner = ownerOf<Implementation>(parser);
+            owner.headParsed = true;
+            owner.request.method = http_method_str(static_cast<http_method>(parser->method));
+            owner.request.keepAlive = http_should_keep_alive(parser) != 0;
+            return 0;
+        };
+        callbacks.on_body = [](http_parser* parser, const char* at, std::size_t size) {
+            auto& owner = ownerOf<Implementation>(parser);
+            if (owner.request.body.size() + size > owner.limits.bodyBytes) {
+                owner.current = request_reader::state::bodyTooLarge;
+                return 1;
+            }
+            owner.request.body.append(at, size);
+            return 0;
+        };
+        callbacks.on_message_complete = [](http_parser* parser) {
+            ownerOf<Implementation>(parser).current = request_reader::state::complete;
+            http_parser_pause(parser, 1);
+            return 0;
+        };
+        return callbacks;
+    }
+
+} // namespace
+
+request_reader::request_reader(http_read_limits limits)
+    : m_implementation(std::make_unique<implementation>())
+{
+    http_parser_init(&m_implementation->parser, HTTP_REQUEST);
+    m_implementation->parser.data = m_implementation.get();
+    m_implementation->limits = limits;
+}
+
+request_reader::~request_reader() = default;
+
+void request_reader::implementation::parseHead()
+{
+    parse(head.text());
+    if (current != state::reading && current != state::complete)
+        return;
+    // CONNECT asks for a tunnel, which is not offered.
+    if (parser.method == HTTP_CONNECT) {
+        current = state::malformed;
+        return;
+    }
+    if (parser.http_major != 1 || parser.http_minor != 1) {
+        current = state::versionUnsupported;
+        return;
+    }
+    if (current == state::reading && parser.content_length != ULLONG_MAX && parser.content_length > limits.bodyBytes)
+        current = state::bodyTooLarge;
+}
+
+std::size_t request_reader::implementation::parse(std::string_view bytes)
+{
+    static const auto callbacks = makeCallbacks<implementation>();
+    const auto parsed = http_parser_execute(&parser, &callbacks, bytes.data(), bytes.size());
+    const auto failure = HTTP_PARSER_ERRNO(&parser);
+    if (failure != HPE_OK && failure != HPE_PAUSED && current == state::reading)
+        current = state::malformed;
+    return parsed;
+}
+
+std::size_t request_reader::feed(std::string_view bytes)
+{
+    auto& self = *m_implementation;
+    std::size_t taken = 0;
+    if (!self.headParsed) {
+        taken = self.head.feed(bytes, self.limits.headerBytes);
+        if (self.head.current() == head_scanner::state::malformed)
+            self.current = state::malformed;
+        if (self.head.current() == head_scanner::state::tooLarge)
+            self.current = state::headerTooLarge;
+        if (self.head.current() != head_scanner::state::complete)
+            return taken;
+        self.parseHead();
+    }
+    if (self.current != state::reading || taken == bytes.size())
+        return taken;
+    return taken + self.parse(bytes.substr(taken));
+}
+
+request_reader::state request_reader::current() const
+{
+    return m_implementation->current;
+}
+
+bool request_reader::awaitsContinue() const
+{
+    if (!m_implementation->headParsed || m_implementation->current != state::reading)
+        return false;
+    const auto* expectation = findHeader(m_implementation->request.headers, "Expect");
+    return expectation && equalsIgnoringCase(*expectation, "100-continue");
+}
+
+http_request request_reader::take()
+{
+    return std::move(m_implementation->request);
+}
+
+} // namespace kumquat
--- a/main/ctl_main.cpp
+++ b/main/ctl_main.cpp
@@ -1,4 +1,4 @@
-#include "platform/ctl_process.h"
+#include "processes/ctl_process.h"
 
 int main(int argumentCount, char** arguments)
 {
--- a/main/entry_main.cpp
+++ b/main/entry_main.cpp
@@ -1,6 +1,6 @@
 #include "drivers/json/settings_codec.h"
-#include "platform/entry_process.h"
-#include "platform/server_main.h"
+#include "processes/entry_process.h"
+#include "processes/server_main.h"
 
 int main(int argumentCount, char** arguments)
 {
--- a/main/load_main.cpp
+++ b/main/load_main.cpp
@@ -1,7 +1,7 @@
 #include "drivers/cxxopts/load_command_line.h"
 #include "drivers/json/experiment_codec.h"
-#include "platform/file_reader.h"
-#include "platform/load_process.h"
+#include "processes/file_reader.h"
+#include "processes/load_process.h"
 
 #include <fstream>
 #include <iostream>
--- a/main/sidecar_main.cpp
+++ b/main/sidecar_main.cpp
@@ -1,6 +1,6 @@
 #include "drivers/json/settings_codec.h"
-#include "platform/server_main.h"
-#include "platform/sidecar_process.h"
+#include "processes/server_main.h"
+#include "processes/sidecar_process.h"
 
 int main(int argumentCount, char** arguments)
 {
--- a/misc/install.sh
+++ b/misc/install.sh
@@ -2,7 +2,7 @@
 # Installs what the build, the tests and the benchmarks need, from Debian's packages.
 set -euo pipefail
 packages=(ccache cmake ninja-build g++ clang clang-format clang-tidy pkg-config curl jq git
-    libasio-dev libnng-dev prometheus-cpp-dev libcpp-httplib-dev libcxxopts-dev libspdlog-dev
+    libasio-dev libnng-dev prometheus-cpp-dev libcpp-httplib-dev libhttp-parser-dev libcxxopts-dev libspdlog-dev
     libtrompeloeil-cpp-dev libvalijson-dev catch2 nlohmann-json3-dev libssl-dev libxxhash-dev
     librapidcheck-dev libbenchmark-dev libclang-rt-14-dev zlib1g-dev spin gnuplot-nox valgrind)
 missing=()
--- a/platform/ctl_process.cpp
+++ b/processes/ctl_process.cpp
@@ -1,4 +1,4 @@
-#include "platform/ctl_process.h"
+#include "processes/ctl_process.h"
 
 #include "core/overloaded.h"
 #include "drivers/cxxopts/ctl_command_line.h"
@@ -6,8 +6,8 @@
 #include "drivers/json/document_text.h"
 #include "drivers/json/operator_report.h"
 #include "drivers/json/settings_codec.h"
-#include "platform/file_reader.h"
-#include "platform/fleet_client.h"
+#include "processes/file_reader.h"
+#include "processes/fleet_client.h"
 
 #include <iostream>
 
--- a/platform/document_loader.cpp
+++ b/processes/document_loader.cpp
@@ -1,7 +1,7 @@
-#include "platform/document_loader.h"
+#include "processes/document_loader.h"
 
 #include "drivers/json/document_text.h"
-#include "platform/file_reader.h"
+#include "processes/file_reader.h"
 
 namespace kumquat {
 
--- a/platform/document_worker.cpp
+++ b/processes/document_worker.cpp
@@ -1,4 +1,4 @@
-#include "platform/document_worker.h"
+#include "processes/document_worker.h"
 
 #include "drivers/json/document_text.h"
 
--- a/platform/entry_process.cpp
+++ b/processes/entry_process.cpp
@@ -1,4 +1,4 @@
-#include "platform/entry_process.h"
+#include "processes/entry_process.h"
 
 #include "core/overloaded.h"
 #include "drivers/asio/reactor.h"
@@ -11,11 +11,11 @@
 #include "drivers/openssl/digest.h"
 #include "drivers/prometheus/metrics_registry.h"
 #include "drivers/spdlog/event_log.h"
-#include "platform/document_loader.h"
-#include "platform/document_worker.h"
-#include "platform/inspect.h"
-#include "platform/platform_watcher.h"
-#include "platform/reducer_loop.h"
+#include "processes/document_loader.h"
+#include "processes/document_worker.h"
+#include "processes/inspect.h"
+#include "processes/platform_watcher.h"
+#include "processes/reducer_loop.h"
 #include "servers/entry/entry_reducer.h"
 
 #include <thread>
--- a/platform/file_reader.cpp
+++ b/processes/file_reader.cpp
@@ -1,4 +1,4 @@
-#include "platform/file_reader.h"
+#include "processes/file_reader.h"
 
 #include <cerrno>
 #include <cstring>
--- a/platform/fleet_client.cpp
+++ b/processes/fleet_client.cpp
@@ -1,10 +1,10 @@
-#include "platform/fleet_client.h"
+#include "processes/fleet_client.h"
 
 #include "core/overloaded.h"
 #include "drivers/http/admin_client.h"
 #include "drivers/json/publication_codec.h"
 #include "drivers/openssl/digest.h"
-#include "platform/platform_watcher.h"
+#include "processes/platform_watcher.h"
 #include "servers/config/document_publisher.h"
 
 #include <deque>
--- a/platform/load_process.cpp
+++ b/processes/load_process.cpp
@@ -1,4 +1,4 @@
-#include "platform/load_process.h"
+#include "processes/load_process.h"
 
 #include "drivers/http/load_client.h"
 #include "drivers/http/worker_pool.h"
--- a/platform/platform_watcher.cpp
+++ b/processes/platform_watcher.cpp
@@ -1,4 +1,4 @@
-#include "platform/platform_watcher.h"
+#include "processes/platform_watcher.h"
 
 #include "drivers/http/object_api_client.h"
 #include "drivers/json/document_text.h"
--- /dev/null
+++ b/processes/router_process.cpp
@@ -0,0 +1,327 @@
+#include "processes/router_process.h"
+
+#include "core/overloaded.h"
+#include "drivers/asio/http_client.h"
+#include "drivers/asio/http_server.h"
+#include "drivers/asio/reactor.h"
+#include "drivers/prometheus/metrics_registry.h"
+#include "drivers/spdlog/bounded_sink.h"
+#include "drivers/spdlog/event_log.h"
+#include "platform/answer_codec.h"
+#include "platform/request_codec.h"
+#include "platform/settings_decoder.h"
+#include "platform/store_codec.h"
+#include "processes/file_reader.h"
+#include "servers/router/router_reducer.h"
+
+#include <algorithm>
+#include <deque>
+#include <unordered_map>
+
+namespace kumquat {
+
+namespace {
+
+    // How often waiting log lines are written and the settings file is looked at.
+    constexpr auto housekeepingInterval = std::chrono::milliseconds(500);
+
+    // A read of the store whose answer is being collected.
+    struct store_call {
+        router::store_kind kind = router::store_kind::upstreams;
+        int status = 0;
+        std::string body;
+    };
+
+    class router_process {
+    public:
+        router_process(std::string settingsFile, std::string settingsText, const router_settings& settings);
+        std::optional<error> openServers();
+        int run();
+
+    private:
+        void post(router::router_event);
+        void step(router::router_event);
+        void execute(router::router_effect&);
+        void armTimer();
+        void keepHouse();
+        void reloadSettings();
+        void onCallerRequest(connection_id, http_request&&);
+        void onAdminRequest(connection_id, const http_request&);
+        void startRead(const router::read_store&);
+        void finishRead(call_id);
+        void reportRead(call_id, router::store_kind, int status, const std::string& body, const std::string& failure);
+        http_client::handlers upstreamHandlers();
+        http_client::handlers storeHandlers();
+
+        std::string m_settingsFile;
+        std::string m_settingsText;
+        router_settings m_settings;
+        reactor m_reactor;
+        metrics_registry m_metrics;
+        router::router_reducer m_reducer;
+        http_client m_upstreams;
+        http_client m_store;
+        std::unique_ptr<http_server> m_callers;
+        std::unique_ptr<http_server> m_admin;
+        std::unordered_map<call_id, store_call> m_reads;
+        std::deque<router::router_event> m_waiting;
+        bool m_stepping = false;
+        std::optional<instant> m_armed;
+        instant m_housekeepingAt;
+    };
+
+    router_process::router_process(std::string settingsFile, std::string settingsText, const router_settings& settings)
+        : m_settingsFile(std::move(settingsFile))
+        , m_settingsText(std::move(settingsText))
+        , m_settings(settings)
+        , m_reducer({ settings })
+        , m_upstreams(m_reactor, upstreamHandlers())
+        , m_store(m_reactor, storeHandlers())
+    {
+    }
+
+    http_client::handlers router_process::upstreamHandlers()
+    {
+        return {
+            .onHead = [this](call_id call, http_answer_head head) { post(router::answer_started { call, platform::decodeAnswer(std::move(head)) }); },
+            .onBody = [this](call_id call, std::string_view bytes) { post(router::answer_continued { call, std::string(bytes) }); },
+            .onEnd = [this](call_id call) { post(router::answer_ended { call }); },
+            .onFailed = [this](call_id call, http_call_failure failure) { post(router::send_failed { call, failure.sent, std::move(failure.reason) }); },
+            .onConnected = [this] { m_metrics.apply(count_metric { "kumquat_router_connections_total", { { "to", "upstream" } } }); },
+        };
+    }
+
+    http_client::handlers router_process::storeHandlers()
+    {
+        return {
+            .onHead = [this](call_id call, const http_answer_head& head) { m_reads[call].status = head.status; },
+            .onBody = [this](call_id call, std::string_view bytes) { m_reads[call].body.append(bytes); },
+            .onEnd = [this](call_id call) { finishRead(call); },
+            .onFailed = [this](call_id call, const http_call_failure& failure) {
+                const auto kind = m_reads[call].kind;
+                m_reads.erase(call);
+                reportRead(call, kind, 0, {}, failure.reason); },
+            .onConnected = [this] { m_metrics.apply(count_metric { "kumquat_router_connections_total", { { "to", "store" } } }); },
+        };
+    }
+
+    std::optional<error> router_process::openServers()
+    {
+        auto callers = http_server::open(m_reactor, m_settings.callers,
+            { .onRequest = [this](connection_id id, http_request request) { onCallerRequest(id, std::move(request)); },
+                .onGone = [this](connection_id id) { post(router::caller_left { id }); },
+                .onWritable = [this](connection_id id) { post(router::caller_ready { id }); },
+                .onRefused = [this](int status) { m_metrics.apply(count_metric { "kumquat_router_unreadable_requests_total", { { "status", std::to_string(status) } } }); } });
+        if (const auto* failure = errorOf(callers))
+            return *failure;
+        m_callers = std::move(valueOf(callers));
+        auto admin = http_server::open(m_reactor, m_settings.admin,
+            { .onRequest = [this](connection_id id, const http_request& request) { onAdminRequest(id, request); },
+                .onGone = [](connection_id) {},
+                .onWritable = [](connection_id) {},
+                .onRefused = [](int) {} });
+        if (const auto* failure = errorOf(admin))
+            return *failure;
+        m_admin = std::move(valueOf(admin));
+        return std::nullopt;
+    }
+
+    void router_process::onCallerRequest(connection_id id, http_request&& received)
+    {
+        auto decoded = platform::decodeRequest(std::move(received));
+        if (const auto* failure = errorOf(decoded)) {
+            writeLog({ log_level::warning, "request_unreadable", { { "reason", failure->message } } });
+            m_callers->answer(id, { 400, { { "Content-Type", "text/plain" } }, failure->message.size(), true }, failure->message);
+            return;
+        }
+        post(router::request_arrived { id, std::make_shared<const proxied_request>(std::move(valueOf(decoded))) });
+    }
+
+    void router_process::onAdminRequest(connection_id id, const http_request& request)
+    {
+        const auto now = std::chrono::steady_clock::now();
+        const auto reply = [&](int status, const std::string& text) { m_admin->answer(id, { status, { { "Content-Type", "text/plain" } }, text.size(), true }, text); };
+        if (request.target == "/readyz")
+            return m_reducer.ready(now) ? reply(200, "ready\n") : reply(503, "not ready\n");
+        if (request.target == "/healthz")
+            return reply(200, "ok\n");
+        if (request.target == "/metrics")
+            return reply(200, m_metrics.text());
+        reply(404, "no such page\n");
+    }
+
+    void router_process::post(router::router_event event)
+    {
+        if (m_stepping) {
+            m_waiting.push_back(std::move(event));
+            return;
+        }
+        step(std::move(event));
+        while (!m_waiting.empty()) {
+            auto next = std::move(m_waiting.front());
+            m_waiting.pop_front();
+            step(std::move(next));
+        }
+        armTimer();
+    }
+
+    void router_process::step(router::router_event event)
+    {
+        m_stepping = true;
+        router::router_effects effects;
+        m_reducer.step(std::move(event), std::chrono::steady_clock::now(), effects);
+        for (auto& effect : effects)
+            execute(effect);
+        m_stepping = false;
+    }
+
+    void router_process::armTimer()
+    {
+        auto next = m_housekeepingAt;
+        if (const auto deadline = m_reducer.nextDeadline())
+            next = std::min(next, *deadline);
+        if (m_armed == next)
+            return;
+        m_armed = next;
+        m_reactor.setTimer(next, [this] {
+            m_armed.reset();
+            if (std::chrono::steady_clock::now() >= m_housekeepingAt)
+                keepHouse();
+            post(router::router_timer_due {});
+        });
+    }
+
+    void router_process::keepHouse()
+    {
+        m_housekeepingAt = std::chrono::steady_clock::now() + housekeepingInterval;
+        reloadSettings();
+        flushBoundedLog();
+    }
+
+    void router_process::reloadSettings()
+    {
+        const auto text = readFile(m_settingsFile);
+        if (errorOf(text) || valueOf(text) == m_settingsText)
+            return;
+        const auto decoded = platform::decodeSettings("settings '" + m_settingsFile + "'", valueOf(text));
+        m_settingsText = valueOf(text);
+        if (const auto* failure = errorOf(decoded)) {
+            writeLog({ log_level::error, "settings_unusable", { { "reason", failure->message } } });
+            return;
+        }
+        if (valueOf(decoded) == m_settings)
+            return;
+        m_settings = valueOf(decoded);
+        post(router::settings_changed { m_settings });
+    }
+
+    void router_process::startRead(const router::read_store& read)
+    {
+        m_reads[read.read].kind = read.kind;
+        const auto kind = read.kind == router::store_kind::upstreams ? platform::object_kind::upstreams : platform::object_kind::configuration;
+        http_call call;
+        call.id = read.read;
+        call.target = m_settings.store;
+        call.bytes = read.sinceRevision ? platform::encodeWatch(kind, m_settings.store, *read.sinceRevision, read.wait) : platform::encodeList(kind, m_settings.store, read.after);
+        m_metrics.apply(count_metric { "kumquat_router_store_reads_total", { { "kind", read.kind == router::store_kind::upstreams ? "upstreams" : "configuration" } } });
+        m_store.start(std::move(call));
+    }
+
+    void router_process::finishRead(call_id call)
+    {
+        const auto found = m_reads.find(call);
+        if (found == m_reads.end())
+            return;
+        const auto done = std::move(found->second);
+        m_reads.erase(found);
+        reportRead(call, done.kind, done.status, done.body, {});
+    }
+
+    void router_process::reportRead(call_id call, router::store_kind kind, int status, const std::string& body, const std::string& failure)
+    {
+        if (kind == router::store_kind::upstreams) {
+            router::upstreams_read read { call, store_read_failed { failure } };
+            if (failure.empty())
+                read.outcome = platform::decodeUpstreams(status, body);
+            return post(std::move(read));
+        }
+        router::config_read read { call, store_read_failed { failure } };
+        if (failure.empty())
+            read.outcome = platform::decodeConfigs(status, body);
+        post(std::move(read));
+    }
+
+    void router_process::execute(router::router_effect& effect)
+    {
+        const auto visitor = overloaded {
+            [this](const router::send_request& send) {
+                http_call call;
+                call.id = send.send;
+                call.target = send.target;
+                call.bytes = platform::encodeRequest(*send.request, { send.upstreamId, send.organisation, send.timeLeft, send.urgency, send.resumeAfter, send.toEngine });
+                call.toHeadRequest = send.request->method == "HEAD";
+                call.identity = { platform::requestIdHeader, send.request->requestId };
+                m_upstreams.start(std::move(call));
+            },
+            [this](const router::cancel_send& cancel) { m_upstreams.cancel(cancel.send); },
+            [this](const router::throttle_send& throttle) { m_upstreams.pause(throttle.send, throttle.paused); },
+            [this](const router::forget_upstream& forget) { m_upstreams.forget(forget.target); },
+            [this](const router::start_reply& reply) { m_callers->beginAnswer(reply.caller, reply.head); },
+            [this](const router::extend_reply& reply) {
+                if (!m_callers->appendAnswer(reply.caller, reply.bytes))
+                    m_upstreams.pause(reply.source, true);
+            },
+            [this](const router::end_reply& reply) { m_callers->finishAnswer(reply.caller); },
+            [this](const router::whole_reply& reply) { m_callers->answer(reply.caller, reply.head, reply.body); },
+            [this](const router::break_reply& reply) { m_callers->abortAnswer(reply.caller); },
+            [this](const router::read_store& read) { startRead(read); },
+            [this](const router::cancel_store_read& cancel) {
+                m_store.cancel(cancel.read);
+                m_reads.erase(cancel.read);
+            },
+            [this](const router::apply_caller_limits& apply) {
+                m_callers->setLimits({ apply.limits.headerBytes, apply.limits.bodyBytes, apply.limits.headerTimeout, apply.limits.idleTimeout });
+            },
+            [this](const router::close_callers_after_answers&) { m_callers->closeAfterAnswers(); },
+            [this](const router::close_idle_callers&) { m_callers->closeIdle(); },
+            [this](const router::stop_router&) { m_reactor.stop(); },
+            [](const log_event& event) { writeLog(event); },
+            [this](const auto& metric) { m_metrics.apply(metric); },
+        };
+        std::visit(visitor, effect);
+    }
+
+    int router_process::run()
+    {
+        m_reactor.onTerminate([this] { post(router::termination_requested {}); });
+        m_reactor.onHangup([this] {
+            writeLog({ log_level::info, "hangup_received", {} });
+            reloadSettings();
+        });
+        writeLog({ log_level::info, "router_started", { { "instance", m_settings.instance }, { "callers", formatEndpoint(m_settings.callers) }, { "admin", formatEndpoint(m_settings.admin) }, { "store", formatEndpoint(m_settings.store) } } });
+        m_housekeepingAt = std::chrono::steady_clock::now() + housekeepingInterval;
+        post(router::router_timer_due {});
+        m_reactor.run();
+        writeLog({ log_level::info, "router_stopped", {} });
+        flushBoundedLog();
+        return 0;
+    }
+
+} // namespace
+
+result<int> runRouter(const std::string& settingsFile)
+{
+    const auto text = readFile(settingsFile);
+    if (const auto* failure = errorOf(text))
+        return *failure;
+    const auto settings = platform::decodeSettings("settings '" + settingsFile + "'", valueOf(text));
+    if (const auto* failure = errorOf(settings))
+        return *failure;
+    openBoundedLog();
+    router_process process(settingsFile, valueOf(text), valueOf(settings));
+    if (const auto failure = process.openServers())
+        return *failure;
+    return process.run();
+}
+
+} // namespace kumquat
--- a/platform/server_main.h
+++ b/processes/server_main.h
@@ -4,8 +4,8 @@
 #include "core/result.h"
 #include "drivers/cxxopts/command_line.h"
 #include "drivers/spdlog/event_log.h"
-#include "platform/document_loader.h"
-#include "platform/file_reader.h"
+#include "processes/document_loader.h"
+#include "processes/file_reader.h"
 
 #include <iostream>
 #include <string>
--- a/platform/sidecar_process.cpp
+++ b/processes/sidecar_process.cpp
@@ -1,4 +1,4 @@
-#include "platform/sidecar_process.h"
+#include "processes/sidecar_process.h"
 
 #include "core/overloaded.h"
 #include "drivers/asio/reactor.h"
@@ -10,10 +10,10 @@
 #include "drivers/openssl/digest.h"
 #include "drivers/prometheus/metrics_registry.h"
 #include "drivers/spdlog/event_log.h"
-#include "platform/document_loader.h"
-#include "platform/document_worker.h"
-#include "platform/inspect.h"
-#include "platform/reducer_loop.h"
+#include "processes/document_loader.h"
+#include "processes/document_worker.h"
+#include "processes/inspect.h"
+#include "processes/reducer_loop.h"
 #include "servers/sidecar/sidecar_reducer.h"
 
 #include <thread>
--- /dev/null
+++ b/servers/router/placement.cpp
@@ -0,0 +1,94 @@
+#include "servers/router/placement.h"
+
+#include "core/hash.h"
+#include "core/overloaded.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace kumquat::router {
+
+namespace {
+
+    // Requests that an upstream may have beyond its share before affinity gives way.
+    constexpr double loadSlack = 2;
+
+    std::vector<shared_upstream> candidatesOf(const placement_request& asked)
+    {
+        std::vector<shared_upstream> usable;
+        std::vector<shared_upstream> sound;
+        for (const auto& item : asked.upstreams) {
+            if (!item->acceptsWork() || std::find(asked.excluded.begin(), asked.excluded.end(), item->record.id) != asked.excluded.end())
+                continue;
+            usable.push_back(item);
+            if (item->avoidedUntil <= asked.now)
+                sound.push_back(item);
+        }
+        return sound.empty() ? usable : sound;
+    }
+
+    shared_upstream leastLoaded(const std::vector<shared_upstream>& candidates, const placement_request& asked)
+    {
+        // Equal upstreams take turns by the request's hash, so that routers do not all choose the same one.
+        const auto turn = hashBytes(asked.request.requestId);
+        const auto better = [&](const shared_upstream& left, const shared_upstream& right) {
+            const double leftLoad = static_cast<double>(left->inFlight) / std::max(1, left->record.slots);
+            const double rightLoad = static_cast<double>(right->inFlight) / std::max(1, right->record.slots);
+            if (leftLoad != rightLoad)
+                return leftLoad < rightLoad;
+            const bool leftNear = left->record.dataCentre == asked.dataCentre;
+            const bool rightNear = right->record.dataCentre == asked.dataCentre;
+            if (leftNear != rightNear)
+                return leftNear;
+            return hashBytes(left->record.id, turn) < hashBytes(right->record.id, turn);
+        };
+        return *std::min_element(candidates.begin(), candidates.end(), better);
+    }
+
+    // The last part belongs to the request alone, so that the one before it is the deepest that others may share.
+    std::uint64_t affinityKey(const prompt_terms& prompt)
+    {
+        if (prompt.parts.size() < 2)
+            return prompt.parts.empty() ? 0 : prompt.parts.front().id;
+        return prompt.parts[prompt.parts.size() - 2].id;
+    }
+
+    placement choose(const least_in_flight&, const std::vector<shared_upstream>& candidates, const placement_request& asked)
+    {
+        return { leastLoaded(candidates, asked), candidates.size(), "least_in_flight" };
+    }
+
+    placement choose(const prompt_affinity& policy, const std::vector<shared_upstream>& candidates, const placement_request& asked)
+    {
+        const auto key = affinityKey(asked.request.prompt);
+        if (key == 0)
+            return { leastLoaded(candidates, asked), candidates.size(), "no_shared_prompt" };
+        double total = 0;
+        for (const auto& item : candidates)
+            total += item->inFlight;
+        const double bound = policy.loadBound * (total + 1) / static_cast<double>(candidates.size()) + loadSlack;
+        shared_upstream best;
+        std::uint64_t bestWeight = 0;
+        for (const auto& item : candidates) {
+            const auto weight = hashBytes(item->record.id, key);
+            if (item->inFlight + 1 > bound || (best && weight <= bestWeight))
+                continue;
+            best = item;
+            bestWeight = weight;
+        }
+        if (!best)
+            return { leastLoaded(candidates, asked), candidates.size(), "all_above_bound" };
+        return { best, candidates.size(), "prompt_affinity" };
+    }
+
+} // namespace
+
+placement place(const placement_policy& policy, const placement_request& asked)
+{
+    const auto candidates = candidatesOf(asked);
+    if (candidates.empty())
+        return {};
+    return std::visit([&](const auto& chosen) { return choose(chosen, candidates, asked); }, policy);
+}
+
+} // namespace kumquat::router
--- /dev/null
+++ b/servers/router/router_answering.cpp
@@ -0,0 +1,203 @@
+#include "servers/router/router_reducer.h"
+
+#include <algorithm>
+
+namespace kumquat::router {
+
+namespace {
+
+    constexpr int firstSuccess = 200;
+    constexpr int firstRedirect = 300;
+    constexpr int statusTooManyRequests = 429;
+    constexpr int statusUnavailable = 503;
+    constexpr int statusTimeout = 408;
+    constexpr int firstServerError = 500;
+    constexpr auto retryAfterFailure = std::chrono::milliseconds(200);
+    constexpr std::string_view eventStreamType = "text/event-stream";
+
+    bool isSuccess(int status)
+    {
+        return status >= firstSuccess && status < firstRedirect;
+    }
+
+    // These statuses promise a caller that its request was not run.
+    bool promisesNotRun(int status)
+    {
+        return status == statusTooManyRequests || status == statusUnavailable || status == statusTimeout;
+    }
+
+    bool isEventStream(const upstream_answer& answer)
+    {
+        const auto* type = findHeader(answer.head.headers, "Content-Type");
+        return type && type->starts_with(eventStreamType);
+    }
+
+    live_send* findSend(request_progress& progress, send_id id)
+    {
+        const auto found = std::find_if(progress.sends.begin(), progress.sends.end(), [id](const live_send& item) { return item.id == id; });
+        return found == progress.sends.end() ? nullptr : &*found;
+    }
+
+} // namespace
+
+void router_reducer::on(answer_started&& started)
+{
+    auto* progress = findBySend(started.send);
+    if (!progress)
+        return;
+    auto& send = *findSend(*progress, started.send);
+    const auto& answer = started.answer;
+    if (answer.wrongUpstream) {
+        send.upstream->misdirected = true;
+        log(log_level::warning, "upstream_misdirected", { { "upstream", send.upstream->record.id }, { "address", formatEndpoint(send.upstream->record.address) }, { "record", std::to_string(send.upstream->revision) } });
+    }
+    if (answer.notRun || answer.wrongUpstream) {
+        const auto id = send.id;
+        emit(cancel_send { id });
+        return endSend(*progress, id, send_end::notRun, "status " + std::to_string(answer.head.status));
+    }
+    if (isSuccess(answer.head.status) && !answer.sealed) {
+        const auto id = send.id;
+        emit(cancel_send { id });
+        return endSend(*progress, id, send_end::mayHaveRun, "success without a seal");
+    }
+    send.answer = std::move(started.answer);
+    if (progress->terms->streaming && isSuccess(send.answer->head.status) && isEventStream(*send.answer))
+        onStreamHead(*progress, send);
+}
+
+void router_reducer::onStreamHead(request_progress& progress, live_send& send)
+{
+    send.upstream->failuresInRow = 0;
+    emit(observe_metric { "kumquat_router_head_seconds", { { "route", progress.terms->name } }, std::chrono::duration<double>(m_now - send.sentAt).count() });
+}
+
+void router_reducer::on(answer_continued&& continued)
+{
+    auto* progress = findBySend(continued.send);
+    if (!progress)
+        return;
+    auto& send = *findSend(*progress, continued.send);
+    if (!send.answer)
+        return;
+    const bool streams = progress->terms->streaming && isSuccess(send.answer->head.status) && isEventStream(*send.answer);
+    if (!streams) {
+        send.body += continued.bytes;
+        return;
+    }
+    auto events = progress->stream.feed(continued.bytes);
+    if (events.empty())
+        return;
+    if (!progress->replyStarted) {
+        progress->replyStarted = true;
+        progress->firstEventAt = m_now;
+        auto head = send.answer->head;
+        head.contentLength.reset();
+        emit(start_reply { progress->caller, std::move(head) });
+        emit(observe_metric { "kumquat_router_first_event_seconds", { { "route", progress->terms->name } }, std::chrono::duration<double>(m_now - progress->arrivedAt).count() });
+    }
+    emit(extend_reply { progress->caller, std::move(events), send.id });
+}
+
+void router_reducer::on(answer_ended&& ended)
+{
+    auto* progress = findBySend(ended.send);
+    if (!progress)
+        return;
+    const auto& send = *findSend(*progress, ended.send);
+    if (!send.answer)
+        return endSend(*progress, ended.send, send_end::mayHaveRun, "no answer");
+    if (progress->terms->streaming && isSuccess(send.answer->head.status) && isEventStream(*send.answer))
+        return onStreamEnd(*progress, ended.send);
+    onWholeAnswer(*progress, ended.send);
+}
+
+void router_reducer::onStreamEnd(request_progress& progress, send_id id)
+{
+    if (progress.stream.midEvent() || !progress.replyStarted)
+        return endSend(progress, id, send_end::mayHaveRun, "stream ended within an event");
+    const auto& send = *findSend(progress, id);
+    --send.upstream->inFlight;
+    m_sends.erase(id);
+    progress.sends.clear();
+    emit(end_reply { progress.caller });
+    finish(progress, firstSuccess, "streamed");
+}
+
+void router_reducer::onWholeAnswer(request_progress& progress, send_id id)
+{
+    auto& send = *findSend(progress, id);
+    auto answer = std::move(*send.answer);
+    auto body = std::move(send.body);
+    const auto status = answer.head.status;
+    if (!isSuccess(status) && status >= firstServerError && progress.terms->repeatable()) {
+        progress.failedAnswer = std::move(answer);
+        progress.failedBody = std::move(body);
+        return endSend(progress, id, send_end::mayHaveRun, "status " + std::to_string(status));
+    }
+    // The upstream did not say that the request was not run, so that the caller must not be told so.
+    if (promisesNotRun(status))
+        return endSend(progress, id, send_end::mayHaveRun, "status " + std::to_string(status) + " without a promise");
+    if (progress.replyStarted)
+        return endSend(progress, id, send_end::mayHaveRun, "status " + std::to_string(status) + " to a resumed stream");
+    send.upstream->failuresInRow = 0;
+    --send.upstream->inFlight;
+    m_sends.erase(id);
+    std::erase_if(progress.sends, [id](const live_send& item) { return item.id == id; });
+    cancelSends(progress, std::nullopt);
+    answer.head.contentLength = body.size();
+    emit(whole_reply { progress.caller, std::move(answer.head), std::move(body) });
+    finish(progress, status, "answered");
+}
+
+void router_reducer::giveFailure(request_progress& progress)
+{
+    if (progress.replyStarted) {
+        emit(break_reply { progress.caller });
+        return finish(progress, 0, "stream_broken");
+    }
+    if (progress.failedAnswer && !promisesNotRun(progress.failedAnswer->head.status)) {
+        auto head = std::move(progress.failedAnswer->head);
+        const auto status = head.status;
+        head.contentLength = progress.failedBody.size();
+        emit(whole_reply { progress.caller, std::move(head), std::move(progress.failedBody) });
+        return finish(progress, status, "upstream_failed");
+    }
+    const bool ran = progress.runCount > 0;
+    const caller_error refusal = ran
+        ? caller_error { error_code::upstream_failed, "the upstream gave no whole answer", ran_state::unknown, std::nullopt }
+        : caller_error { error_code::no_upstream, "no upstream could take the request", ran_state::no, retryAfterFailure };
+    refuse(progress.caller, progress.request->requestId, refusal);
+    finish(progress, httpStatus(refusal.code), "failed");
+}
+
+void router_reducer::giveUp(request_progress& progress)
+{
+    const bool mayHaveRun = progress.mayHaveRun();
+    cancelSends(progress, std::nullopt);
+    if (progress.replyStarted) {
+        emit(break_reply { progress.caller });
+        return finish(progress, 0, "stream_out_of_time");
+    }
+    const caller_error refusal = mayHaveRun
+        ? caller_error { error_code::timeout, "no whole answer in time", ran_state::unknown, std::nullopt }
+        : caller_error { error_code::overloaded, "no upstream was free in time", ran_state::no, retryAfterFailure };
+    refuse(progress.caller, progress.request->requestId, refusal);
+    finish(progress, httpStatus(refusal.code), "out_of_time");
+}
+
+void router_reducer::finish(request_progress& progress, int status, const char* outcome)
+{
+    const auto caller = progress.caller;
+    const auto took = std::chrono::duration<double>(m_now - progress.arrivedAt).count();
+    log(log_level::info, "request_finished",
+        { { "request", progress.request->requestId }, { "outcome", outcome }, { "status", std::to_string(status) }, { "sends", std::to_string(progress.sendCount) },
+            { "ms", std::to_string(static_cast<int>(took * 1000)) } });
+    emit(count_metric { "kumquat_router_requests_total", { { "route", progress.terms->name }, { "outcome", outcome } } });
+    emit(observe_metric { "kumquat_router_request_seconds", { { "route", progress.terms->name } }, took });
+    m_timers.cancel({ timer_kind::deadline, caller });
+    m_timers.cancel({ timer_kind::hedge, caller });
+    m_requests.erase(caller);
+}
+
+} // namespace kumquat::router
--- /dev/null
+++ b/servers/router/router_reducer.cpp
@@ -0,0 +1,229 @@
+#include "servers/router/router_reducer.h"
+
+#include "core/hash.h"
+
+#include <algorithm>
+
+namespace kumquat::router {
+
+namespace {
+
+    // Requests with a key are refused when the store has been silent for this part of the time after which a key that
+    // was taken away must be refused.
+    constexpr double keyFreshnessShare = 0.8;
+    // The part of the bound on second sends that one router may use. Routers do not know how many they are.
+    constexpr double retryRatioShare = 0.9;
+    constexpr double retryAllowanceShare = 0.1;
+    // The platform takes this long to send new callers elsewhere after a router has said that it is not ready.
+    constexpr auto rotationDelay = std::chrono::milliseconds(3500);
+    // A router ends this long before it would be killed.
+    constexpr auto shutdownMargin = std::chrono::milliseconds(300);
+    constexpr auto retryAfterStart = std::chrono::milliseconds(500);
+
+    retry_allowance_options retryOptions(const router_settings& settings)
+    {
+        return { settings.retryRatio * retryRatioShare, settings.retryAllowance * retryAllowanceShare, settings.retryWindow };
+    }
+
+    const std::string& chooseService(const route& terms, const std::string& requestId)
+    {
+        std::uint64_t total = 0;
+        for (const auto& share : terms.services)
+            total += static_cast<std::uint64_t>(std::max(share.weight, 0));
+        if (total == 0)
+            return terms.services.front().service;
+        auto drawn = hashBytes(requestId) % total;
+        for (const auto& share : terms.services) {
+            const auto weight = static_cast<std::uint64_t>(std::max(share.weight, 0));
+            if (drawn < weight)
+                return share.service;
+            drawn -= weight;
+        }
+        return terms.services.back().service;
+    }
+
+} // namespace
+
+router_reducer::router_reducer(router_options options)
+    : m_options(std::move(options))
+    , m_retries(retryOptions(m_options.settings))
+{
+}
+
+void router_reducer::step(router_event&& event, instant now, router_effects& effects)
+{
+    m_now = now;
+    m_effects = &effects;
+    std::visit([this](auto&& item) { on(std::move(item)); }, std::move(event));
+    readUpstreams();
+    readConfig();
+    m_effects = nullptr;
+}
+
+std::optional<instant> router_reducer::nextDeadline() const
+{
+    return m_timers.nextDeadline();
+}
+
+bool router_reducer::ready(instant now) const
+{
+    return !m_terminating && m_config && m_upstreamsKnown && keysAreFresh(now);
+}
+
+bool router_reducer::keysAreFresh(instant now) const
+{
+    const auto confirmed = m_configFollower.confirmedAt();
+    const auto longest = std::chrono::duration_cast<duration>(m_options.settings.revocationDeadline * keyFreshnessShare);
+    return confirmed && now - *confirmed < longest;
+}
+
+void router_reducer::log(log_level level, const char* name, std::vector<std::pair<std::string, std::string>> fields)
+{
+    emit(log_event { level, name, std::move(fields) });
+}
+
+void router_reducer::on(request_arrived&& arrived)
+{
+    request_progress progress;
+    progress.caller = arrived.caller;
+    progress.request = std::move(arrived.request);
+    progress.arrivedAt = m_now;
+    if (const auto refusal = classify(progress))
+        return refuse(progress.caller, progress.request->requestId, *refusal);
+    const auto caller = progress.caller;
+    auto& added = m_requests.insert_or_assign(caller, std::move(progress)).first->second;
+    setTimer(timer_kind::deadline, caller, added.deadline);
+    m_retries.recordFirst(added.service, m_now);
+    if (!dispatch(added, "first"))
+        giveFailure(added);
+}
+
+std::optional<caller_error> router_reducer::classify(request_progress& progress) const
+{
+    const auto& request = *progress.request;
+    if (!m_config || !m_upstreamsKnown)
+        return caller_error { error_code::not_configured, "the configuration has not been read yet", ran_state::no, retryAfterStart };
+    const auto* terms = m_config->match(request.host, request.path);
+    if (!terms)
+        return caller_error { error_code::unknown_service, "no route for '" + request.host + request.path + "'", ran_state::no, std::nullopt };
+    progress.config = m_config;
+    progress.terms = terms;
+    progress.rank = terms->rank;
+    if (m_config->requiresKeys && !terms->anonymous) {
+        const auto key = m_config->keys.find(request.apiKey);
+        // A router that has lost the store can't tell which keys are still good.
+        if (!keysAreFresh(m_now))
+            return caller_error { error_code::not_configured, "keys can't be checked while the store is out of reach", ran_state::no, retryAfterStart };
+        if (key == m_config->keys.end())
+            return caller_error { error_code::unauthenticated, "the key is not known", ran_state::no, std::nullopt };
+        progress.organisation = key->second.name;
+        progress.rank = key->second.rank.value_or(terms->rank);
+    }
+    progress.service = chooseService(*terms, request.requestId);
+    const auto service = m_config->services.find(progress.service);
+    progress.toEngine = service != m_config->services.end() && service->second.engine.has_value();
+    progress.deadline = m_now + std::min(terms->timeout, request.patience.value_or(terms->timeout));
+    return std::nullopt;
+}
+
+void router_reducer::refuse(caller_id caller, const std::string& requestId, const caller_error& refusal)
+{
+    const auto status = httpStatus(refusal.code);
+    http_answer_head head { status, { { "Content-Type", "application/json" } }, std::nullopt, true };
+    if (refusal.retryAfter)
+        head.headers.push_back({ "Retry-After", std::to_string(static_cast<double>(refusal.retryAfter->count()) / 1000) });
+    std::string body = R"({"error":{"code":")";
+    body += toString(refusal.code);
+    body += R"(","message":")" + refusal.message + R"(","ran":")" + toString(refusal.ran) + R"("}})";
+    head.contentLength = body.size();
+    const auto confirmed = m_configFollower.confirmedAt();
+    log(log_level::warning, "request_refused",
+        { { "request", requestId }, { "code", toString(refusal.code) }, { "status", std::to_string(status) }, { "ran", toString(refusal.ran) },
+            { "reason", refusal.message }, { "config", std::to_string(m_config ? m_config->version : 0) },
+            { "config_age_ms", confirmed ? std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(m_now - *confirmed).count()) : "never" } });
+    emit(count_metric { "kumquat_router_refusals_total", { { "code", toString(refusal.code) } } });
+    emit(whole_reply { caller, std::move(head), std::move(body) });
+}
+
+void router_reducer::on(caller_left&& left)
+{
+    const auto found = m_requests.find(left.caller);
+    if (found == m_requests.end())
+        return;
+    cancelSends(found->second, std::nullopt);
+    finish(found->second, 0, "caller_left");
+}
+
+void router_reducer::on(caller_ready&& ready)
+{
+    const auto found = m_requests.find(ready.caller);
+    if (found == m_requests.end())
+        return;
+    for (const auto& send : found->second.sends)
+        emit(throttle_send { send.id, false });
+}
+
+void router_reducer::on(settings_changed&& changed)
+{
+    m_options.settings = std::move(changed.settings);
+    m_retries.setOptions(retryOptions(m_options.settings));
+    log(log_level::info, "settings_changed", { { "instance", m_options.settings.instance }, { "store", formatEndpoint(m_options.settings.store) } });
+}
+
+void router_reducer::on(termination_requested&&)
+{
+    if (m_terminating)
+        return;
+    m_terminating = true;
+    log(log_level::info, "router_terminating", { { "requests", std::to_string(m_requests.size()) }, { "grace_ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(m_options.settings.shutdownGrace).count()) } });
+    emit(close_callers_after_answers {});
+    setTimer(timer_kind::closeIdle, 0, m_now + rotationDelay);
+    setTimer(timer_kind::stop, 0, m_now + m_options.settings.shutdownGrace - shutdownMargin);
+}
+
+void router_reducer::on(router_timer_due&&)
+{
+    while (const auto due = m_timers.popDue(m_now))
+        onTimer(*due);
+}
+
+void router_reducer::onTimer(const timer_key& due)
+{
+    const auto [kind, id] = due;
+    const auto found = m_requests.find(id);
+    switch (kind) {
+    case timer_kind::deadline:
+        if (found != m_requests.end())
+            giveUp(found->second);
+        return;
+    case timer_kind::hedge:
+        if (found != m_requests.end())
+            hedge(found->second);
+        return;
+    case timer_kind::readTimeout:
+        emit(cancel_store_read { id });
+        if (id == m_upstreamRead)
+            on(upstreams_read { id, store_read_failed { "timeout" } });
+        if (id == m_configRead)
+            on(config_read { id, store_read_failed { "timeout" } });
+        return;
+    case timer_kind::upstreamReads:
+    case timer_kind::configReads:
+        return;
+    case timer_kind::lapse:
+        return dropLapsed();
+    case timer_kind::closeIdle:
+        emit(close_idle_callers {});
+        if (m_requests.empty())
+            emit(stop_router {});
+        else
+            setTimer(timer_kind::closeIdle, 0, m_now + std::chrono::milliseconds(100));
+        return;
+    case timer_kind::stop:
+        log(log_level::warning, "router_stopped_with_requests", { { "requests", std::to_string(m_requests.size()) } });
+        emit(stop_router {});
+        return;
+    }
+}
+
+} // namespace kumquat::router
--- /dev/null
+++ b/servers/router/router_reducer.h
@@ -0,0 +1,125 @@
+#pragma once
+
+#include "core/caller_error.h"
+#include "core/timer_queue.h"
+#include "servers/router/kind_follower.h"
+#include "servers/router/placement.h"
+#include "servers/router/request_progress.h"
+#include "servers/router/retry_allowance.h"
+#include "servers/router/router_effect.h"
+
+#include <unordered_map>
+
+namespace kumquat::router {
+
+struct router_options {
+    router_settings settings;
+    placement_policy enginePlacement = prompt_affinity {};
+};
+
+// Decides what a router does. All state is soft but for the configuration and the upstream records, which are the
+// store's; a new router waits for a fresh read of both before it is ready.
+class router_reducer {
+public:
+    explicit router_reducer(router_options);
+
+    void step(router_event&&, instant now, router_effects&);
+    std::optional<instant> nextDeadline() const;
+
+    // The platform may send new callers here.
+    bool ready(instant now) const;
+    std::size_t requestCount() const { return m_requests.size(); }
+    const upstream_table& upstreams() const { return m_upstreams; }
+    const shared_config& config() const { return m_config; }
+
+private:
+    enum class timer_kind { deadline,
+        hedge,
+        upstreamReads,
+        configReads,
+        readTimeout,
+        lapse,
+        closeIdle,
+        stop };
+    using timer_key = std::pair<timer_kind, std::uint64_t>;
+
+    // Why a sending has ended without an answer for the caller.
+    enum class send_end { neverSent,
+        notRun,
+        mayHaveRun };
+
+    void on(request_arrived&&);
+    void on(caller_left&&);
+    void on(caller_ready&&);
+    void on(answer_started&&);
+    void on(answer_continued&&);
+    void on(answer_ended&&);
+    void on(send_failed&&);
+    void on(upstreams_read&&);
+    void on(config_read&&);
+    void on(settings_changed&&);
+    void on(termination_requested&&);
+    void on(router_timer_due&&);
+    void onTimer(const timer_key&);
+
+    // Arrival.
+    std::optional<caller_error> classify(request_progress&) const;
+    bool keysAreFresh(instant now) const;
+    void refuse(caller_id, const std::string& requestId, const caller_error&);
+
+    // Sending.
+    bool dispatch(request_progress&, const char* cause);
+    void sendTo(request_progress&, const placement&, const char* cause);
+    void hedge(request_progress&);
+    bool mayTryAgain(const request_progress&, send_end) const;
+    void endSend(request_progress&, send_id, send_end, const std::string& reason);
+    void recordFailure(upstream_state&, send_end);
+    void cancelSends(request_progress&, std::optional<send_id> except);
+    request_progress* findBySend(send_id);
+
+    // Answering.
+    void onStreamHead(request_progress&, live_send&);
+    void onWholeAnswer(request_progress&, send_id);
+    void onStreamEnd(request_progress&, send_id);
+    void giveFailure(request_progress&);
+    void giveUp(request_progress&);
+    void finish(request_progress&, int status, const char* outcome);
+
+    // Following the store.
+    void readUpstreams();
+    void readConfig();
+    void startRead(store_kind, const store_reading&);
+    void applyUpstreams(follower_news<upstream_record>&&);
+    void applyConfig(follower_news<shared_config>&&);
+    void removeUpstream(const std::string& id, const char* cause);
+    void loseRecord(const std::string& id);
+    void dropLapsed();
+    void noteDependency(const std::string& failure, bool wasSound);
+
+    template <typename Effect>
+    void emit(Effect&& effect) { m_effects->emplace_back(std::forward<Effect>(effect)); }
+    void log(log_level, const char* name, std::vector<std::pair<std::string, std::string>> fields);
+    void setTimer(timer_kind kind, std::uint64_t id, instant at) { m_timers.set({ kind, id }, at); }
+
+    router_options m_options;
+    retry_allowance m_retries;
+    upstream_table m_upstreams;
+    shared_config m_config;
+    std::uint64_t m_configRevision = 0;
+    kind_follower<upstream_record> m_upstreamFollower;
+    kind_follower<shared_config> m_configFollower;
+    std::uint64_t m_upstreamRead = 0;
+    std::uint64_t m_configRead = 0;
+    bool m_upstreamsKnown = false;
+    // The first sound answer of the store after its last failure.
+    instant m_storeSoundSince;
+    bool m_terminating = false;
+    instant m_now;
+    router_effects* m_effects = nullptr;
+    timer_queue<timer_key> m_timers;
+    std::unordered_map<caller_id, request_progress> m_requests;
+    std::unordered_map<send_id, caller_id> m_sends;
+    std::uint64_t m_lastId = 0;
+};
+
+} // namespace kumquat::router
--- /dev/null
+++ b/servers/router/router_sending.cpp
@@ -0,0 +1,158 @@
+#include "servers/router/router_reducer.h"
+
+#include <algorithm>
+
+namespace kumquat::router {
+
+namespace {
+
+    // Sends of one request, whatever their outcome.
+    constexpr int maxSends = 4;
+    // A request is not sent with less time left than this.
+    constexpr auto leastTimeLeft = std::chrono::milliseconds(30);
+    // An upstream is told to stop this long before the router gives up, so that its answer still arrives.
+    constexpr auto upstreamDeadlineMargin = std::chrono::milliseconds(15);
+    // A repeatable request is sent to a second upstream after this part of its target without an answer.
+    constexpr double hedgeShare = 0.6;
+    constexpr auto firstAvoidance = std::chrono::milliseconds(250);
+    constexpr int maxAvoidanceDoublings = 4;
+    constexpr auto busyAvoidance = std::chrono::milliseconds(60);
+    // Ranks are spread over the ten urgencies that engines know.
+    constexpr int urgencyStep = 2;
+    constexpr int leastUrgent = 9;
+
+    std::string milliseconds(duration span)
+    {
+        return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(span).count());
+    }
+
+} // namespace
+
+bool router_reducer::dispatch(request_progress& progress, const char* cause)
+{
+    if (progress.deadline - m_now < leastTimeLeft)
+        return false;
+    const placement_policy policy = progress.toEngine && progress.terms->usesPromptCache ? m_options.enginePlacement : least_in_flight {};
+    const auto chosen = place(policy, { m_upstreams.ofService(progress.service), *progress.request, progress.tried, m_options.settings.dataCentre, m_now });
+    if (!chosen.upstream) {
+        log(log_level::warning, "no_upstream", { { "request", progress.request->requestId }, { "service", progress.service }, { "known", std::to_string(m_upstreams.ofService(progress.service).size()) }, { "tried", std::to_string(progress.tried.size()) }, { "records", std::to_string(m_upstreamFollower.revision()) } });
+        return false;
+    }
+    sendTo(progress, chosen, cause);
+    return true;
+}
+
+void router_reducer::sendTo(request_progress& progress, const placement& chosen, const char* cause)
+{
+    auto& upstream = *chosen.upstream;
+    const auto id = ++m_lastId;
+    log(log_level::info, "request_sent",
+        { { "request", progress.request->requestId }, { "route", progress.terms->name }, { "organisation", progress.organisation }, { "upstream", upstream.record.id },
+            { "cause", cause }, { "by", chosen.reason }, { "candidates", std::to_string(chosen.candidates) }, { "in_flight", std::to_string(upstream.inFlight) },
+            { "record", std::to_string(upstream.revision) }, { "config", std::to_string(progress.config->version) }, { "left_ms", milliseconds(progress.deadline - m_now) } });
+    ++upstream.inFlight;
+    ++progress.sendCount;
+    progress.tried.push_back(upstream.record.id);
+    progress.sends.push_back({ id, chosen.upstream, m_now, std::nullopt, {} });
+    m_sends.emplace(id, progress.caller);
+    send_request effect;
+    effect.send = id;
+    effect.target = upstream.record.address;
+    effect.request = progress.request;
+    effect.upstreamId = upstream.record.id;
+    effect.organisation = progress.organisation;
+    effect.timeLeft = progress.deadline - m_now - upstreamDeadlineMargin;
+    effect.urgency = std::clamp(progress.rank * urgencyStep + 1, 0, leastUrgent);
+    effect.resumeAfter = progress.stream.lastId();
+    effect.toEngine = progress.toEngine;
+    emit(std::move(effect));
+    if (progress.terms->repeatable() && !progress.terms->streaming && progress.sends.size() == 1)
+        setTimer(timer_kind::hedge, progress.caller, m_now + std::chrono::duration_cast<duration>(progress.terms->target * hedgeShare));
+}
+
+void router_reducer::hedge(request_progress& progress)
+{
+    if (progress.sends.size() != 1 || progress.sends.front().answer || progress.runCount + 1 >= progress.terms->maxAttempts || progress.sendCount >= maxSends)
+        return;
+    if (!m_retries.take(progress.service, m_now))
+        return;
+    dispatch(progress, "no_answer_yet");
+}
+
+bool router_reducer::mayTryAgain(const request_progress& progress, send_end how) const
+{
+    if (progress.sendCount >= maxSends || progress.deadline - m_now < leastTimeLeft)
+        return false;
+    if (progress.mayHaveRun() && !progress.terms->repeatable())
+        return false;
+    return how != send_end::mayHaveRun || progress.runCount < progress.terms->maxAttempts;
+}
+
+void router_reducer::recordFailure(upstream_state& upstream, send_end how)
+{
+    if (how == send_end::notRun) {
+        upstream.avoidedUntil = std::max(upstream.avoidedUntil, m_now + busyAvoidance);
+        return;
+    }
+    const auto doublings = std::min(upstream.failuresInRow, maxAvoidanceDoublings);
+    ++upstream.failuresInRow;
+    // One lost answer says little; an upstream that can't be reached says more.
+    if (how == send_end::mayHaveRun && doublings == 0)
+        return;
+    upstream.avoidedUntil = std::max(upstream.avoidedUntil, m_now + firstAvoidance * (1 << doublings));
+    log(log_level::warning, "upstream_avoided", { { "upstream", upstream.record.id }, { "failures", std::to_string(upstream.failuresInRow) }, { "for_ms", milliseconds(upstream.avoidedUntil - m_now) } });
+}
+
+void router_reducer::endSend(request_progress& progress, send_id id, send_end how, const std::string& reason)
+{
+    const auto position = std::find_if(progress.sends.begin(), progress.sends.end(), [id](const live_send& item) { return item.id == id; });
+    auto& upstream = *position->upstream;
+    --upstream.inFlight;
+    recordFailure(upstream, how);
+    if (how == send_end::mayHaveRun)
+        ++progress.runCount;
+    static constexpr const char* ends[] = { "never_sent", "not_run", "may_have_run" };
+    const char* end = ends[static_cast<int>(how)];
+    log(log_level::warning, "send_failed", { { "request", progress.request->requestId }, { "upstream", upstream.record.id }, { "outcome", end }, { "reason", reason }, { "after_ms", milliseconds(m_now - position->sentAt) }, { "sends", std::to_string(progress.sendCount) } });
+    emit(count_metric { "kumquat_router_failed_sends_total", { { "outcome", end } } });
+    progress.sends.erase(position);
+    m_sends.erase(id);
+    if (!progress.sends.empty())
+        return;
+    const bool broken = progress.replyStarted;
+    if (broken)
+        progress.stream.restart();
+    if (mayTryAgain(progress, how) && m_retries.take(progress.service, m_now) && dispatch(progress, broken ? "resume" : "retry"))
+        return;
+    giveFailure(progress);
+}
+
+void router_reducer::cancelSends(request_progress& progress, std::optional<send_id> except)
+{
+    for (auto& send : progress.sends) {
+        if (send.id == except)
+            continue;
+        --send.upstream->inFlight;
+        m_sends.erase(send.id);
+        emit(cancel_send { send.id });
+    }
+    std::erase_if(progress.sends, [except](const live_send& item) { return item.id != except; });
+}
+
+request_progress* router_reducer::findBySend(send_id id)
+{
+    const auto owner = m_sends.find(id);
+    if (owner == m_sends.end())
+        return nullptr;
+    const auto found = m_requests.find(owner->second);
+    return found == m_requests.end() ? nullptr : &found->second;
+}
+
+void router_reducer::on(send_failed&& failed)
+{
+    auto* progress = findBySend(failed.send);
+    if (progress)
+        endSend(*progress, failed.send, failed.sent ? send_end::mayHaveRun : send_end::neverSent, failed.reason);
+}
+
+} // namespace kumquat::router
--- /dev/null
+++ b/servers/router/router_store.cpp
@@ -0,0 +1,157 @@
+#include "servers/router/router_reducer.h"
+
+#include "core/overloaded.h"
+
+#include <unordered_set>
+
+namespace kumquat::router {
+
+namespace {
+
+    // The store answers a watch after this time if nothing changes. The watch of the configuration also shows that no
+    // key was taken away.
+    constexpr auto configWatch = std::chrono::milliseconds(1500);
+    constexpr auto upstreamWatch = std::chrono::milliseconds(6000);
+    // A read that has no answer this long after it is due has failed.
+    constexpr auto readTimeout = std::chrono::milliseconds(900);
+
+} // namespace
+
+void router_reducer::startRead(store_kind kind, const store_reading& reading)
+{
+    const auto id = ++m_lastId;
+    const auto watch = kind == store_kind::upstreams ? upstreamWatch : configWatch;
+    (kind == store_kind::upstreams ? m_upstreamRead : m_configRead) = id;
+    emit(read_store { id, kind, reading.after, reading.sinceRevision, watch });
+    setTimer(timer_kind::readTimeout, id, m_now + readTimeout + (reading.sinceRevision ? watch : std::chrono::milliseconds(0)));
+}
+
+void router_reducer::readUpstreams()
+{
+    if (const auto reading = m_upstreamFollower.nextReading(m_now))
+        return startRead(store_kind::upstreams, *reading);
+    if (const auto until = m_upstreamFollower.pausedUntil())
+        setTimer(timer_kind::upstreamReads, 0, *until);
+}
+
+void router_reducer::readConfig()
+{
+    if (const auto reading = m_configFollower.nextReading(m_now))
+        return startRead(store_kind::configuration, *reading);
+    if (const auto until = m_configFollower.pausedUntil())
+        setTimer(timer_kind::configReads, 0, *until);
+}
+
+void router_reducer::noteDependency(const std::string& failure, bool wasSound)
+{
+    if (!failure.empty() && wasSound)
+        log(log_level::warning, "store_lost", { { "reason", failure } });
+    if (failure.empty() && !wasSound) {
+        m_storeSoundSince = m_now;
+        log(log_level::info, "store_regained", { { "records", std::to_string(m_upstreamFollower.revision()) }, { "config_revision", std::to_string(m_configFollower.revision()) } });
+    }
+}
+
+void router_reducer::on(upstreams_read&& read)
+{
+    if (read.read != m_upstreamRead)
+        return;
+    m_upstreamRead = 0;
+    m_timers.cancel({ timer_kind::readTimeout, read.read });
+    const bool wasSound = m_upstreamFollower.soundSince().has_value();
+    auto news = m_upstreamFollower.onOutcome(std::move(read.outcome), m_now);
+    noteDependency(news.failure, wasSound);
+    applyUpstreams(std::move(news));
+}
+
+void router_reducer::on(config_read&& read)
+{
+    if (read.read != m_configRead)
+        return;
+    m_configRead = 0;
+    m_timers.cancel({ timer_kind::readTimeout, read.read });
+    const bool wasSound = m_configFollower.soundSince().has_value();
+    auto news = m_configFollower.onOutcome(std::move(read.outcome), m_now);
+    noteDependency(news.failure, wasSound);
+    applyConfig(std::move(news));
+}
+
+void router_reducer::applyUpstreams(follower_news<upstream_record>&& news)
+{
+    std::unordered_set<std::string> listed;
+    for (auto& entry : news.entries) {
+        listed.insert(entry.name);
+        const auto visitor = overloaded {
+            [&](const upstream_record& record) {
+                const auto change = m_upstreams.put(record, entry.revision, m_now);
+                if (change == table_change::none)
+                    return;
+                static constexpr const char* names[] = { "none", "added", "restarted", "leaving", "updated" };
+                log(log_level::info, "upstream_changed", { { "upstream", record.id }, { "change", names[static_cast<int>(change)] }, { "service", record.service }, { "address", formatEndpoint(record.address) }, { "leaving", record.leaving ? "true" : "false" }, { "record", std::to_string(entry.revision) } });
+            },
+            [&](const unusable_object& bad) {
+                log(log_level::warning, "upstream_record_unusable", { { "upstream", entry.name }, { "reason", bad.reason }, { "record", std::to_string(entry.revision) } });
+                removeUpstream(entry.name, "unusable");
+            },
+            [&](const removed_object&) { loseRecord(entry.name); },
+        };
+        std::visit(visitor, entry.content);
+    }
+    if (!news.snapshot)
+        return;
+    m_upstreamsKnown = true;
+    for (const auto& known : m_upstreams.all()) {
+        if (!listed.contains(known->record.id))
+            loseRecord(known->record.id);
+    }
+}
+
+// Records lapse while upstreams can't reach the store. After an outage they have a moment to come back.
+void router_reducer::loseRecord(const std::string& id)
+{
+    const auto known = m_upstreams.find(id);
+    if (!known)
+        return;
+    const auto returnBy = m_storeSoundSince + m_options.settings.recordReturn;
+    if (m_now >= returnBy || known->record.leaving)
+        return removeUpstream(id, "gone");
+    known->lapsesAt = returnBy;
+    setTimer(timer_kind::lapse, 0, returnBy);
+    log(log_level::info, "upstream_lapsed", { { "upstream", id }, { "kept_ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(returnBy - m_now).count()) } });
+}
+
+void router_reducer::dropLapsed()
+{
+    for (const auto& known : m_upstreams.all()) {
+        if (known->lapsesAt && *known->lapsesAt <= m_now)
+            removeUpstream(known->record.id, "lapsed");
+    }
+}
+
+void router_reducer::removeUpstream(const std::string& id, const char* cause)
+{
+    const auto removed = m_upstreams.remove(id);
+    if (!removed)
+        return;
+    log(log_level::info, "upstream_removed", { { "upstream", id }, { "cause", cause }, { "in_flight", std::to_string(removed->inFlight) }, { "record", std::to_string(removed->revision) } });
+    emit(forget_upstream { removed->record.address });
+}
+
+void router_reducer::applyConfig(follower_news<shared_config>&& news)
+{
+    for (auto& entry : news.entries) {
+        if (const auto* bad = std::get_if<unusable_object>(&entry.content)) {
+            log(log_level::error, "config_unusable", { { "object", entry.name }, { "reason", bad->reason }, { "revision", std::to_string(entry.revision) } });
+            continue;
+        }
+        auto* config = std::get_if<shared_config>(&entry.content);
+        if (!config || entry.revision <= m_configRevision)
+            continue;
+        m_configRevision = entry.revision;
+        m_config = std::move(*config);
+        log(log_level::info, "config_adopted", { { "config", std::to_string(m_config->version) }, { "revision", std::to_string(entry.revision) }, { "routes", std::to_string(m_config->routeCount()) }, { "keys", std::to_string(m_config->keys.size()) } });
+        emit(apply_caller_limits { m_config->limits });
+    }
+}
+
+} // namespace kumquat::router
--- a/tests/drivers/document_codec_test.cpp
+++ b/tests/drivers/document_codec_test.cpp
@@ -1,7 +1,7 @@
 #include "drivers/json/document_codec.h"
 
-#include "platform/document_loader.h"
-#include "platform/file_reader.h"
+#include "processes/document_loader.h"
+#include "processes/file_reader.h"
 
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
--- a/tests/drivers/document_text_test.cpp
+++ b/tests/drivers/document_text_test.cpp
@@ -2,8 +2,8 @@
 
 #include "drivers/json/peer_codec.h"
 #include "drivers/json/publication_codec.h"
-#include "platform/document_loader.h"
-#include "platform/file_reader.h"
+#include "processes/document_loader.h"
+#include "processes/file_reader.h"
 
 #include <catch2/catch.hpp>
 #include <chrono>
--- a/tests/drivers/publication_codec_test.cpp
+++ b/tests/drivers/publication_codec_test.cpp
@@ -1,7 +1,7 @@
 #include "drivers/json/publication_codec.h"
 
 #include "drivers/cxxopts/ctl_command_line.h"
-#include "platform/file_reader.h"
+#include "processes/file_reader.h"
 
 #include <catch2/catch.hpp>
 
--- a/tests/drivers/settings_codec_test.cpp
+++ b/tests/drivers/settings_codec_test.cpp
@@ -1,6 +1,6 @@
 #include "drivers/json/settings_codec.h"
 
-#include "platform/file_reader.h"
+#include "processes/file_reader.h"
 
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
