Place prompts by the tokens that have to be read

Cause: the hash with a bound on requests in flight ignores what a request costs: a long prompt counts as a short one. Change: each upstream is charged the prompt tokens that it still has to read; a prompt goes where backlog plus twice its own reading is least, by what this router has sent there and, at a quarter of the prompt, where the hash points.

--- a/servers/router/placement.cpp
+++ b/servers/router/placement.cpp
@@ -4,15 +4,11 @@
 #include "core/overloaded.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace kumquat::router {
 
 namespace {
 
-    // Requests that an upstream may have beyond its share before affinity gives way.
-    constexpr double loadSlack = 2;
-
     std::vector<shared_upstream> candidatesOf(const placement_request& asked)
     {
         std::vector<shared_upstream> usable;
@@ -58,27 +54,34 @@
         return { leastLoaded(candidates, asked), candidates.size(), "least_in_flight" };
     }
 
-    placement choose(const prompt_affinity& policy, const std::vector<shared_upstream>& candidates, const placement_request& asked)
+    shared_upstream preferredByHash(const std::vector<shared_upstream>& candidates, std::uint64_t key)
+    {
+        const auto weight = [key](const shared_upstream& item) { return hashBytes(item->record.id, key); };
+        return *std::max_element(candidates.begin(), candidates.end(), [&](const shared_upstream& left, const shared_upstream& right) { return weight(left) < weight(right); });
+    }
+
+    placement choose(const least_reading& policy, const std::vector<shared_upstream>& candidates, const placement_request& asked)
     {
-        const auto key = affinityKey(asked.request.prompt);
-        if (key == 0)
-            return { leastLoaded(candidates, asked), candidates.size(), "no_shared_prompt" };
-        double total = 0;
-        for (const auto& item : candidates)
-            total += item->inFlight;
-        const double bound = policy.loadBound * (total + 1) / static_cast<double>(candidates.size()) + loadSlack;
-        shared_upstream best;
-        std::uint64_t bestWeight = 0;
+        const auto& prompt = asked.request.prompt;
+        if (prompt.parts.empty())
+            return choose(least_in_flight {}, candidates, asked);
+        const auto preferred = preferredByHash(candidates, affinityKey(prompt));
+        placement best;
+        best.candidates = candidates.size();
+        best.reason = "least_reading";
+        double bestCost = 0;
         for (const auto& item : candidates) {
-            const auto weight = hashBytes(item->record.id, key);
-            if (item->inFlight + 1 > bound || (best && weight <= bestWeight))
+            double reading = item->memory.tokensToRead(prompt);
+            if (item == preferred)
+                reading = std::min(reading, prompt.inputTokens * policy.hashedShare);
+            const double cost = item->tokensToRead + policy.readingWeight * reading + policy.streamTokens * item->streams;
+            if (best.upstream && cost >= bestCost)
                 continue;
-            best = item;
-            bestWeight = weight;
+            best.upstream = item;
+            best.tokensToRead = reading;
+            bestCost = cost;
         }
-        if (!best)
-            return { leastLoaded(candidates, asked), candidates.size(), "all_above_bound" };
-        return { best, candidates.size(), "prompt_affinity" };
+        return best;
     }
 
 } // namespace
--- a/servers/router/placement.h
+++ b/servers/router/placement.h
@@ -13,13 +13,19 @@
 // Takes the upstream with the fewest requests in flight.
 struct least_in_flight { };
 
-// Takes the upstream that a hash of the deepest shared prompt part prefers, unless it has far more work than the others.
-struct prompt_affinity {
-    // The most requests in flight, as a multiple of the mean.
-    double loadBound = 1.6;
+// Takes the upstream that has the least to read before the request and for it.
+struct least_reading {
+    // What a running stream counts, in prompt tokens.
+    double streamTokens = 200;
+    // What a token that is read for the request counts against one that is read before it. Reading also takes memory
+    // from parts that others need.
+    double readingWeight = 2;
+    // The part of the prompt that is expected to be kept where the hash of its deepest shared part prefers, though this
+    // router has not sent it there: the other routers may have.
+    double hashedShare = 0.25;
 };
 
-using placement_policy = std::variant<least_in_flight, prompt_affinity>;
+using placement_policy = std::variant<least_in_flight, least_reading>;
 
 struct placement_request {
     const std::vector<shared_upstream>& upstreams;
@@ -36,6 +42,8 @@
     // How many upstreams could have been chosen.
     std::size_t candidates = 0;
     const char* reason = "none";
+    // Prompt tokens that the upstream has to read for the request.
+    double tokensToRead = 0;
 };
 
 placement place(const placement_policy&, const placement_request&);
--- /dev/null
+++ b/servers/router/prompt_memory.cpp
@@ -0,0 +1,37 @@
+#include "servers/router/prompt_memory.h"
+
+namespace kumquat::router {
+
+void prompt_memory::use(const prompt_terms& prompt, std::int64_t capacityTokens)
+{
+    // From the last part to the first, so that the parts that others need to be behind are the last to yield.
+    for (auto part = prompt.parts.rbegin(); part != prompt.parts.rend(); ++part) {
+        const auto known = m_byId.find(part->id);
+        if (known != m_byId.end()) {
+            m_byUse.splice(m_byUse.begin(), m_byUse, known->second);
+            continue;
+        }
+        m_byUse.push_front({ part->id, part->tokens });
+        m_byId.emplace(part->id, m_byUse.begin());
+        m_tokens += part->tokens;
+    }
+    while (m_tokens > capacityTokens && !m_byUse.empty()) {
+        m_tokens -= m_byUse.back().tokens;
+        m_byId.erase(m_byUse.back().id);
+        m_byUse.pop_back();
+    }
+}
+
+int prompt_memory::tokensToRead(const prompt_terms& prompt) const
+{
+    int tokens = 0;
+    bool kept = true;
+    for (const auto& part : prompt.parts) {
+        kept = kept && m_byId.contains(part.id);
+        if (!kept)
+            tokens += part.tokens;
+    }
+    return tokens;
+}
+
+} // namespace kumquat::router
--- a/servers/router/request_progress.h
+++ b/servers/router/request_progress.h
@@ -16,6 +16,9 @@
     send_id id = 0;
     shared_upstream upstream;
     instant sentAt;
+    // Prompt tokens that the upstream has to read, until the stream begins.
+    double tokensToRead = 0;
+    bool streaming = false;
     // The head of the answer, once it has come.
     std::optional<upstream_answer> answer;
     // The body so far, where it is kept until it is whole.
--- a/servers/router/router_answering.cpp
+++ b/servers/router/router_answering.cpp
@@ -88,6 +88,12 @@
     auto events = progress->stream.feed(continued.bytes);
     if (events.empty())
         return;
+    if (!send.streaming) {
+        send.streaming = true;
+        ++send.upstream->streams;
+        send.upstream->tokensToRead -= send.tokensToRead;
+        send.tokensToRead = 0;
+    }
     if (!progress->replyStarted) {
         progress->replyStarted = true;
         progress->firstEventAt = m_now;
@@ -116,8 +122,7 @@
 {
     if (progress.stream.midEvent() || !progress.replyStarted)
         return endSend(progress, id, send_end::mayHaveRun, "stream ended within an event");
-    const auto& send = *findSend(progress, id);
-    --send.upstream->inFlight;
+    release(*findSend(progress, id));
     m_sends.erase(id);
     progress.sends.clear();
     emit(end_reply { progress.caller });
@@ -141,7 +146,7 @@
     if (progress.replyStarted)
         return endSend(progress, id, send_end::mayHaveRun, "status " + std::to_string(status) + " to a resumed stream");
     send.upstream->failuresInRow = 0;
-    --send.upstream->inFlight;
+    release(send);
     m_sends.erase(id);
     std::erase_if(progress.sends, [id](const live_send& item) { return item.id == id; });
     cancelSends(progress, std::nullopt);
--- a/servers/router/router_reducer.h
+++ b/servers/router/router_reducer.h
@@ -14,7 +14,7 @@
 
 struct router_options {
     router_settings settings;
-    placement_policy enginePlacement = prompt_affinity {};
+    placement_policy enginePlacement = least_reading {};
 };
 
 // Decides what a router does. All state is soft but for the configuration and the upstream records, which are the
@@ -74,6 +74,7 @@
     bool mayTryAgain(const request_progress&, send_end) const;
     void endSend(request_progress&, send_id, send_end, const std::string& reason);
     void recordFailure(upstream_state&, send_end);
+    void release(const live_send&);
     void cancelSends(request_progress&, std::optional<send_id> except);
     request_progress* findBySend(send_id);
 
--- a/servers/router/router_sending.cpp
+++ b/servers/router/router_sending.cpp
@@ -53,7 +53,10 @@
     ++upstream.inFlight;
     ++progress.sendCount;
     progress.tried.push_back(upstream.record.id);
-    progress.sends.push_back({ id, chosen.upstream, m_now, std::nullopt, {} });
+    upstream.tokensToRead += chosen.tokensToRead;
+    if (progress.toEngine)
+        upstream.memory.use(progress.request->prompt, progress.config->services.at(progress.service).engine->memoryTokens);
+    progress.sends.push_back({ id, chosen.upstream, m_now, chosen.tokensToRead, false, std::nullopt, {} });
     m_sends.emplace(id, progress.caller);
     send_request effect;
     effect.send = id;
@@ -107,7 +110,7 @@
 {
     const auto position = std::find_if(progress.sends.begin(), progress.sends.end(), [id](const live_send& item) { return item.id == id; });
     auto& upstream = *position->upstream;
-    --upstream.inFlight;
+    release(*position);
     recordFailure(upstream, how);
     if (how == send_end::mayHaveRun)
         ++progress.runCount;
@@ -127,12 +130,22 @@
     giveFailure(progress);
 }
 
+// Takes a sending out of the account of its upstream.
+void router_reducer::release(const live_send& send)
+{
+    auto& upstream = *send.upstream;
+    --upstream.inFlight;
+    upstream.tokensToRead -= send.tokensToRead;
+    if (send.streaming)
+        --upstream.streams;
+}
+
 void router_reducer::cancelSends(request_progress& progress, std::optional<send_id> except)
 {
     for (auto& send : progress.sends) {
         if (send.id == except)
             continue;
-        --send.upstream->inFlight;
+        release(send);
         m_sends.erase(send.id);
         emit(cancel_send { send.id });
     }
--- a/servers/router/upstream_table.h
+++ b/servers/router/upstream_table.h
@@ -2,6 +2,7 @@
 
 #include "core/clock.h"
 #include "core/upstream_record.h"
+#include "servers/router/prompt_memory.h"
 
 #include <memory>
 #include <optional>
@@ -19,6 +20,11 @@
     instant readAt;
     // Requests that this router has sent there and that have not ended.
     int inFlight = 0;
+    // Prompt tokens of those that have no event yet, as far as they have to be read.
+    double tokensToRead = 0;
+    // Those whose stream has begun.
+    int streams = 0;
+    prompt_memory memory;
     // Sends in a row that failed without an answer.
     int failuresInRow = 0;
     // No new work before then, unless all are avoided.
