--- a/core/clock.h
+++ b/core/clock.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <string>
 
 namespace kumquat {
 
@@ -8,4 +9,10 @@
 using instant = std::chrono::steady_clock::time_point;
 using duration = std::chrono::steady_clock::duration;
 
+// A duration for a log line, in whole milliseconds.
+inline std::string wholeMilliseconds(duration span)
+{
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(span).count());
+}
+
 } // namespace kumquat
--- a/servers/router/request_progress.h
+++ b/servers/router/request_progress.h
@@ -51,6 +51,8 @@
     // The head of the answer was given to the caller.
     bool replyStarted = false;
     std::optional<instant> firstEventAt;
+    std::optional<instant> lastEventAt;
+    duration longestPause {};
     stream_assembler stream;
 
     // False only if it is certain that no upstream has run the request or will.
--- a/servers/router/router_answering.cpp
+++ b/servers/router/router_answering.cpp
@@ -102,6 +102,9 @@
         emit(start_reply { progress->caller, std::move(head) });
         emit(observe_metric { "kumquat_router_first_event_seconds", { { "route", progress->terms->name } }, std::chrono::duration<double>(m_now - progress->arrivedAt).count() });
     }
+    if (progress->lastEventAt)
+        progress->longestPause = std::max(progress->longestPause, m_now - *progress->lastEventAt);
+    progress->lastEventAt = m_now;
     emit(extend_reply { progress->caller, std::move(events), send.id });
 }
 
@@ -197,7 +200,8 @@
     const auto took = std::chrono::duration<double>(m_now - progress.arrivedAt).count();
     log(log_level::info, "request_finished",
         { { "request", progress.request->requestId }, { "outcome", outcome }, { "status", std::to_string(status) }, { "sends", std::to_string(progress.sendCount) },
-            { "ms", std::to_string(static_cast<int>(took * 1000)) } });
+            { "ms", wholeMilliseconds(m_now - progress.arrivedAt) }, { "first_ms", progress.firstEventAt ? wholeMilliseconds(*progress.firstEventAt - progress.arrivedAt) : "none" },
+            { "longest_pause_ms", wholeMilliseconds(progress.longestPause) } });
     emit(count_metric { "kumquat_router_requests_total", { { "route", progress.terms->name }, { "outcome", outcome } } });
     emit(observe_metric { "kumquat_router_request_seconds", { { "route", progress.terms->name } }, took });
     m_timers.cancel({ timer_kind::deadline, caller });
--- a/servers/router/router_reducer.cpp
+++ b/servers/router/router_reducer.cpp
@@ -140,7 +140,7 @@
     log(log_level::warning, "request_refused",
         { { "request", requestId }, { "code", toString(refusal.code) }, { "status", std::to_string(status) }, { "ran", toString(refusal.ran) },
             { "reason", refusal.message }, { "config", std::to_string(m_config ? m_config->version : 0) },
-            { "config_age_ms", confirmed ? std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(m_now - *confirmed).count()) : "never" } });
+            { "config_age_ms", confirmed ? wholeMilliseconds(m_now - *confirmed) : "never" } });
     emit(count_metric { "kumquat_router_refusals_total", { { "code", toString(refusal.code) } } });
     emit(whole_reply { caller, std::move(head), std::move(body) });
 }
@@ -175,7 +175,7 @@
     if (m_terminating)
         return;
     m_terminating = true;
-    log(log_level::info, "router_terminating", { { "requests", std::to_string(m_requests.size()) }, { "grace_ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(m_options.settings.shutdownGrace).count()) } });
+    log(log_level::info, "router_terminating", { { "requests", std::to_string(m_requests.size()) }, { "grace_ms", wholeMilliseconds(m_options.settings.shutdownGrace) } });
     emit(close_callers_after_answers {});
     setTimer(timer_kind::closeIdle, 0, m_now + rotationDelay);
     setTimer(timer_kind::stop, 0, m_now + m_options.settings.shutdownGrace - shutdownMargin);
--- a/servers/router/router_store.cpp
+++ b/servers/router/router_store.cpp
@@ -117,7 +117,7 @@
         return removeUpstream(id, "gone");
     known->lapsesAt = returnBy;
     setTimer(timer_kind::lapse, 0, returnBy);
-    log(log_level::info, "upstream_lapsed", { { "upstream", id }, { "kept_ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(returnBy - m_now).count()) } });
+    log(log_level::info, "upstream_lapsed", { { "upstream", id }, { "kept_ms", wholeMilliseconds(returnBy - m_now) } });
 }
 
 void router_reducer::dropLapsed()
