Refuse what may outlast a shutdown

Change: 2.5 s after SIGTERM a router takes only requests that end before it stops; others are refused as not run.

--- a/servers/router/router_reducer.cpp
+++ b/servers/router/router_reducer.cpp
@@ -16,6 +16,10 @@
     constexpr double retryAllowanceShare = 0.1;
     // The platform takes this long to send new callers elsewhere after a router has said that it is not ready.
     constexpr auto rotationDelay = std::chrono::milliseconds(3500);
+    // From then on, a terminating router takes only requests that end before it does.
+    constexpr auto shutdownAcceptance = std::chrono::milliseconds(2500);
+    // Another entry takes the request at once.
+    constexpr auto retryElsewhere = std::chrono::milliseconds(20);
     // A router ends this long before it would be killed.
     constexpr auto shutdownMargin = std::chrono::milliseconds(300);
     constexpr auto retryAfterStart = std::chrono::milliseconds(500);
@@ -90,6 +94,8 @@
     progress.arrivedAt = m_now;
     if (const auto refusal = classify(progress))
         return refuse(progress.caller, progress.request->requestId, *refusal);
+    if (outlastsShutdown(progress))
+        return refuse(progress.caller, progress.request->requestId, { error_code::draining, "this entry stops before the request may have ended", ran_state::no, retryElsewhere });
     const auto caller = progress.caller;
     auto& added = m_requests.insert_or_assign(caller, std::move(progress)).first->second;
     setTimer(timer_kind::deadline, caller, added.deadline);
@@ -98,6 +104,11 @@
         giveFailure(added);
 }
 
+bool router_reducer::outlastsShutdown(const request_progress& progress) const
+{
+    return m_terminating && m_now - m_terminatingSince > shutdownAcceptance && progress.deadline > m_terminatingSince + m_options.settings.shutdownGrace - shutdownMargin;
+}
+
 std::optional<caller_error> router_reducer::classify(request_progress& progress) const
 {
     const auto& request = *progress.request;
@@ -175,6 +186,7 @@
     if (m_terminating)
         return;
     m_terminating = true;
+    m_terminatingSince = m_now;
     log(log_level::info, "router_terminating", { { "requests", std::to_string(m_requests.size()) }, { "grace_ms", wholeMilliseconds(m_options.settings.shutdownGrace) } });
     emit(close_callers_after_answers {});
     setTimer(timer_kind::closeIdle, 0, m_now + rotationDelay);
--- a/servers/router/router_reducer.h
+++ b/servers/router/router_reducer.h
@@ -64,6 +64,7 @@
 
     // Arrival.
     std::optional<caller_error> classify(request_progress&) const;
+    bool outlastsShutdown(const request_progress&) const;
     bool keysAreFresh(instant now) const;
     void refuse(caller_id, const std::string& requestId, const caller_error&);
 
@@ -115,6 +116,7 @@
     // The first sound answer of the store after its last failure.
     instant m_storeSoundSince;
     bool m_terminating = false;
+    instant m_terminatingSince;
     instant m_now;
     router_effects* m_effects = nullptr;
     timer_queue<timer_key> m_timers;
--- /dev/null
+++ b/tests/servers/router/termination_test.cpp
@@ -0,0 +1,44 @@
+#include "tests/support/router_fixture.h"
+
+using namespace kumquat;
+using namespace kumquat::router;
+
+TEST_CASE("a terminating router is not ready but serves those that come", "[router]")
+{
+    router_fixture site;
+    site.start();
+    REQUIRE(site.reducer.ready(site.now));
+    site.step(termination_requested {});
+    CHECK_FALSE(site.reducer.ready(site.now));
+    CHECK(site.all<close_callers_after_answers>().size() == 1);
+    site.request(1, "/stream/x");
+    CHECK(site.all<send_request>().size() == 1);
+}
+
+TEST_CASE("a request that comes late in a shutdown and may outlast it is refused as not run", "[router]")
+{
+    router_fixture site;
+    site.start();
+    site.step(termination_requested {});
+    site.advance(milliseconds(2900));
+    site.request(1, "/stream/x");
+    CHECK(site.replyStatus() == 503);
+    CHECK(site.all<send_request>().empty());
+    site.request(2, "/pay/x");
+    CHECK(site.all<send_request>().size() == 1);
+}
+
+TEST_CASE("a terminating router stops as soon as nothing is in progress, and before it is killed", "[router]")
+{
+    router_fixture site;
+    site.start();
+    site.request(1, "/stream/x");
+    site.step(termination_requested {});
+    CHECK(router_fixture::all<stop_router>(site.advance(seconds(7))).empty());
+    CHECK(router_fixture::all<stop_router>(site.advance(seconds(1))).size() >= 1);
+
+    router_fixture idle;
+    idle.start();
+    idle.step(termination_requested {});
+    CHECK(router_fixture::all<stop_router>(idle.advance(seconds(4))).size() >= 1);
+}
