Share load, placed prompts and confirmations between routers by datagrams

Cause: an entry sees a quarter of the load, so that bursts pile up where others have just sent; and each entry pays for its own proof that no key was taken away.

--- a/core/router_settings.h
+++ b/core/router_settings.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace kumquat {
 
@@ -19,6 +20,8 @@
     endpoint store;
     // Routers may talk to each other on this port.
     std::uint16_t peerPort = 0;
+    // Addresses at which other routers may be found at first. They may be out of date.
+    std::vector<std::string> seeds;
     // The instance's own address, at which peers reach it.
     std::string address;
     // Memory of the process, in bytes.
--- /dev/null
+++ b/drivers/cbor/digest_codec.cpp
@@ -0,0 +1,88 @@
+#include "drivers/cbor/digest_codec.h"
+
+#include <nlohmann/json.hpp>
+
+namespace kumquat {
+
+namespace {
+
+    using nlohmann::json;
+
+    // Lists of numbers keep a digest small.
+    enum field { version,
+        instance,
+        boot,
+        sequence,
+        leaving,
+        configRevision,
+        configAge,
+        upstreamRevision,
+        members,
+        loads,
+        parts,
+        suspects,
+        fieldCount };
+
+    constexpr int currentVersion = 1;
+    constexpr std::size_t loadNumbers = 4;
+    constexpr std::size_t partNumbers = 3;
+    constexpr std::size_t suspectNumbers = 2;
+
+    router_digest decode(const json& root)
+    {
+        router_digest digest;
+        digest.instance = root.at(instance).get<std::string>();
+        digest.boot = root.at(boot).get<std::uint64_t>();
+        digest.sequence = root.at(sequence).get<std::uint64_t>();
+        digest.leaving = root.at(leaving).get<bool>();
+        digest.configRevision = root.at(configRevision).get<std::uint64_t>();
+        if (!root.at(configAge).is_null())
+            digest.configAge = std::chrono::milliseconds(root.at(configAge).get<std::int64_t>());
+        digest.upstreamRevision = root.at(upstreamRevision).get<std::uint64_t>();
+        digest.members = root.at(members).get<std::vector<std::string>>();
+        const auto& loadList = root.at(loads);
+        for (std::size_t at = 0; at + loadNumbers <= loadList.size(); at += loadNumbers)
+            digest.loads.push_back({ loadList[at].get<std::uint32_t>(), loadList[at + 1].get<int>(), loadList[at + 2].get<int>(), loadList[at + 3].get<int>() });
+        const auto& partList = root.at(parts);
+        for (std::size_t at = 0; at + partNumbers <= partList.size(); at += partNumbers)
+            digest.parts.push_back({ partList[at].get<std::uint32_t>(), partList[at + 1].get<std::uint64_t>(), partList[at + 2].get<int>() });
+        const auto& suspectList = root.at(suspects);
+        for (std::size_t at = 0; at + suspectNumbers <= suspectList.size(); at += suspectNumbers)
+            digest.suspects.emplace_back(suspectList[at].get<std::uint64_t>(), suspectList[at + 1].get<int>());
+        return digest;
+    }
+
+} // namespace
+
+std::string encodeDigest(const router_digest& digest)
+{
+    json loadList = json::array();
+    for (const auto& load : digest.loads)
+        loadList.insert(loadList.end(), { load.upstream, load.inFlight, load.streams, load.tokensToRead });
+    json partList = json::array();
+    for (const auto& part : digest.parts)
+        partList.insert(partList.end(), { part.upstream, part.part, part.tokens });
+    json suspectList = json::array();
+    for (const auto& [fingerprint, crashes] : digest.suspects)
+        suspectList.insert(suspectList.end(), { fingerprint, crashes });
+    const json age = digest.configAge ? json(digest.configAge->count()) : json();
+    const json root { currentVersion, digest.instance, digest.boot, digest.sequence, digest.leaving, digest.configRevision, age,
+        digest.upstreamRevision, digest.members, std::move(loadList), std::move(partList), std::move(suspectList) };
+    std::string bytes;
+    json::to_cbor(root, bytes);
+    return bytes;
+}
+
+result<router_digest> decodeDigest(const std::string& bytes)
+{
+    const auto root = json::from_cbor(bytes, true, false);
+    if (!root.is_array() || root.size() != fieldCount || root[version] != currentVersion)
+        return error { "a datagram of " + std::to_string(bytes.size()) + " bytes is no digest of version " + std::to_string(currentVersion) };
+    try {
+        return decode(root);
+    } catch (const json::exception& failure) {
+        return error { std::string("a digest can't be read: ") + failure.what() };
+    }
+}
+
+} // namespace kumquat
--- a/processes/router_process.cpp
+++ b/processes/router_process.cpp
@@ -1,9 +1,11 @@
 #include "processes/router_process.h"
 
 #include "core/overloaded.h"
+#include "drivers/asio/datagram_port.h"
 #include "drivers/asio/http_client.h"
 #include "drivers/asio/http_server.h"
 #include "drivers/asio/reactor.h"
+#include "drivers/cbor/digest_codec.h"
 #include "drivers/prometheus/metrics_registry.h"
 #include "drivers/spdlog/bounded_sink.h"
 #include "drivers/spdlog/event_log.h"
@@ -15,7 +17,9 @@
 #include "servers/router/router_reducer.h"
 
 #include <algorithm>
+#include <ctime>
 #include <deque>
+#include <random>
 #include <unordered_map>
 
 namespace kumquat {
@@ -25,6 +29,19 @@
     // How often waiting log lines are written and the settings file is looked at.
     constexpr auto housekeepingInterval = std::chrono::milliseconds(500);
 
+    // A pause of the whole instance that is shorter than this changes nothing.
+    constexpr auto leastClockGap = std::chrono::milliseconds(250);
+
+    // How much time the monotonic clock has left out since the instance started, because it was suspended.
+    duration timeStoodStill()
+    {
+        timespec withSuspension {};
+        timespec monotonic {};
+        ::clock_gettime(CLOCK_MONOTONIC, &monotonic);
+        ::clock_gettime(CLOCK_BOOTTIME, &withSuspension);
+        return std::chrono::seconds(withSuspension.tv_sec - monotonic.tv_sec) + std::chrono::nanoseconds(withSuspension.tv_nsec - monotonic.tv_nsec);
+    }
+
     // A read of the store whose answer is being collected.
     struct store_call {
         router::store_kind kind = router::store_kind::upstreams;
@@ -50,6 +67,8 @@
         void startRead(const router::read_store&);
         void finishRead(call_id);
         void reportRead(call_id, router::store_kind, int status, const std::string& body, const std::string& failure);
+        void onDatagram(const std::string& host, const std::string& bytes);
+        void watchClock();
         http_client::handlers upstreamHandlers();
         http_client::handlers storeHandlers();
 
@@ -63,6 +82,8 @@
         http_client m_store;
         std::unique_ptr<http_server> m_callers;
         std::unique_ptr<http_server> m_admin;
+        std::unique_ptr<datagram_port> m_peers;
+        duration m_stoodStill = timeStoodStill();
         std::unordered_map<call_id, store_call> m_reads;
         std::deque<router::router_event> m_waiting;
         bool m_stepping = false;
@@ -74,7 +95,7 @@
         : m_settingsFile(std::move(settingsFile))
         , m_settingsText(std::move(settingsText))
         , m_settings(settings)
-        , m_reducer({ settings })
+        , m_reducer({ .settings = settings, .boot = std::random_device {}() })
         , m_upstreams(m_reactor, upstreamHandlers())
         , m_store(m_reactor, storeHandlers())
     {
@@ -123,9 +144,34 @@
         if (const auto* failure = errorOf(admin))
             return *failure;
         m_admin = std::move(valueOf(admin));
+        auto peers = datagram_port::open(m_reactor, { m_settings.address, m_settings.peerPort }, [this](const std::string& host, const std::string& bytes) { onDatagram(host, bytes); });
+        if (const auto* failure = errorOf(peers))
+            return *failure;
+        m_peers = std::move(valueOf(peers));
         return std::nullopt;
     }
 
+    void router_process::onDatagram(const std::string& host, const std::string& bytes)
+    {
+        auto decoded = decodeDigest(bytes);
+        if (const auto* failure = errorOf(decoded)) {
+            writeLog({ log_level::warning, "digest_unreadable", { { "from", host }, { "reason", failure->message } } });
+            return;
+        }
+        post(router::digest_received { host, std::move(valueOf(decoded)) });
+    }
+
+    // Runs before each event, so that nothing is decided on what grew old while the instance was suspended.
+    void router_process::watchClock()
+    {
+        const auto stoodStill = timeStoodStill();
+        const auto gap = stoodStill - m_stoodStill;
+        if (gap < leastClockGap)
+            return;
+        m_stoodStill = stoodStill;
+        step(router::clock_jumped { gap });
+    }
+
     void router_process::onCallerRequest(connection_id id, http_request&& received)
     {
         auto decoded = platform::decodeRequest(std::move(received));
@@ -156,6 +202,7 @@
             m_waiting.push_back(std::move(event));
             return;
         }
+        watchClock();
         step(std::move(event));
         while (!m_waiting.empty()) {
             auto next = std::move(m_waiting.front());
@@ -279,6 +326,11 @@
                 m_store.cancel(cancel.read);
                 m_reads.erase(cancel.read);
             },
+            [this](const router::send_digest& send) {
+                const auto bytes = encodeDigest(send.digest);
+                for (const auto& address : send.addresses)
+                    m_peers->send({ address, m_settings.peerPort }, bytes);
+            },
             [this](const router::apply_caller_limits& apply) {
                 m_callers->setLimits({ apply.limits.headerBytes, apply.limits.bodyBytes, apply.limits.headerTimeout, apply.limits.idleTimeout });
             },
--- a/servers/router/kind_follower.h
+++ b/servers/router/kind_follower.h
@@ -51,6 +51,24 @@
         return std::visit([&](auto&& read) { return accept(std::move(read), now); }, std::move(outcome));
     }
 
+    // Gives up the read in progress; the next one starts at once.
+    void interrupt() { m_reading = false; }
+
+    // Reads all again, though nothing is known to be wrong with what was read.
+    void listAfresh()
+    {
+        m_reading = false;
+        listAgain();
+    }
+
+    // Forgets that anything was confirmed, and reads all again.
+    void startOver()
+    {
+        m_reading = false;
+        m_confirmedAt.reset();
+        listAgain();
+    }
+
     // When the next read may start, if a pause lasts.
     std::optional<instant> pausedUntil() const
     {
@@ -99,7 +117,8 @@
     {
         succeed(now);
         m_revision = std::max(m_revision, changes.revision);
-        m_confirmedAt = std::max(*m_confirmedAt, now - watchBlindness);
+        if (m_confirmedAt)
+            m_confirmedAt = std::max(*m_confirmedAt, now - watchBlindness);
         return { false, std::move(changes.entries), {} };
     }
 
--- a/servers/router/placement.cpp
+++ b/servers/router/placement.cpp
@@ -23,13 +23,18 @@
         return sound.empty() ? usable : sound;
     }
 
+    double loadPerSlot(const upstream_state& item, const peer_group& peers)
+    {
+        return static_cast<double>(item.inFlight + peers.loadOf(item.key).inFlight) / std::max(1, item.record.slots);
+    }
+
     shared_upstream leastLoaded(const std::vector<shared_upstream>& candidates, const placement_request& asked)
     {
         // Equal upstreams take turns by the request's hash, so that routers do not all choose the same one.
         const auto turn = hashBytes(asked.request.requestId);
         const auto better = [&](const shared_upstream& left, const shared_upstream& right) {
-            const double leftLoad = static_cast<double>(left->inFlight) / std::max(1, left->record.slots);
-            const double rightLoad = static_cast<double>(right->inFlight) / std::max(1, right->record.slots);
+            const double leftLoad = loadPerSlot(*left, asked.peers);
+            const double rightLoad = loadPerSlot(*right, asked.peers);
             if (leftLoad != rightLoad)
                 return leftLoad < rightLoad;
             const bool leftNear = left->record.dataCentre == asked.dataCentre;
@@ -74,7 +79,8 @@
             double reading = item->memory.tokensToRead(prompt);
             if (item == preferred)
                 reading = std::min(reading, prompt.inputTokens * policy.hashedShare);
-            const double cost = item->tokensToRead + policy.readingWeight * reading + policy.streamTokens * item->streams;
+            const auto others = asked.peers.loadOf(item->key);
+            const double cost = item->tokensToRead + others.tokensToRead + policy.readingWeight * reading + policy.streamTokens * (item->streams + others.streams);
             if (best.upstream && cost >= bestCost)
                 continue;
             best.upstream = item;
--- a/servers/router/placement.h
+++ b/servers/router/placement.h
@@ -2,6 +2,7 @@
 
 #include "core/clock.h"
 #include "core/proxied_request.h"
+#include "servers/router/peer_group.h"
 #include "servers/router/upstream_table.h"
 
 #include <string>
@@ -33,6 +34,8 @@
     // Upstreams that have had the request.
     const std::vector<std::string>& excluded;
     std::string dataCentre;
+    // What the other routers have outstanding.
+    const peer_group& peers;
     instant now;
 };
 
--- a/servers/router/prompt_memory.cpp
+++ b/servers/router/prompt_memory.cpp
@@ -5,16 +5,20 @@
 void prompt_memory::use(const prompt_terms& prompt, std::int64_t capacityTokens)
 {
     // From the last part to the first, so that the parts that others need to be behind are the last to yield.
-    for (auto part = prompt.parts.rbegin(); part != prompt.parts.rend(); ++part) {
-        const auto known = m_byId.find(part->id);
-        if (known != m_byId.end()) {
-            m_byUse.splice(m_byUse.begin(), m_byUse, known->second);
-            continue;
-        }
-        m_byUse.push_front({ part->id, part->tokens });
-        m_byId.emplace(part->id, m_byUse.begin());
-        m_tokens += part->tokens;
+    for (auto part = prompt.parts.rbegin(); part != prompt.parts.rend(); ++part)
+        usePart(*part, capacityTokens);
+}
+
+void prompt_memory::usePart(const prompt_part& part, std::int64_t capacityTokens)
+{
+    const auto known = m_byId.find(part.id);
+    if (known != m_byId.end()) {
+        m_byUse.splice(m_byUse.begin(), m_byUse, known->second);
+        return;
     }
+    m_byUse.push_front({ part.id, part.tokens });
+    m_byId.emplace(part.id, m_byUse.begin());
+    m_tokens += part.tokens;
     while (m_tokens > capacityTokens && !m_byUse.empty()) {
         m_tokens -= m_byUse.back().tokens;
         m_byId.erase(m_byUse.back().id);
--- a/servers/router/router_effect.h
+++ b/servers/router/router_effect.h
@@ -79,6 +79,11 @@
     std::uint64_t read = 0;
 };
 
+struct send_digest {
+    std::vector<std::string> addresses;
+    router_digest digest;
+};
+
 struct apply_caller_limits {
     caller_limits limits;
 };
@@ -90,7 +95,7 @@
 struct stop_router { };
 
 using router_effect = std::variant<send_request, cancel_send, throttle_send, forget_upstream, start_reply, extend_reply, end_reply, whole_reply,
-    break_reply, read_store, cancel_store_read, apply_caller_limits, close_callers_after_answers, close_idle_callers, stop_router, log_event,
+    break_reply, read_store, cancel_store_read, send_digest, apply_caller_limits, close_callers_after_answers, close_idle_callers, stop_router, log_event,
     count_metric, observe_metric>;
 
 using router_effects = std::vector<router_effect>;
--- a/servers/router/router_event.h
+++ b/servers/router/router_event.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/proxied_request.h"
+#include "core/router_digest.h"
 #include "core/router_settings.h"
 #include "core/routing_config.h"
 #include "core/store_object.h"
@@ -64,6 +65,16 @@
     store_read_outcome<shared_config> outcome;
 };
 
+struct digest_received {
+    std::string address;
+    router_digest digest;
+};
+
+// The process stood still while time went on. What it held for fresh may be old.
+struct clock_jumped {
+    duration gap {};
+};
+
 struct settings_changed {
     router_settings settings;
 };
@@ -73,6 +84,6 @@
 struct router_timer_due { };
 
 using router_event = std::variant<request_arrived, caller_left, caller_ready, answer_started, answer_continued, answer_ended, send_failed,
-    upstreams_read, config_read, settings_changed, termination_requested, router_timer_due>;
+    upstreams_read, config_read, digest_received, clock_jumped, settings_changed, termination_requested, router_timer_due>;
 
 } // namespace kumquat::router
--- a/servers/router/router_reducer.cpp
+++ b/servers/router/router_reducer.cpp
@@ -11,9 +11,10 @@
     // Requests with a key are refused when the store has been silent for this part of the time after which a key that
     // was taken away must be refused.
     constexpr double keyFreshnessShare = 0.8;
-    // The part of the bound on second sends that one router may use. Routers do not know how many they are.
-    constexpr double retryRatioShare = 0.9;
-    constexpr double retryAllowanceShare = 0.1;
+    // The part of the bound on second sends that all routers together use.
+    constexpr double retryShare = 0.9;
+    // How many routers there may be while none is heard.
+    constexpr std::size_t unheardRouters = 8;
     // The platform takes this long to send new callers elsewhere after a router has said that it is not ready.
     constexpr auto rotationDelay = std::chrono::milliseconds(3500);
     // From then on, a terminating router takes only requests that end before it does.
@@ -24,11 +25,6 @@
     constexpr auto shutdownMargin = std::chrono::milliseconds(300);
     constexpr auto retryAfterStart = std::chrono::milliseconds(500);
 
-    retry_allowance_options retryOptions(const router_settings& settings)
-    {
-        return { settings.retryRatio * retryRatioShare, settings.retryAllowance * retryAllowanceShare, settings.retryWindow };
-    }
-
     const std::string& chooseService(const route& terms, const std::string& requestId)
     {
         std::uint64_t total = 0;
@@ -50,8 +46,10 @@
 
 router_reducer::router_reducer(router_options options)
     : m_options(std::move(options))
-    , m_retries(retryOptions(m_options.settings))
+    , m_retries({})
 {
+    m_retries.setOptions(retryOptions());
+    m_peers.setAddresses(m_options.settings.address, m_options.settings.seeds);
 }
 
 void router_reducer::step(router_event&& event, instant now, router_effects& effects)
@@ -61,6 +59,8 @@
     std::visit([this](auto&& item) { on(std::move(item)); }, std::move(event));
     readUpstreams();
     readConfig();
+    if (m_digestSequence == 0)
+        exchangeDigests();
     m_effects = nullptr;
 }
 
@@ -76,11 +76,19 @@
 
 bool router_reducer::keysAreFresh(instant now) const
 {
-    const auto confirmed = m_configFollower.confirmedAt();
+    const auto confirmed = configConfirmedAt();
     const auto longest = std::chrono::duration_cast<duration>(m_options.settings.revocationDeadline * keyFreshnessShare);
     return confirmed && now - *confirmed < longest;
 }
 
+retry_allowance_options router_reducer::retryOptions() const
+{
+    const auto& settings = m_options.settings;
+    // One router more than are heard, for one that may just have come.
+    const auto routers = static_cast<double>(m_peers.count() == 0 ? unheardRouters : m_peers.count() + 2);
+    return { settings.retryRatio * retryShare, settings.retryAllowance * retryShare / routers, settings.retryWindow };
+}
+
 void router_reducer::log(log_level level, const char* name, std::vector<std::pair<std::string, std::string>> fields)
 {
     emit(log_event { level, name, std::move(fields) });
@@ -147,7 +155,7 @@
     body += toString(refusal.code);
     body += R"(","message":")" + refusal.message + R"(","ran":")" + toString(refusal.ran) + R"("}})";
     head.contentLength = body.size();
-    const auto confirmed = m_configFollower.confirmedAt();
+    const auto confirmed = configConfirmedAt();
     log(log_level::warning, "request_refused",
         { { "request", requestId }, { "code", toString(refusal.code) }, { "status", std::to_string(status) }, { "ran", toString(refusal.ran) },
             { "reason", refusal.message }, { "config", std::to_string(m_config ? m_config->version : 0) },
@@ -177,7 +185,8 @@
 void router_reducer::on(settings_changed&& changed)
 {
     m_options.settings = std::move(changed.settings);
-    m_retries.setOptions(retryOptions(m_options.settings));
+    m_retries.setOptions(retryOptions());
+    m_peers.setAddresses(m_options.settings.address, m_options.settings.seeds);
     log(log_level::info, "settings_changed", { { "instance", m_options.settings.instance }, { "store", formatEndpoint(m_options.settings.store) } });
 }
 
@@ -189,6 +198,7 @@
     m_terminatingSince = m_now;
     log(log_level::info, "router_terminating", { { "requests", std::to_string(m_requests.size()) }, { "grace_ms", wholeMilliseconds(m_options.settings.shutdownGrace) } });
     emit(close_callers_after_answers {});
+    exchangeDigests();
     setTimer(timer_kind::closeIdle, 0, m_now + rotationDelay);
     setTimer(timer_kind::stop, 0, m_now + m_options.settings.shutdownGrace - shutdownMargin);
 }
@@ -224,6 +234,8 @@
         return;
     case timer_kind::lapse:
         return dropLapsed();
+    case timer_kind::digest:
+        return exchangeDigests();
     case timer_kind::closeIdle:
         emit(close_idle_callers {});
         if (m_requests.empty())
--- a/servers/router/router_reducer.h
+++ b/servers/router/router_reducer.h
@@ -3,6 +3,7 @@
 #include "core/caller_error.h"
 #include "core/timer_queue.h"
 #include "servers/router/kind_follower.h"
+#include "servers/router/peer_group.h"
 #include "servers/router/placement.h"
 #include "servers/router/request_progress.h"
 #include "servers/router/retry_allowance.h"
@@ -14,6 +15,8 @@
 
 struct router_options {
     router_settings settings;
+    // Tells this process from its successor on the same instance.
+    std::uint64_t boot = 0;
     placement_policy enginePlacement = least_reading {};
 };
 
@@ -39,6 +42,7 @@
         configReads,
         readTimeout,
         lapse,
+        digest,
         closeIdle,
         stop };
     using timer_key = std::pair<timer_kind, std::uint64_t>;
@@ -57,6 +61,8 @@
     void on(send_failed&&);
     void on(upstreams_read&&);
     void on(config_read&&);
+    void on(digest_received&&);
+    void on(clock_jumped&&);
     void on(settings_changed&&);
     void on(termination_requested&&);
     void on(router_timer_due&&);
@@ -71,6 +77,8 @@
     // Sending.
     bool dispatch(request_progress&, const char* cause);
     void sendTo(request_progress&, const placement&, const char* cause);
+    void notePrompt(upstream_state&, const request_progress&);
+    std::int64_t engineMemory(const std::string& service) const;
     void hedge(request_progress&);
     bool mayTryAgain(const request_progress&, send_end) const;
     void endSend(request_progress&, send_id, send_end, const std::string& reason);
@@ -96,8 +104,16 @@
     void removeUpstream(const std::string& id, const char* cause);
     void loseRecord(const std::string& id);
     void dropLapsed();
+    void restartRead(store_kind);
     void noteDependency(const std::string& failure, bool wasSound);
 
+    // Talking to the other routers.
+    void exchangeDigests();
+    router_digest makeDigest();
+    void checkAgainstPeers();
+    retry_allowance_options retryOptions() const;
+    std::optional<instant> configConfirmedAt() const;
+
     template <typename Effect>
     void emit(Effect&& effect) { m_effects->emplace_back(std::forward<Effect>(effect)); }
     void log(log_level, const char* name, std::vector<std::pair<std::string, std::string>> fields);
@@ -106,6 +122,14 @@
     router_options m_options;
     retry_allowance m_retries;
     upstream_table m_upstreams;
+    peer_group m_peers;
+    std::vector<placed_part> m_placedParts;
+    std::uint64_t m_digestSequence = 0;
+    instant m_digestSentAt;
+    std::uint64_t m_newestRecord = 0;
+    // Another router has known newer records since then.
+    std::optional<instant> m_behindSince;
+    bool m_longConfigWatch = false;
     shared_config m_config;
     std::uint64_t m_configRevision = 0;
     kind_follower<upstream_record> m_upstreamFollower;
--- a/servers/router/router_sending.cpp
+++ b/servers/router/router_sending.cpp
@@ -28,7 +28,7 @@
     if (progress.deadline - m_now < leastTimeLeft)
         return false;
     const placement_policy policy = progress.toEngine && progress.terms->usesPromptCache ? m_options.enginePlacement : least_in_flight {};
-    const auto chosen = place(policy, { m_upstreams.ofService(progress.service), *progress.request, progress.tried, m_options.settings.dataCentre, m_now });
+    const auto chosen = place(policy, { m_upstreams.ofService(progress.service), *progress.request, progress.tried, m_options.settings.dataCentre, m_peers, m_now });
     if (!chosen.upstream) {
         log(log_level::warning, "no_upstream", { { "request", progress.request->requestId }, { "service", progress.service }, { "known", std::to_string(m_upstreams.ofService(progress.service).size()) }, { "tried", std::to_string(progress.tried.size()) }, { "records", std::to_string(m_upstreamFollower.revision()) } });
         return false;
@@ -50,7 +50,7 @@
     progress.tried.push_back(upstream.record.id);
     upstream.tokensToRead += chosen.tokensToRead;
     if (progress.toEngine)
-        upstream.memory.use(progress.request->prompt, progress.config->services.at(progress.service).engine->memoryTokens);
+        notePrompt(upstream, progress);
     progress.sends.push_back({ id, chosen.upstream, m_now, chosen.tokensToRead, false, std::nullopt, {} });
     m_sends.emplace(id, progress.caller);
     send_request effect;
@@ -68,6 +68,15 @@
         setTimer(timer_kind::hedge, progress.caller, m_now + std::chrono::duration_cast<duration>(progress.terms->target * hedgeShare));
 }
 
+void router_reducer::notePrompt(upstream_state& upstream, const request_progress& progress)
+{
+    const auto& prompt = progress.request->prompt;
+    upstream.memory.use(prompt, engineMemory(progress.service));
+    // The last part belongs to the request alone.
+    for (std::size_t at = 0; at + 1 < prompt.parts.size(); ++at)
+        m_placedParts.push_back({ upstream.key, prompt.parts[at].id, prompt.parts[at].tokens });
+}
+
 void router_reducer::hedge(request_progress& progress)
 {
     if (progress.sends.size() != 1 || progress.sends.front().answer || progress.runCount + 1 >= progress.terms->maxAttempts || progress.sendCount >= maxSends)
--- a/servers/router/router_store.cpp
+++ b/servers/router/router_store.cpp
@@ -12,6 +12,8 @@
     // key was taken away.
     constexpr auto configWatch = std::chrono::milliseconds(1500);
     constexpr auto upstreamWatch = std::chrono::milliseconds(6000);
+    // With other routers that would show what a silent watch misses.
+    constexpr auto watchAmongPeers = std::chrono::milliseconds(20000);
     // A read that has no answer this long after it is due has failed.
     constexpr auto readTimeout = std::chrono::milliseconds(900);
 
@@ -20,7 +22,13 @@
 void router_reducer::startRead(store_kind kind, const store_reading& reading)
 {
     const auto id = ++m_lastId;
-    const auto watch = kind == store_kind::upstreams ? upstreamWatch : configWatch;
+    auto watch = kind == store_kind::upstreams ? upstreamWatch : configWatch;
+    if (kind == store_kind::upstreams && m_peers.count() > 0)
+        watch = watchAmongPeers;
+    if (kind == store_kind::configuration) {
+        m_longConfigWatch = reading.sinceRevision && m_peers.confirmedByEarlier(m_options.settings.instance, m_configRevision, m_now);
+        watch = m_longConfigWatch ? watchAmongPeers : watch;
+    }
     (kind == store_kind::upstreams ? m_upstreamRead : m_configRead) = id;
     emit(read_store { id, kind, reading.after, reading.sinceRevision, watch });
     setTimer(timer_kind::readTimeout, id, m_now + readTimeout + (reading.sinceRevision ? watch : std::chrono::milliseconds(0)));
@@ -42,6 +50,16 @@
         setTimer(timer_kind::configReads, 0, *until);
 }
 
+void router_reducer::restartRead(store_kind kind)
+{
+    auto& read = kind == store_kind::upstreams ? m_upstreamRead : m_configRead;
+    if (read == 0)
+        return;
+    emit(cancel_store_read { read });
+    m_timers.cancel({ timer_kind::readTimeout, read });
+    read = 0;
+}
+
 void router_reducer::noteDependency(const std::string& failure, bool wasSound)
 {
     if (!failure.empty() && wasSound)
@@ -81,6 +99,7 @@
     std::unordered_set<std::string> listed;
     for (auto& entry : news.entries) {
         listed.insert(entry.name);
+        m_newestRecord = std::max(m_newestRecord, entry.revision);
         const auto visitor = overloaded {
             [&](const upstream_record& record) {
                 const auto change = m_upstreams.put(record, entry.revision, m_now);
--- a/servers/router/upstream_table.cpp
+++ b/servers/router/upstream_table.cpp
@@ -1,5 +1,7 @@
 #include "servers/router/upstream_table.h"
 
+#include "core/hash.h"
+
 #include <algorithm>
 
 namespace kumquat::router {
@@ -28,7 +30,9 @@
     added->record = record;
     added->revision = revision;
     added->readAt = now;
+    added->key = static_cast<std::uint32_t>(hashBytes(record.id));
     m_byId.emplace(record.id, added);
+    m_byKey.insert_or_assign(added->key, added);
     auto& peers = m_byService[record.service];
     const auto position = std::lower_bound(peers.begin(), peers.end(), record.id, [](const shared_upstream& item, const std::string& id) { return item->record.id < id; });
     peers.insert(position, std::move(added));
@@ -41,6 +45,7 @@
     if (!known)
         return nullptr;
     m_byId.erase(id);
+    m_byKey.erase(known->key);
     std::erase(m_byService[known->record.service], known);
     return known;
 }
@@ -51,6 +56,12 @@
     return found == m_byId.end() ? nullptr : found->second;
 }
 
+shared_upstream upstream_table::findByKey(std::uint32_t key) const
+{
+    const auto found = m_byKey.find(key);
+    return found == m_byKey.end() ? nullptr : found->second;
+}
+
 const std::vector<shared_upstream>& upstream_table::ofService(const std::string& service) const
 {
     static const std::vector<shared_upstream> none;
--- a/servers/router/upstream_table.h
+++ b/servers/router/upstream_table.h
@@ -15,6 +15,8 @@
 // One upstream and what this router has seen of it.
 struct upstream_state {
     upstream_record record;
+    // A hash of the id; routers name upstreams by it.
+    std::uint32_t key = 0;
     // The revision of the record, and when it was read.
     std::uint64_t revision = 0;
     instant readAt;
@@ -53,6 +55,7 @@
     // Removes an upstream and returns it, or null.
     shared_upstream remove(const std::string& id);
     shared_upstream find(const std::string& id) const;
+    shared_upstream findByKey(std::uint32_t key) const;
     // In order of their ids.
     const std::vector<shared_upstream>& ofService(const std::string& service) const;
     std::vector<shared_upstream> all() const;
@@ -60,6 +63,7 @@
 
 private:
     std::unordered_map<std::string, shared_upstream> m_byId;
+    std::unordered_map<std::uint32_t, shared_upstream> m_byKey;
     std::unordered_map<std::string, std::vector<shared_upstream>> m_byService;
 };
 
