Keep routers that share their view from moving together

Change: a step down the order costs a tenth of the prompt; backlog counts relative to its mean; digests at 6 ms a peer.

--- a/servers/router/peer_group.cpp
+++ b/servers/router/peer_group.cpp
@@ -10,7 +10,7 @@
     constexpr auto silenceLimit = std::chrono::milliseconds(1500);
     constexpr auto candidateTime = std::chrono::seconds(3);
     constexpr auto seedInterval = std::chrono::milliseconds(500);
-    constexpr auto intervalOfPeer = std::chrono::milliseconds(15);
+    constexpr auto intervalOfPeer = std::chrono::milliseconds(6);
     constexpr auto shortestInterval = std::chrono::milliseconds(50);
     constexpr auto longestInterval = std::chrono::milliseconds(400);
     // A digest may have been on its way for this long.
--- a/servers/router/placement.cpp
+++ b/servers/router/placement.cpp
@@ -59,10 +59,24 @@
         return { leastLoaded(candidates, asked), candidates.size(), "least_in_flight" };
     }
 
-    shared_upstream preferredByHash(const std::vector<shared_upstream>& candidates, std::uint64_t key)
+    // The candidates in the order in which all routers prefer them for a prompt.
+    std::vector<shared_upstream> preferenceOrder(const std::vector<shared_upstream>& candidates, std::uint64_t key)
     {
-        const auto weight = [key](const shared_upstream& item) { return hashBytes(item->record.id, key); };
-        return *std::max_element(candidates.begin(), candidates.end(), [&](const shared_upstream& left, const shared_upstream& right) { return weight(left) < weight(right); });
+        std::vector<std::pair<std::uint64_t, shared_upstream>> weighted;
+        weighted.reserve(candidates.size());
+        for (const auto& item : candidates)
+            weighted.emplace_back(hashBytes(item->record.id, key), item);
+        std::sort(weighted.begin(), weighted.end(), [](const auto& left, const auto& right) { return left.first > right.first; });
+        std::vector<shared_upstream> ordered;
+        ordered.reserve(weighted.size());
+        for (auto& [weight, item] : weighted)
+            ordered.push_back(std::move(item));
+        return ordered;
+    }
+
+    double backlogOf(const upstream_state& item, const peer_group& peers)
+    {
+        return item.tokensToRead + peers.loadOf(item.key).tokensToRead;
     }
 
     placement choose(const least_reading& policy, const std::vector<shared_upstream>& candidates, const placement_request& asked)
@@ -70,17 +84,24 @@
         const auto& prompt = asked.request.prompt;
         if (prompt.parts.empty())
             return choose(least_in_flight {}, candidates, asked);
-        const auto preferred = preferredByHash(candidates, affinityKey(prompt));
+        double total = 0;
+        for (const auto& item : candidates)
+            total += backlogOf(*item, asked.peers);
+        // Where all have much to read, it is no use to read a prompt in yet another place.
+        const double scale = std::max(1.0, total / static_cast<double>(candidates.size()) / policy.evenBacklogTokens);
         placement best;
         best.candidates = candidates.size();
         best.reason = "least_reading";
         double bestCost = 0;
-        for (const auto& item : candidates) {
+        int position = 0;
+        for (const auto& item : preferenceOrder(candidates, affinityKey(prompt))) {
             double reading = item->memory.tokensToRead(prompt);
-            if (item == preferred)
-                reading = std::min(reading, prompt.inputTokens * policy.hashedShare);
-            const auto others = asked.peers.loadOf(item->key);
-            const double cost = item->tokensToRead + others.tokensToRead + policy.readingWeight * reading + policy.streamTokens * (item->streams + others.streams);
+            if (position == 0)
+                reading = std::min(reading, prompt.inputTokens * policy.preferredShare);
+            const double streams = item->streams + asked.peers.loadOf(item->key).streams;
+            const double cost = backlogOf(*item, asked.peers) / scale + policy.readingWeight * reading + policy.streamTokens * streams
+                + policy.positionShare * position * prompt.inputTokens;
+            ++position;
             if (best.upstream && cost >= bestCost)
                 continue;
             best.upstream = item;
--- a/servers/router/placement.h
+++ b/servers/router/placement.h
@@ -21,9 +21,14 @@
     // What a token that is read for the request counts against one that is read before it. Reading also takes memory
     // from parts that others need.
     double readingWeight = 2;
-    // The part of the prompt that is expected to be kept where the hash of its deepest shared part prefers, though this
-    // router has not sent it there: the other routers may have.
-    double hashedShare = 0.25;
+    // The part of a prompt that is expected to be read where all routers prefer it, though this one does not know it to
+    // be kept there.
+    double preferredShare = 0.5;
+    // What each position further down that order costs, as a part of the prompt. Routers that all see the same idle
+    // upstream do not all send there.
+    double positionShare = 0.1;
+    // A mean backlog above this is the load of all, so that differences in backlog count less.
+    double evenBacklogTokens = 6000;
 };
 
 using placement_policy = std::variant<least_in_flight, least_reading>;
