Confirm the configuration by reads of one router

Change: the first router by name reads the configuration each 0.75 s, the others take its word and step in when it is silent; all watch long. Keys are trusted for 0.9 of the time after which a lost key must be refused.

--- a/servers/router/kind_follower.h
+++ b/servers/router/kind_follower.h
@@ -51,9 +51,6 @@
         return std::visit([&](auto&& read) { return accept(std::move(read), now); }, std::move(outcome));
     }
 
-    // Gives up the read in progress; the next one starts at once.
-    void interrupt() { m_reading = false; }
-
     // Reads all again, though nothing is known to be wrong with what was read.
     void listAfresh()
     {
--- a/servers/router/peer_group.cpp
+++ b/servers/router/peer_group.cpp
@@ -15,8 +15,6 @@
     constexpr auto longestInterval = std::chrono::milliseconds(400);
     // A digest may have been on its way for this long.
     constexpr auto transitSlack = std::chrono::milliseconds(100);
-    // A router whose confirmation is older than this does not confirm for others.
-    constexpr auto confirmationLimit = std::chrono::milliseconds(2600);
 
     void add(load_share& total, const load_share& part, int sign)
     {
@@ -152,12 +150,9 @@
     return latest;
 }
 
-bool peer_group::confirmedByEarlier(const std::string& instance, std::uint64_t configRevision, instant now) const
+std::size_t peer_group::countBefore(const std::string& instance) const
 {
-    return std::any_of(m_peers.begin(), m_peers.end(), [&](const auto& item) {
-        const auto& known = item.second;
-        return item.first < instance && known.configRevision >= configRevision && known.configConfirmedAt && now - *known.configConfirmedAt < confirmationLimit;
-    });
+    return static_cast<std::size_t>(std::count_if(m_peers.begin(), m_peers.end(), [&instance](const auto& item) { return item.first < instance; }));
 }
 
 } // namespace kumquat::router
--- a/servers/router/peer_group.h
+++ b/servers/router/peer_group.h
@@ -39,8 +39,8 @@
     std::uint64_t newestUpstreams() const;
     // The last moment at which a router confirmed that no configuration newer than the revision existed.
     std::optional<instant> confirmedAt(std::uint64_t configRevision) const;
-    // Another router, earlier in the order of names, keeps confirming the configuration.
-    bool confirmedByEarlier(const std::string& instance, std::uint64_t configRevision, instant now) const;
+    // How many routers come before that name.
+    std::size_t countBefore(const std::string& instance) const;
 
 private:
     struct peer {
--- a/servers/router/router_peers.cpp
+++ b/servers/router/router_peers.cpp
@@ -36,6 +36,7 @@
     restartRead(store_kind::configuration);
     m_upstreamFollower.startOver();
     m_configFollower.startOver();
+    m_confirmation = {};
 }
 
 std::int64_t router_reducer::engineMemory(const std::string& service) const
@@ -53,6 +54,7 @@
     if (m_peers.count() != before)
         log(log_level::warning, "peer_lost", { { "peers", std::to_string(m_peers.count()) } });
     checkAgainstPeers();
+    confirmConfig();
     setTimer(timer_kind::digest, 0, m_now + m_peers.interval());
     const bool idle = m_requests.empty() && m_placedParts.empty() && !m_terminating;
     if (idle && m_now - m_digestSentAt < heartbeatInterval)
@@ -73,7 +75,7 @@
     digest.leaving = m_terminating && m_requests.empty();
     digest.configRevision = m_configRevision;
     // Only what the store itself has told this router, so that no confirmation goes in circles.
-    if (const auto confirmed = m_configFollower.confirmedAt())
+    if (const auto confirmed = ownConfirmedAt())
         digest.configAge = std::chrono::ceil<std::chrono::milliseconds>(m_now - *confirmed);
     digest.upstreamRevision = m_newestRecord;
     digest.members = m_peers.heard();
@@ -85,7 +87,7 @@
     return digest;
 }
 
-// What other routers know shows when this one's watch has died, and who confirms the configuration for all.
+// What other routers know shows when this one's watch has died.
 void router_reducer::checkAgainstPeers()
 {
     m_retries.setOptions(retryOptions());
@@ -101,17 +103,20 @@
         restartRead(store_kind::configuration);
         m_upstreamFollower.listAfresh();
         m_configFollower.listAfresh();
-        return;
     }
-    if (!m_longConfigWatch || m_configRead == 0 || m_peers.confirmedByEarlier(m_options.settings.instance, m_configRevision, m_now))
-        return;
-    restartRead(store_kind::configuration);
-    m_configFollower.interrupt();
+}
+
+std::optional<instant> router_reducer::ownConfirmedAt() const
+{
+    const auto followed = m_configFollower.confirmedAt();
+    if (!followed || !m_confirmation.confirmedAt)
+        return followed;
+    return std::max(*followed, *m_confirmation.confirmedAt);
 }
 
 std::optional<instant> router_reducer::configConfirmedAt() const
 {
-    const auto own = m_configFollower.confirmedAt();
+    const auto own = ownConfirmedAt();
     const auto others = m_peers.confirmedAt(m_configRevision);
     // A router that has not read the configuration itself trusts nobody's word on it.
     if (!own || !others)
--- a/servers/router/router_reducer.cpp
+++ b/servers/router/router_reducer.cpp
@@ -10,7 +10,7 @@
 
     // Requests with a key are refused when the store has been silent for this part of the time after which a key that
     // was taken away must be refused.
-    constexpr double keyFreshnessShare = 0.8;
+    constexpr double keyFreshnessShare = 0.9;
     // The part of the bound on second sends that all routers together use.
     constexpr double retryShare = 0.9;
     // How many routers there may be while none is heard.
@@ -226,7 +226,7 @@
         emit(cancel_store_read { id });
         if (id == m_upstreamRead)
             on(upstreams_read { id, store_read_failed { "timeout" } });
-        if (id == m_configRead)
+        if (id == m_configRead || id == m_confirmation.read)
             on(config_read { id, store_read_failed { "timeout" } });
         return;
     case timer_kind::upstreamReads:
--- a/servers/router/router_reducer.h
+++ b/servers/router/router_reducer.h
@@ -105,6 +105,9 @@
     void loseRecord(const std::string& id);
     void dropLapsed();
     void restartRead(store_kind);
+    void confirmConfig();
+    void acceptConfirmation(store_read_outcome<shared_config>&&);
+    std::optional<instant> ownConfirmedAt() const;
     void noteDependency(const std::string& failure, bool wasSound);
 
     // Talking to the other routers.
@@ -129,7 +132,13 @@
     std::uint64_t m_newestRecord = 0;
     // Another router has known newer records since then.
     std::optional<instant> m_behindSince;
-    bool m_longConfigWatch = false;
+    // Reads of the configuration that show that it is still in force.
+    struct {
+        std::uint64_t read = 0;
+        instant sentAt;
+        instant notBefore;
+        std::optional<instant> confirmedAt;
+    } m_confirmation;
     shared_config m_config;
     std::uint64_t m_configRevision = 0;
     kind_follower<upstream_record> m_upstreamFollower;
--- a/servers/router/router_store.cpp
+++ b/servers/router/router_store.cpp
@@ -8,27 +8,25 @@
 
 namespace {
 
-    // The store answers a watch after this time if nothing changes. The watch of the configuration also shows that no
-    // key was taken away.
-    constexpr auto configWatch = std::chrono::milliseconds(1500);
-    constexpr auto upstreamWatch = std::chrono::milliseconds(6000);
+    // The store answers a watch after this time if nothing changes.
+    constexpr auto watchAlone = std::chrono::milliseconds(6000);
     // With other routers that would show what a silent watch misses.
     constexpr auto watchAmongPeers = std::chrono::milliseconds(20000);
     // A read that has no answer this long after it is due has failed.
     constexpr auto readTimeout = std::chrono::milliseconds(900);
+    // One router reads the configuration this often, to show that no key was taken away.
+    constexpr auto confirmationInterval = std::chrono::milliseconds(750);
+    // Each router that comes before another in the order of names gives it this much longer to wait.
+    constexpr auto confirmationStep = std::chrono::milliseconds(150);
+    constexpr auto longestConfirmationWait = std::chrono::milliseconds(1500);
+    constexpr auto pauseAfterFailedConfirmation = std::chrono::milliseconds(1000);
 
 } // namespace
 
 void router_reducer::startRead(store_kind kind, const store_reading& reading)
 {
     const auto id = ++m_lastId;
-    auto watch = kind == store_kind::upstreams ? upstreamWatch : configWatch;
-    if (kind == store_kind::upstreams && m_peers.count() > 0)
-        watch = watchAmongPeers;
-    if (kind == store_kind::configuration) {
-        m_longConfigWatch = reading.sinceRevision && m_peers.confirmedByEarlier(m_options.settings.instance, m_configRevision, m_now);
-        watch = m_longConfigWatch ? watchAmongPeers : watch;
-    }
+    const auto watch = m_peers.count() > 0 ? watchAmongPeers : watchAlone;
     (kind == store_kind::upstreams ? m_upstreamRead : m_configRead) = id;
     emit(read_store { id, kind, reading.after, reading.sinceRevision, watch });
     setTimer(timer_kind::readTimeout, id, m_now + readTimeout + (reading.sinceRevision ? watch : std::chrono::milliseconds(0)));
@@ -84,6 +82,8 @@
 
 void router_reducer::on(config_read&& read)
 {
+    if (read.read == m_confirmation.read && read.read != 0)
+        return acceptConfirmation(std::move(read.outcome));
     if (read.read != m_configRead)
         return;
     m_configRead = 0;
@@ -94,6 +94,37 @@
     applyConfig(std::move(news));
 }
 
+// Asks the store for the configuration when nobody has done so for a while.
+void router_reducer::confirmConfig()
+{
+    if (!m_config || m_confirmation.read != 0 || m_now < m_confirmation.notBefore)
+        return;
+    const auto step = confirmationStep * static_cast<int>(m_peers.countBefore(m_options.settings.instance));
+    const auto wait = std::min<duration>(confirmationInterval + step, longestConfirmationWait);
+    const auto confirmed = configConfirmedAt();
+    if (confirmed && m_now - *confirmed < wait)
+        return;
+    m_confirmation.read = ++m_lastId;
+    m_confirmation.sentAt = m_now;
+    emit(read_store { m_confirmation.read, store_kind::configuration, {}, std::nullopt, {} });
+    setTimer(timer_kind::readTimeout, m_confirmation.read, m_now + readTimeout);
+}
+
+void router_reducer::acceptConfirmation(store_read_outcome<shared_config>&& outcome)
+{
+    m_timers.cancel({ timer_kind::readTimeout, m_confirmation.read });
+    m_confirmation.read = 0;
+    auto* page = std::get_if<store_page<shared_config>>(&outcome);
+    if (!page) {
+        const auto* failed = std::get_if<store_read_failed>(&outcome);
+        log(log_level::warning, "confirmation_failed", { { "reason", failed ? failed->reason : "no list" }, { "config", std::to_string(m_config->version) } });
+        m_confirmation.notBefore = m_now + pauseAfterFailedConfirmation;
+        return;
+    }
+    m_confirmation.confirmedAt = m_confirmation.sentAt;
+    applyConfig({ false, std::move(page->entries), {} });
+}
+
 void router_reducer::applyUpstreams(follower_news<upstream_record>&& news)
 {
     std::unordered_set<std::string> listed;
