--- a/servers/router/router_peers.cpp
+++ b/servers/router/router_peers.cpp
@@ -61,9 +61,9 @@
         return;
     m_digestSentAt = m_now;
     auto addresses = m_peers.addresses(m_now);
-    auto digest = makeDigest();
-    if (!addresses.empty())
-        emit(send_digest { std::move(addresses), std::move(digest) });
+    if (addresses.empty())
+        return m_placedParts.clear();
+    emit(send_digest { std::move(addresses), makeDigest() });
 }
 
 router_digest router_reducer::makeDigest()
--- a/servers/router/router_reducer.cpp
+++ b/servers/router/router_reducer.cpp
@@ -59,7 +59,7 @@
     std::visit([this](auto&& item) { on(std::move(item)); }, std::move(event));
     readUpstreams();
     readConfig();
-    if (m_digestSequence == 0)
+    if (m_digestSentAt == instant {})
         exchangeDigests();
     m_effects = nullptr;
 }
--- /dev/null
+++ b/tests/drivers/request_reader_test.cpp
@@ -0,0 +1,84 @@
+#include "drivers/http_parser/request_reader.h"
+
+#include <catch2/catch.hpp>
+#include <string>
+
+using namespace kumquat;
+using state = request_reader::state;
+
+namespace {
+
+state readAll(const std::string& text)
+{
+    request_reader reader({ 1024, 64 });
+    reader.feed(text);
+    return reader.current();
+}
+
+std::string post(const std::string& headers, const std::string& body = {})
+{
+    return "POST /a/b HTTP/1.1\r\nHost: h\r\n" + headers + "\r\n" + body;
+}
+
+} // namespace
+
+TEST_CASE("a request is read byte by byte and in one piece alike", "[http]")
+{
+    const auto text = post("Content-Length: 5\r\nX-A: 1\r\n", "hello") + "GET /next";
+    request_reader whole({ 1024, 64 });
+    CHECK(whole.feed(text) == text.size() - 9);
+    REQUIRE(whole.current() == state::complete);
+    request_reader pieces({ 1024, 64 });
+    std::size_t taken = 0;
+    while (pieces.current() == state::reading)
+        taken += pieces.feed(std::string_view(text).substr(taken, 1));
+    CHECK(taken == text.size() - 9);
+    const auto first = whole.take();
+    const auto second = pieces.take();
+    CHECK(first.method == "POST");
+    CHECK(first.target == "/a/b");
+    CHECK(first.body == "hello");
+    CHECK(*findHeader(first.headers, "x-a") == "1");
+    CHECK(second.body == first.body);
+    CHECK(second.headers.size() == first.headers.size());
+}
+
+TEST_CASE("a chunked body loses its coding", "[http]")
+{
+    const auto text = post("Transfer-Encoding: chunked\r\n", "3\r\nabc\r\n2;x=y\r\nde\r\n0\r\nT: v\r\n\r\n") + "XY";
+    request_reader reader({ 1024, 64 });
+    CHECK(reader.feed(text) == text.size() - 2);
+    REQUIRE(reader.current() == state::complete);
+    CHECK(reader.take().body == "abcde");
+}
+
+TEST_CASE("framing in doubt is refused", "[http]")
+{
+    CHECK(readAll(post("Content-Length: 3\r\nTransfer-Encoding: chunked\r\n", "0\r\n\r\n")) == state::malformed);
+    CHECK(readAll(post("Content-Length: 3\r\nContent-Length: 4\r\n", "abcd")) == state::malformed);
+    CHECK(readAll(post("Content-Length: -1\r\n")) == state::malformed);
+    CHECK(readAll(post("Content-Length: +3\r\n", "abc")) == state::malformed);
+    CHECK(readAll(post("Content-Length : 3\r\n", "abc")) == state::malformed);
+    CHECK(readAll(post("X-A: 1\r\n folded\r\n")) == state::malformed);
+    CHECK(readAll("POST / HTTP/1.1\nHost: h\n\n\r\n\r\n") == state::malformed);
+    CHECK(readAll(post("Transfer-Encoding: xchunked\r\n", "0\r\n\r\n")) == state::malformed);
+    CHECK(readAll("CONNECT a:1 HTTP/1.1\r\nHost: a\r\n\r\n") == state::malformed);
+    CHECK(readAll("GET / HTTP/1.0\r\nHost: a\r\n\r\n") == state::versionUnsupported);
+}
+
+TEST_CASE("what is too large is refused before it is read", "[http]")
+{
+    CHECK(readAll(post("Content-Length: 99999999999\r\n")) == state::bodyTooLarge);
+    CHECK(readAll(post("Content-Length: 65\r\n")) == state::bodyTooLarge);
+    CHECK(readAll(post("X-Long: " + std::string(2000, 'x') + "\r\n")) == state::headerTooLarge);
+    CHECK(readAll(post("Transfer-Encoding: chunked\r\n", "50\r\n" + std::string(80, 'x') + "\r\n0\r\n\r\n")) == state::bodyTooLarge);
+}
+
+TEST_CASE("a caller may wait for permission to send its body", "[http]")
+{
+    request_reader reader({ 1024, 64 });
+    reader.feed(post("Expect: 100-continue\r\nContent-Length: 2\r\n"));
+    CHECK(reader.awaitsContinue());
+    reader.feed("ab");
+    CHECK(reader.current() == state::complete);
+}
--- /dev/null
+++ b/tests/platform/request_codec_test.cpp
@@ -0,0 +1,104 @@
+#include "platform/answer_codec.h"
+#include "platform/request_codec.h"
+
+#include <catch2/catch.hpp>
+
+using namespace kumquat;
+using namespace kumquat::platform;
+
+namespace {
+
+http_request sample()
+{
+    http_request request;
+    request.method = "POST";
+    request.target = "/a/b?c=d";
+    request.headers = { { "Host", "Shop.Example:80" }, { "X-Attempt-Id", "id-1" }, { "X-Deadline-Ms", "1500" }, { "Authorization", "Bearer secret" },
+        { "X-Token-Usage", "1460,80" }, { "X-Prompt-Prefix", "5c1e07a2:800,91bd3f06:410,e4402b7d:250" }, { "X-Model", "m" }, { "Last-Event-Id", "12" } };
+    request.body = "body";
+    return request;
+}
+
+proxied_request decoded(http_request request)
+{
+    auto outcome = decodeRequest(std::move(request));
+    REQUIRE(errorOf(outcome) == nullptr);
+    return valueOf(outcome);
+}
+
+} // namespace
+
+TEST_CASE("a caller's request is read", "[platform]")
+{
+    const auto request = decoded(sample());
+    CHECK(request.requestId == "id-1");
+    CHECK(request.host == "shop.example");
+    CHECK(request.path == "/a/b");
+    CHECK(request.target == "/a/b?c=d");
+    CHECK(request.apiKey == "secret");
+    CHECK(request.patience == std::chrono::milliseconds(1500));
+    CHECK(request.lastEventId == 12);
+    CHECK(request.prompt.inputTokens == 1460);
+    CHECK(request.prompt.maxOutputTokens == 80);
+    REQUIRE(request.prompt.parts.size() == 3);
+    CHECK(request.prompt.parts[1].id == 0x91bd3f06);
+    CHECK(request.prompt.parts[1].tokens == 410);
+}
+
+TEST_CASE("an upstream gets the request unchanged, with what the router sets", "[platform]")
+{
+    auto received = sample();
+    received.headers.push_back({ "X-Tenant-Id", "forged" });
+    received.headers.push_back({ "X-Expect-Instance", "forged" });
+    received.headers.push_back({ "X-Hold", "forged" });
+    received.headers.push_back({ "X-Pin-Ms", "9" });
+    received.headers.push_back({ "X-Kv-Backup", "1.2.3.4:5" });
+    received.headers.push_back({ "Kv-From", "1.2.3.4:5/6" });
+    received.headers.push_back({ "X-Request-Priority", "0" });
+    received.headers.push_back({ "Connection", "X-Private, X-Model" });
+    received.headers.push_back({ "X-Private", "1" });
+    received.headers.push_back({ "X-Other", "2" });
+    const auto text = encodeRequest(decoded(std::move(received)), { "i-1", "org", std::chrono::milliseconds(900), 3, std::nullopt, true });
+    CHECK(text.starts_with("POST /a/b?c=d HTTP/1.1\r\n"));
+    CHECK(text.ends_with("\r\n\r\nbody"));
+    for (const char* line : { "Host: Shop.Example:80\r\n", "X-Attempt-Id: id-1\r\n", "X-Deadline-Ms: 900\r\n", "X-Tenant-Id: org\r\n", "X-Expect-Instance: i-1\r\n", "X-Request-Priority: 3\r\n", "Last-Event-Id: 12\r\n", "X-Model: m\r\n", "X-Other: 2\r\n", "Content-Length: 4\r\n" })
+        CHECK(text.find(line) != std::string::npos);
+    for (const char* word : { "secret", "forged", "X-Private", "X-Pin-Ms", "X-Kv-Backup", "Kv-From", "Connection" })
+        CHECK(text.find(word) == std::string::npos);
+}
+
+TEST_CASE("a resumed stream names the last event that was delivered", "[platform]")
+{
+    const auto text = encodeRequest(decoded(sample()), { "i-1", "", std::chrono::milliseconds(900), 3, 17, false });
+    CHECK(text.find("Last-Event-Id: 17\r\n") != std::string::npos);
+    CHECK(text.find("Last-Event-Id: 12") == std::string::npos);
+    CHECK(text.find("X-Tenant-Id") == std::string::npos);
+}
+
+TEST_CASE("requests that can't be judged are refused", "[platform]")
+{
+    auto noId = sample();
+    std::erase_if(noId.headers, [](const http_header& header) { return header.name == "X-Attempt-Id"; });
+    CHECK(errorOf(decodeRequest(std::move(noId))) != nullptr);
+    auto twoHosts = sample();
+    twoHosts.headers.push_back({ "host", "b" });
+    CHECK(errorOf(decodeRequest(std::move(twoHosts))) != nullptr);
+    auto badDeadline = sample();
+    badDeadline.headers[2].value = "soon";
+    const auto refused = decodeRequest(std::move(badDeadline));
+    REQUIRE(errorOf(refused) != nullptr);
+    CHECK(errorOf(refused)->message.find("soon") != std::string::npos);
+}
+
+TEST_CASE("an upstream's answer says whether the request was run", "[platform]")
+{
+    const auto full = decodeAnswer({ 503, { { "X-Not-Executed", "1" }, { "Connection", "close" } }, 0, false });
+    CHECK(full.notRun);
+    CHECK_FALSE(full.sealed);
+    CHECK(full.head.headers.size() == 1);
+    CHECK(decodeAnswer({ 421, {}, 0, true }).wrongUpstream);
+    const auto good = decodeAnswer({ 200, { { "X-Response-Seal", "s" }, { "Content-Type", "text/plain" } }, 3, true });
+    CHECK(good.sealed);
+    CHECK_FALSE(good.notRun);
+    CHECK(good.head.headers.size() == 2);
+}
--- /dev/null
+++ b/tests/platform/settings_decoder_test.cpp
@@ -0,0 +1,49 @@
+#include "platform/settings_decoder.h"
+
+#include <catch2/catch.hpp>
+
+using namespace kumquat;
+using namespace kumquat::platform;
+
+namespace {
+
+const std::string sample = R"({"NodeName":"n","Zone":"z","Ip":"10.0.0.1","Listen":{"Front":"10.0.0.1:80","Ready":"10.0.0.1:81"},"InternalPorts":[7340,7355],
+    "Seeds":["10.0.0.2:9","10.0.0.3:9"],"Limits":{"MemoryMb":110},"Platform":{"Address":"10.0.0.9:82"},
+    "Bounds":{"RevokeMs":5000,"GraceS":8,"DrainMs":2000,"BudgetRatio":0.2,"RetrySlack":54,"BudgetWindowS":10},"New":1})";
+
+std::string without(const std::string& piece, const std::string& replacement)
+{
+    auto text = sample;
+    text.replace(text.find(piece), piece.size(), replacement);
+    return text;
+}
+
+std::string messageFor(const std::string& text)
+{
+    const auto outcome = decodeSettings("settings 'f'", text);
+    REQUIRE(errorOf(outcome) != nullptr);
+    return errorOf(outcome)->message;
+}
+
+} // namespace
+
+TEST_CASE("the platform's settings are read, and unknown fields are ignored", "[platform]")
+{
+    const auto outcome = decodeSettings("settings 'f'", sample);
+    REQUIRE(errorOf(outcome) == nullptr);
+    const auto& settings = valueOf(outcome);
+    CHECK(settings.callers == endpoint { "10.0.0.1", 80 });
+    CHECK(settings.store == endpoint { "10.0.0.9", 82 });
+    CHECK(settings.seeds == std::vector<std::string> { "10.0.0.2", "10.0.0.3" });
+    CHECK(settings.revocationDeadline == std::chrono::seconds(5));
+    CHECK(settings.shutdownGrace == std::chrono::seconds(8));
+    CHECK(settings.retryAllowance == 54);
+}
+
+TEST_CASE("settings that can't be used name the file and the field", "[platform]")
+{
+    CHECK(messageFor(sample.substr(0, 60)) == "settings 'f' is not a JSON object");
+    CHECK(messageFor(without(R"("Front":"10.0.0.1:80",)", "")) == "settings 'f': field 'Front' is missing");
+    CHECK(messageFor(without(R"("10.0.0.9:82")", R"("nowhere")")) == "settings 'f': field 'Address' is 'nowhere', not an address and port");
+    CHECK(messageFor(without(R"("RevokeMs":5000)", R"("RevokeMs":"x")")) == "settings 'f': field 'RevokeMs' is not a number");
+}
--- /dev/null
+++ b/tests/platform/store_codec_test.cpp
@@ -0,0 +1,83 @@
+#include "platform/store_codec.h"
+
+#include <catch2/catch.hpp>
+
+using namespace kumquat;
+using namespace kumquat::platform;
+
+namespace {
+
+const std::string goodRecord = R"({"Metadata":{"Name":"i-1","Revision":8},"Spec":{"Service":"llm","Address":"10.0.0.1:80","Zone":"z","Slots":6,"State":"ready","Sequence":4,"born":17}})";
+
+} // namespace
+
+TEST_CASE("a list of upstreams is read, and a record of another writer harms only itself", "[platform]")
+{
+    const auto outcome = decodeUpstreams(200, R"({"Items":[)" + goodRecord + R"(,{"Metadata":{"Name":"odd","Revision":9},"Spec":{"Service":7}},{"Metadata":{"Name":"odd-2","Revision":9},"Spec":"text"}],"HasMore":true,"At":12})");
+    const auto* page = std::get_if<store_page<upstream_record>>(&outcome);
+    REQUIRE(page);
+    CHECK(page->more);
+    CHECK(page->revision == 12);
+    REQUIRE(page->entries.size() == 3);
+    const auto& record = std::get<upstream_record>(page->entries[0].content);
+    CHECK(record.id == "i-1");
+    CHECK(record.address == endpoint { "10.0.0.1", 80 });
+    CHECK(record.startedUnixMs == 17);
+    CHECK_FALSE(record.leaving);
+    CHECK(std::holds_alternative<unusable_object>(page->entries[1].content));
+    CHECK(std::holds_alternative<unusable_object>(page->entries[2].content));
+}
+
+TEST_CASE("changes are read with what is gone", "[platform]")
+{
+    const auto outcome = decodeUpstreams(200, R"({"events":[{"Deleted":true,"Object":)" + goodRecord + R"(}],"At":13})");
+    const auto* changes = std::get_if<store_changes<upstream_record>>(&outcome);
+    REQUIRE(changes);
+    CHECK(changes->revision == 13);
+    REQUIRE(changes->entries.size() == 1);
+    CHECK(std::holds_alternative<removed_object>(changes->entries[0].content));
+}
+
+TEST_CASE("a store that refuses or forgets is told apart", "[platform]")
+{
+    CHECK(std::holds_alternative<store_history_lost>(decodeUpstreams(410, "")));
+    CHECK(std::holds_alternative<store_read_failed>(decodeUpstreams(503, "")));
+    CHECK(std::holds_alternative<store_read_failed>(decodeUpstreams(200, "{\"Items\":[")));
+    CHECK(std::holds_alternative<store_read_failed>(decodeUpstreams(200, "{}")));
+}
+
+TEST_CASE("the operator's configuration is read", "[platform]")
+{
+    const auto outcome = decodeConfigs(200, R"({"Items":[{"Metadata":{"Name":"main","Revision":3},"Spec":{"Version":7,
+        "Routes":[{"Name":"r","Host":"H.Example","PathPrefix":"/a/","Kind":"streaming","TimeoutMs":8000,"SloMs":1000,"Priority":2,"Backends":[{"Service":"s","Weight":90},{"Service":"t","Weight":10}],"MaxAttempts":2,"Resumable":true,"GapTargetMs":600},
+                  {"Name":"q","Host":"h.example","PathPrefix":"/a/b/","Kind":"idempotent","TimeoutMs":800,"Service":"t"}],
+        "Services":[{"Name":"s","MaxConns":620,"Engine":{"Slots":128,"KvCapacity":1000,"Stride":5}},{"Name":"t"}],
+        "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":100,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000},
+        "Tenants":[{"Name":"o","ApiKeys":["k1","k2"],"Priority":1}]}}],"HasMore":false,"At":3})");
+    const auto* page = std::get_if<store_page<shared_config>>(&outcome);
+    REQUIRE(page);
+    const auto config = std::get<shared_config>(page->entries[0].content);
+    CHECK(config->version == 7);
+    CHECK(config->requiresKeys);
+    CHECK(config->keys.at("k2").name == "o");
+    CHECK(config->keys.at("k2").rank == 1);
+    CHECK(config->limits.bodyBytes == 100);
+    CHECK(config->services.at("s").engine->memoryTokens == 1000);
+    const auto* wide = config->match("h.example", "/a/x");
+    REQUIRE(wide);
+    CHECK(wide->name == "r");
+    CHECK(wide->resumable);
+    CHECK(wide->services[1].weight == 10);
+    CHECK(config->match("h.example", "/a/b/c")->name == "q");
+    CHECK(config->match("h.example", "/a") == nullptr);
+    CHECK(config->match("other", "/a/b/c") == nullptr);
+}
+
+TEST_CASE("a configuration that can't be used is reported with the field", "[platform]")
+{
+    const auto outcome = decodeConfigs(200, R"({"Items":[{"Metadata":{"Name":"main","Revision":3},"Spec":{"Version":7,"Routes":[{"Name":"r","Host":"h"}],"Services":[]}}],"At":3})");
+    const auto& page = std::get<store_page<shared_config>>(outcome);
+    const auto* bad = std::get_if<unusable_object>(&page.entries[0].content);
+    REQUIRE(bad);
+    CHECK(bad->reason.find("PathPrefix") != std::string::npos);
+}
--- /dev/null
+++ b/tests/servers/router/attempt_test.cpp
@@ -0,0 +1,164 @@
+#include "tests/support/router_fixture.h"
+
+using namespace kumquat;
+using namespace kumquat::router;
+
+namespace {
+
+// Starts a router, sends one request, and returns the sending.
+send_request sendOne(router_fixture& site, const std::string& path)
+{
+    site.start();
+    site.request(1, path);
+    return site.only<send_request>();
+}
+
+} // namespace
+
+TEST_CASE("a whole sealed answer is passed on as it came", "[router]")
+{
+    router_fixture site;
+    const auto send = sendOne(site, "/pay/x");
+    CHECK(send.organisation == "org-a");
+    site.step(answer_started { send.send, router_fixture::answer(200) });
+    site.step(answer_continued { send.send, "abc" });
+    site.step(answer_ended { send.send });
+    const auto reply = site.only<whole_reply>();
+    CHECK(reply.head.status == 200);
+    CHECK(reply.body == "abc");
+    CHECK(site.reducer.requestCount() == 0);
+}
+
+TEST_CASE("a request that may have run is not repeated and not called not run", "[router]")
+{
+    router_fixture site;
+    const auto send = sendOne(site, "/pay/x");
+    site.step(send_failed { send.send, true, "reset" });
+    CHECK(site.all<send_request>().empty());
+    CHECK(site.replyStatus() == 502);
+}
+
+TEST_CASE("a request that never left is sent elsewhere", "[router]")
+{
+    router_fixture site;
+    const auto first = sendOne(site, "/pay/x");
+    site.step(send_failed { first.send, false, "refused" });
+    const auto second = site.only<send_request>();
+    CHECK(second.upstreamId != first.upstreamId);
+    site.step(send_failed { second.send, false, "refused" });
+    CHECK(site.replyStatus() == 503);
+}
+
+TEST_CASE("a refusal of all upstreams is a true not run", "[router]")
+{
+    router_fixture site;
+    const auto first = sendOne(site, "/pay/x");
+    site.step(answer_started { first.send, router_fixture::refusal() });
+    const auto second = site.only<send_request>();
+    site.step(answer_started { second.send, router_fixture::refusal(429) });
+    CHECK(site.replyStatus() == 503);
+    CHECK(findHeader(site.only<whole_reply>().head.headers, "Retry-After") != nullptr);
+}
+
+TEST_CASE("a status that promises not run is not passed on without the upstream's word", "[router]")
+{
+    router_fixture site;
+    const auto send = sendOne(site, "/pay/x");
+    site.step(answer_started { send.send, router_fixture::answer(503) });
+    site.step(answer_ended { send.send });
+    CHECK(site.replyStatus() == 502);
+}
+
+TEST_CASE("a success without a seal is no success", "[router]")
+{
+    router_fixture site;
+    const auto send = sendOne(site, "/pay/x");
+    site.step(answer_started { send.send, router_fixture::answer(200, false) });
+    CHECK(site.all<cancel_send>().size() == 1);
+    CHECK(site.replyStatus() == 502);
+}
+
+TEST_CASE("another upstream at the address means a record out of date", "[router]")
+{
+    router_fixture site;
+    const auto first = sendOne(site, "/pay/x");
+    auto wrong = router_fixture::answer(421, false);
+    wrong.wrongUpstream = true;
+    site.step(answer_started { first.send, wrong });
+    site.only<send_request>();
+    for (caller_id caller = 10; caller < 14; ++caller) {
+        site.request(caller, "/pay/x");
+        CHECK(site.only<send_request>().upstreamId != first.upstreamId);
+    }
+}
+
+TEST_CASE("a failed answer of a repeatable request is repeated once and else passed on", "[router]")
+{
+    router_fixture site;
+    const auto first = sendOne(site, "/look/x");
+    site.step(answer_started { first.send, router_fixture::answer(500) });
+    site.step(answer_ended { first.send });
+    const auto second = site.only<send_request>();
+    site.step(answer_started { second.send, router_fixture::answer(500) });
+    site.step(answer_ended { second.send });
+    CHECK(site.all<send_request>().empty());
+    CHECK(site.replyStatus() == 500);
+}
+
+TEST_CASE("a repeatable request without an answer is sent to a second upstream, and the slower one is cancelled", "[router]")
+{
+    router_fixture site;
+    const auto first = sendOne(site, "/look/x");
+    const auto effects = site.advance(milliseconds(250));
+    const auto hedges = router_fixture::all<send_request>(effects);
+    REQUIRE(hedges.size() == 1);
+    site.step(answer_started { hedges[0].send, router_fixture::answer(200) });
+    site.step(answer_ended { hedges[0].send });
+    CHECK(site.replyStatus() == 200);
+    CHECK(site.only<cancel_send>().send == first.send);
+}
+
+TEST_CASE("a caller that leaves has its work cancelled", "[router]")
+{
+    router_fixture site;
+    const auto send = sendOne(site, "/stream/x");
+    site.step(caller_left { 1 });
+    CHECK(site.only<cancel_send>().send == send.send);
+    CHECK(site.reducer.requestCount() == 0);
+}
+
+TEST_CASE("a request is answered by its route's timeout", "[router]")
+{
+    router_fixture site;
+    sendOne(site, "/pay/x");
+    const auto effects = site.advance(milliseconds(1001));
+    const auto replies = router_fixture::all<whole_reply>(effects);
+    REQUIRE(replies.size() == 1);
+    CHECK(replies[0].head.status == 504);
+    CHECK(router_fixture::all<cancel_send>(effects).size() == 1);
+}
+
+TEST_CASE("the upstream is told less time than the caller has", "[router]")
+{
+    router_fixture site;
+    const auto send = sendOne(site, "/pay/x");
+    CHECK(send.timeLeft < milliseconds(1000));
+    CHECK(send.timeLeft > milliseconds(900));
+}
+
+TEST_CASE("second sends stay within the share of this router", "[router]")
+{
+    router_fixture site;
+    site.start();
+    int again = 0;
+    for (caller_id caller = 1; caller <= 100; ++caller) {
+        site.request(caller, "/look/x");
+        const auto first = site.only<send_request>();
+        site.step(answer_started { first.send, router_fixture::answer(500) });
+        site.step(answer_ended { first.send });
+        again += static_cast<int>(site.all<send_request>().size());
+    }
+    const router_settings settings;
+    CHECK(again > 0);
+    CHECK(again <= 100 * settings.retryRatio + settings.retryAllowance / 2);
+}
--- /dev/null
+++ b/tests/servers/router/peer_test.cpp
@@ -0,0 +1,133 @@
+#include "tests/support/router_fixture.h"
+
+using namespace kumquat;
+using namespace kumquat::router;
+
+namespace {
+
+router_digest digestOf(const std::string& instance, std::uint64_t sequence)
+{
+    router_digest digest;
+    digest.instance = instance;
+    digest.boot = 1;
+    digest.sequence = sequence;
+    digest.configRevision = 5;
+    return digest;
+}
+
+router_options withSeeds()
+{
+    auto options = router_fixture::defaultOptions();
+    options.settings.instance = "entry-2";
+    options.settings.address = "10.0.0.2";
+    options.settings.seeds = { "10.0.0.1", "10.0.0.2" };
+    return options;
+}
+
+} // namespace
+
+TEST_CASE("a router finds others from its seeds and through them", "[peers]")
+{
+    peer_group peers;
+    const auto now = instant() + seconds(100);
+    peers.setAddresses("10.0.0.2", { "10.0.0.1", "10.0.0.2" });
+    CHECK(peers.addresses(now) == std::vector<std::string> { "10.0.0.1" });
+    auto digest = digestOf("entry-1", 1);
+    digest.members = { "10.0.0.2", "10.0.0.3" };
+    CHECK(peers.accept("10.0.0.1", digest, now));
+    auto addresses = peers.addresses(now);
+    std::sort(addresses.begin(), addresses.end());
+    CHECK(addresses == std::vector<std::string> { "10.0.0.1", "10.0.0.3" });
+    peers.expire(now + seconds(4));
+    CHECK(peers.count() == 0);
+    CHECK(peers.addresses(now + seconds(4)) == std::vector<std::string> { "10.0.0.1" });
+}
+
+TEST_CASE("the load of others counts until they leave, and old digests do not", "[peers]")
+{
+    peer_group peers;
+    const auto now = instant() + seconds(100);
+    auto digest = digestOf("entry-1", 2);
+    digest.loads = { { 7, 3, 1, 900 } };
+    CHECK(peers.accept("10.0.0.1", digest, now));
+    CHECK(peers.loadOf(7).tokensToRead == 900);
+    auto old = digestOf("entry-1", 1);
+    CHECK_FALSE(peers.accept("10.0.0.1", old, now));
+    CHECK(peers.loadOf(7).inFlight == 3);
+    auto restarted = digestOf("entry-1", 1);
+    restarted.boot = 2;
+    CHECK(peers.accept("10.0.0.1", restarted, now));
+    CHECK(peers.loadOf(7).inFlight == 0);
+    auto leaving = digestOf("entry-1", 2);
+    leaving.boot = 2;
+    leaving.leaving = true;
+    CHECK(peers.accept("10.0.0.1", leaving, now));
+    CHECK(peers.count() == 0);
+}
+
+TEST_CASE("the word of another router keeps keys good, as long as it knows no newer configuration", "[peers]")
+{
+    router_fixture site(withSeeds());
+    site.start();
+    std::uint64_t sequence = 0;
+    for (int step = 0; step < 60; ++step) {
+        site.advance(milliseconds(100));
+        auto digest = digestOf("entry-1", ++sequence);
+        digest.configAge = milliseconds(200);
+        site.step(digest_received { "10.0.0.1", digest });
+    }
+    site.request(1, "/pay/x");
+    CHECK(site.all<send_request>().size() == 1);
+    auto newer = digestOf("entry-1", ++sequence);
+    newer.configRevision = 6;
+    newer.configAge = milliseconds(0);
+    site.step(digest_received { "10.0.0.1", newer });
+    site.request(2, "/pay/x");
+    CHECK(site.replyStatus() == 503);
+}
+
+TEST_CASE("a router whose watch is behind the others reads again", "[peers]")
+{
+    router_fixture site(withSeeds());
+    site.start();
+    auto digest = digestOf("entry-1", 1);
+    digest.upstreamRevision = 50;
+    site.step(digest_received { "10.0.0.1", digest });
+    int lists = 0;
+    for (const auto& read : router_fixture::all<read_store>(site.advance(milliseconds(700))))
+        lists += read.kind == store_kind::upstreams && !read.sinceRevision ? 1 : 0;
+    CHECK(lists == 1);
+}
+
+TEST_CASE("the first router by name confirms the configuration, the next only when it is silent", "[peers]")
+{
+    router_fixture first;
+    first.start();
+    CHECK(router_fixture::all<read_store>(first.advance(milliseconds(900))).size() == 1);
+
+    router_fixture second(withSeeds());
+    second.start();
+    std::uint64_t sequence = 0;
+    for (int step = 0; step < 20; ++step) {
+        auto digest = digestOf("entry-1", ++sequence);
+        digest.configAge = milliseconds(300);
+        second.step(digest_received { "10.0.0.1", digest });
+        CHECK(router_fixture::all<read_store>(second.advance(milliseconds(100))).empty());
+    }
+    CHECK(router_fixture::all<read_store>(second.advance(milliseconds(1500))).size() >= 1);
+}
+
+TEST_CASE("a digest tells what is outstanding and what was placed", "[peers]")
+{
+    router_fixture site(withSeeds());
+    site.start();
+    site.step(digest_received { "10.0.0.1", digestOf("entry-1", 1) });
+    site.request(1, "/stream/x");
+    const auto digests = router_fixture::all<send_digest>(site.advance(milliseconds(200)));
+    REQUIRE_FALSE(digests.empty());
+    const auto& digest = digests.front().digest;
+    REQUIRE(digest.loads.size() == 1);
+    CHECK(digest.loads[0].inFlight == 1);
+    REQUIRE(digest.parts.size() == 1);
+    CHECK(digest.parts[0].part == 7);
+}
--- /dev/null
+++ b/tests/servers/router/placement_test.cpp
@@ -0,0 +1,98 @@
+#include "tests/support/router_fixture.h"
+
+using namespace kumquat;
+using namespace kumquat::router;
+
+namespace {
+
+struct placement_site {
+    std::vector<shared_upstream> upstreams;
+    peer_group peers;
+    proxied_request request;
+    std::vector<std::string> excluded;
+    instant now = instant() + seconds(100);
+
+    placement_site()
+    {
+        for (const char* id : { "a", "b", "c", "d" }) {
+            upstreams.push_back(std::make_shared<upstream_state>());
+            upstreams.back()->record = router_fixture::makeUpstream(id, "llm", 1);
+        }
+        request.requestId = "r";
+        request.prompt.parts = { { 11, 8000 }, { 12, 100 } };
+        request.prompt.inputTokens = 8100;
+    }
+
+    placement choose(const placement_policy& policy) { return place(policy, { upstreams, request, excluded, "dc-a", peers, now }); }
+};
+
+} // namespace
+
+TEST_CASE("a prompt goes where its parts are kept, unless there is too much to read before it", "[router]")
+{
+    placement_site site;
+    const auto cold = site.choose(least_reading {}).upstream;
+    const auto other = *std::find_if(site.upstreams.begin(), site.upstreams.end(), [&](const auto& item) { return item != cold; });
+    other->memory.use(site.request.prompt, 100000);
+    CHECK(site.choose(least_reading {}).upstream == other);
+    CHECK(site.choose(least_reading {}).tokensToRead == 0);
+    other->tokensToRead = 40000;
+    CHECK(site.choose(least_reading {}).upstream != other);
+}
+
+TEST_CASE("two routers choose the same upstream for a cold prompt", "[router]")
+{
+    placement_site one;
+    placement_site two;
+    for (std::uint64_t part = 1; part < 50; ++part) {
+        one.request.prompt.parts[0].id = part;
+        two.request.prompt.parts[0].id = part;
+        CHECK(one.choose(least_reading {}).upstream->record.id == two.choose(least_reading {}).upstream->record.id);
+    }
+}
+
+TEST_CASE("leaving, excluded and avoided upstreams are passed over", "[router]")
+{
+    placement_site site;
+    site.upstreams[0]->record.leaving = true;
+    site.upstreams[1]->misdirected = true;
+    site.excluded = { "c" };
+    CHECK(site.choose(least_in_flight {}).upstream->record.id == "d");
+    site.upstreams[3]->avoidedUntil = site.now + seconds(1);
+    CHECK(site.choose(least_in_flight {}).upstream->record.id == "d");
+    site.excluded = { "c", "d" };
+    CHECK(site.choose(least_in_flight {}).upstream == nullptr);
+}
+
+TEST_CASE("plain requests go where the fewest are, counting those of other routers", "[router]")
+{
+    placement_site site;
+    for (std::uint32_t at = 0; at < site.upstreams.size(); ++at) {
+        site.upstreams[at]->key = at + 1;
+        site.upstreams[at]->inFlight = 2;
+    }
+    site.upstreams[2]->inFlight = 0;
+    CHECK(site.choose(least_in_flight {}).upstream->record.id == "c");
+    router_digest digest;
+    digest.instance = "other";
+    digest.sequence = 1;
+    digest.loads = { { 3, 9, 0, 0 } };
+    site.peers.accept("10.0.0.9", digest, site.now);
+    CHECK(site.choose(least_in_flight {}).upstream->record.id != "c");
+}
+
+TEST_CASE("parts that were used least recently yield when the memory is full", "[router]")
+{
+    prompt_memory memory;
+    memory.usePart({ 1, 60 }, 100);
+    memory.usePart({ 2, 30 }, 100);
+    memory.usePart({ 1, 60 }, 100);
+    memory.usePart({ 3, 40 }, 100);
+    prompt_terms prompt;
+    prompt.parts = { { 1, 60 } };
+    CHECK(memory.tokensToRead(prompt) == 0);
+    prompt.parts = { { 2, 30 } };
+    CHECK(memory.tokensToRead(prompt) == 30);
+    prompt.parts = { { 2, 30 }, { 1, 60 } };
+    CHECK(memory.tokensToRead(prompt) == 90);
+}
--- /dev/null
+++ b/tests/servers/router/store_following_test.cpp
@@ -0,0 +1,147 @@
+#include "tests/support/router_fixture.h"
+
+using namespace kumquat;
+using namespace kumquat::router;
+
+namespace {
+
+store_changes<upstream_record> change(const upstream_record& record, std::uint64_t revision)
+{
+    return { { { record.id, revision, record } }, revision };
+}
+
+store_changes<upstream_record> removal(const std::string& id, std::uint64_t revision)
+{
+    return { { { id, revision, removed_object {} } }, revision };
+}
+
+} // namespace
+
+TEST_CASE("a router without a fresh read is not ready and refuses as not run", "[router]")
+{
+    router_fixture site;
+    CHECK_FALSE(site.reducer.ready(site.now));
+    site.request(1, "/pay/x");
+    CHECK(site.replyStatus() == 503);
+    site.giveConfig(router_fixture::sampleConfig(), 5);
+    CHECK_FALSE(site.reducer.ready(site.now));
+    site.giveUpstreams({}, 5);
+    CHECK(site.reducer.ready(site.now));
+}
+
+TEST_CASE("unknown routes and keys are refused, known ones never", "[router]")
+{
+    router_fixture site;
+    site.start();
+    site.request(1, "/nowhere/x");
+    CHECK(site.replyStatus() == 404);
+    site.request(2, "/pay/x", "other");
+    CHECK(site.replyStatus() == 401);
+}
+
+TEST_CASE("the configuration never goes back", "[router]")
+{
+    router_fixture site;
+    site.start();
+    auto newer = router_fixture::sampleConfig();
+    newer.version = 2;
+    newer.keys.clear();
+    site.changeConfig(newer, 9);
+    site.changeConfig(router_fixture::sampleConfig(), 5);
+    CHECK(site.reducer.config()->version == 2);
+    site.request(1, "/pay/x");
+    CHECK(site.replyStatus() == 401);
+}
+
+TEST_CASE("a configuration that can't be used leaves the last one in force", "[router]")
+{
+    router_fixture site;
+    site.start();
+    site.step(config_read { site.configRead, store_changes<shared_config> { { { "main", 9, unusable_object { "bad" } } }, 9 } });
+    CHECK(site.reducer.config()->version == 1);
+    site.request(1, "/pay/x");
+    CHECK(site.all<send_request>().size() == 1);
+}
+
+TEST_CASE("keys are not trusted when the store has been silent for long", "[router]")
+{
+    router_fixture site;
+    site.start();
+    site.advance(milliseconds(4400));
+    site.request(1, "/pay/x");
+    CHECK(site.all<send_request>().size() == 1);
+    site.advance(milliseconds(200));
+    site.request(2, "/pay/x");
+    CHECK(site.replyStatus() == 503);
+    CHECK_FALSE(site.reducer.ready(site.now));
+}
+
+TEST_CASE("a suspended router trusts nothing that it held for fresh", "[router]")
+{
+    router_fixture site;
+    site.start();
+    site.step(clock_jumped { seconds(6) });
+    site.request(1, "/pay/x");
+    CHECK(site.replyStatus() == 503);
+    site.giveConfig(router_fixture::sampleConfig(), 5);
+    site.request(2, "/pay/x");
+    CHECK(site.all<send_request>().size() == 1);
+}
+
+TEST_CASE("a leaving or removed upstream gets no new work at once", "[router]")
+{
+    router_fixture site;
+    site.start();
+    auto leaving = router_fixture::makeUpstream("app-1", "app", 1003);
+    leaving.leaving = true;
+    site.step(upstreams_read { site.upstreamRead, change(leaving, 9) });
+    for (caller_id caller = 1; caller < 5; ++caller) {
+        site.request(caller, "/pay/x");
+        CHECK(site.only<send_request>().upstreamId == "app-2");
+    }
+    site.advance(seconds(3));
+    site.giveUpstreams({}, 10);
+    site.step(upstreams_read { site.upstreamRead, removal("app-2", 11) });
+    site.request(9, "/pay/x");
+    CHECK(site.replyStatus() == 503);
+}
+
+TEST_CASE("a record that lapsed in an outage has two seconds to come back", "[router]")
+{
+    router_fixture site;
+    site.start();
+    site.advance(seconds(5));
+    site.step(upstreams_read { site.upstreamRead, store_read_failed { "down" } });
+    site.step(config_read { site.configRead, store_read_failed { "down" } });
+    site.advance(milliseconds(500));
+    site.giveConfig(router_fixture::sampleConfig(), 5);
+    site.giveUpstreams({ router_fixture::makeUpstream("app-1", "app", 1003) }, 9);
+    CHECK(site.reducer.upstreams().find("app-2") != nullptr);
+    site.advance(milliseconds(2100));
+    CHECK(site.reducer.upstreams().find("app-2") == nullptr);
+    CHECK(site.reducer.upstreams().find("app-1") != nullptr);
+}
+
+TEST_CASE("a lost history leads to a new list, a failed read to a pause", "[router]")
+{
+    router_fixture site;
+    site.start();
+    site.step(upstreams_read { site.upstreamRead, store_history_lost {} });
+    const auto reads = site.all<read_store>();
+    REQUIRE(reads.size() == 1);
+    CHECK_FALSE(reads[0].sinceRevision.has_value());
+    site.step(upstreams_read { site.upstreamRead, store_read_failed { "429" } });
+    CHECK(site.all<read_store>().empty());
+    CHECK(router_fixture::all<read_store>(site.advance(seconds(1))).size() >= 1);
+}
+
+TEST_CASE("an upstream that starts again under its id is another one", "[router]")
+{
+    router_fixture site;
+    site.start();
+    auto again = router_fixture::makeUpstream("app-1", "app", 1003);
+    again.startedUnixMs = 2;
+    const auto before = site.reducer.upstreams().find("app-1");
+    site.step(upstreams_read { site.upstreamRead, change(again, 9) });
+    CHECK(site.reducer.upstreams().find("app-1") != before);
+}
--- /dev/null
+++ b/tests/servers/router/stream_test.cpp
@@ -0,0 +1,99 @@
+#include "tests/support/router_fixture.h"
+
+using namespace kumquat;
+using namespace kumquat::router;
+
+namespace {
+
+std::string events(int first, int last)
+{
+    std::string text;
+    for (int id = first; id <= last; ++id)
+        text += "id: " + std::to_string(id) + "\ndata: x\n\n";
+    return text;
+}
+
+send_request startStream(router_fixture& site, const std::string& path)
+{
+    site.start();
+    site.request(1, path);
+    const auto send = site.only<send_request>();
+    site.step(answer_started { send.send, router_fixture::answer(200, true, true) });
+    return send;
+}
+
+} // namespace
+
+TEST_CASE("events are passed on whole, and only then", "[router]")
+{
+    router_fixture site;
+    const auto send = startStream(site, "/oneshot/x");
+    site.step(answer_continued { send.send, "id: 1\nda" });
+    CHECK(site.all<start_reply>().empty());
+    site.step(answer_continued { send.send, "ta: x\n\nid: 2" });
+    CHECK(site.all<start_reply>().size() == 1);
+    CHECK(site.only<extend_reply>().bytes == "id: 1\ndata: x\n\n");
+    site.step(answer_continued { send.send, "\ndata: y\n\n" });
+    site.step(answer_ended { send.send });
+    CHECK(site.all<end_reply>().size() == 1);
+}
+
+TEST_CASE("a broken stream goes on elsewhere after the last event", "[router]")
+{
+    router_fixture site;
+    const auto first = startStream(site, "/stream/x");
+    site.step(answer_continued { first.send, events(1, 3) + "id: 4\ndata: ha" });
+    site.step(send_failed { first.send, true, "reset" });
+    const auto second = site.only<send_request>();
+    CHECK(second.upstreamId != first.upstreamId);
+    CHECK(second.resumeAfter == 3);
+    site.step(answer_started { second.send, router_fixture::answer(200, true, true) });
+    site.step(answer_continued { second.send, events(3, 5) });
+    CHECK(site.all<start_reply>().empty());
+    CHECK(site.only<extend_reply>().bytes == events(4, 5));
+    site.step(answer_ended { second.send });
+    CHECK(site.all<end_reply>().size() == 1);
+}
+
+TEST_CASE("a stream that can't be resumed ends without looking whole", "[router]")
+{
+    router_fixture site;
+    const auto send = startStream(site, "/oneshot/x");
+    site.step(answer_continued { send.send, events(1, 2) });
+    site.step(send_failed { send.send, true, "reset" });
+    CHECK(site.all<send_request>().empty());
+    CHECK(site.all<end_reply>().empty());
+    CHECK(site.all<break_reply>().size() == 1);
+}
+
+TEST_CASE("a stream that ends within an event is not whole", "[router]")
+{
+    router_fixture site;
+    const auto send = startStream(site, "/oneshot/x");
+    site.step(answer_continued { send.send, events(1, 2) + "id: 3\nda" });
+    site.step(answer_ended { send.send });
+    CHECK(site.all<end_reply>().empty());
+    CHECK(site.all<break_reply>().size() == 1);
+}
+
+TEST_CASE("a stream that breaks before its first event and can't be repeated is a failure of unknown outcome", "[router]")
+{
+    router_fixture site;
+    const auto send = startStream(site, "/oneshot/x");
+    site.step(send_failed { send.send, true, "reset" });
+    CHECK(site.replyStatus() == 502);
+}
+
+TEST_CASE("events are found however their bytes are cut", "[router]")
+{
+    const auto text = events(1, 3) + "id: 4\r\ndata: z\r\n\r\n";
+    for (std::size_t size = 1; size < 12; ++size) {
+        stream_assembler assembler;
+        std::string whole;
+        for (std::size_t at = 0; at < text.size(); at += size)
+            whole += assembler.feed(std::string_view(text).substr(at, size));
+        CHECK(whole == text);
+        CHECK(assembler.lastId() == 4);
+        CHECK_FALSE(assembler.midEvent());
+    }
+}
