Tell crashing requests from others and refuse them after three upstreams

Cause: BUDGET counts retries of a request that has crashed three workers; consumers send it again to any entry. Change: a request lost at an upstream that is then found down is suspect by path, caller and body; digests add up what all entries saw; a good end clears it.

--- a/servers/router/router_answering.cpp
+++ b/servers/router/router_answering.cpp
@@ -196,6 +196,8 @@
 
 void router_reducer::finish(request_progress& progress, int status, const char* outcome)
 {
+    if (isSuccess(status) && !m_crashes.empty())
+        m_crashes.recordSuccess(fingerprint(progress), m_now);
     const auto caller = progress.caller;
     const auto took = std::chrono::duration<double>(m_now - progress.arrivedAt).count();
     log(log_level::info, "request_finished",
--- a/servers/router/router_peers.cpp
+++ b/servers/router/router_peers.cpp
@@ -22,6 +22,7 @@
         return;
     if (m_peers.count() != before)
         log(log_level::info, received.digest.leaving ? "peer_left" : "peer_heard", { { "peer", received.digest.instance }, { "address", received.address }, { "peers", std::to_string(m_peers.count()) } });
+    m_crashes.setPeer(received.digest.instance, received.digest.suspects, m_now);
     for (const auto& part : received.digest.parts) {
         if (const auto upstream = m_upstreams.findByKey(part.upstream))
             upstream->memory.usePart({ part.part, part.tokens }, engineMemory(upstream->record.service));
@@ -83,6 +84,7 @@
         if (item->inFlight > 0)
             digest.loads.push_back({ item->key, item->inFlight, item->streams, static_cast<int>(item->tokensToRead) });
     }
+    digest.suspects = m_crashes.own(m_now);
     digest.parts = std::exchange(m_placedParts, {});
     return digest;
 }
--- a/servers/router/router_reducer.cpp
+++ b/servers/router/router_reducer.cpp
@@ -23,6 +23,8 @@
     constexpr auto retryElsewhere = std::chrono::milliseconds(20);
     // A router ends this long before it would be killed.
     constexpr auto shutdownMargin = std::chrono::milliseconds(300);
+    // A request that has crashed so many upstreams is refused.
+    constexpr int maxCrashes = 3;
     constexpr auto retryAfterStart = std::chrono::milliseconds(500);
 
     const std::string& chooseService(const route& terms, const std::string& requestId)
@@ -102,6 +104,8 @@
     progress.arrivedAt = m_now;
     if (const auto refusal = classify(progress))
         return refuse(progress.caller, progress.request->requestId, *refusal);
+    if (!m_crashes.empty() && m_crashes.crashes(fingerprint(progress), m_now) >= maxCrashes)
+        return refuse(progress.caller, progress.request->requestId, { error_code::no_upstream, "the request has crashed " + std::to_string(maxCrashes) + " upstreams", ran_state::no, retryAfterStart });
     if (outlastsShutdown(progress))
         return refuse(progress.caller, progress.request->requestId, { error_code::draining, "this entry stops before the request may have ended", ran_state::no, retryElsewhere });
     const auto caller = progress.caller;
--- a/servers/router/router_reducer.h
+++ b/servers/router/router_reducer.h
@@ -2,6 +2,7 @@
 
 #include "core/caller_error.h"
 #include "core/timer_queue.h"
+#include "servers/router/crash_ledger.h"
 #include "servers/router/kind_follower.h"
 #include "servers/router/peer_group.h"
 #include "servers/router/placement.h"
@@ -83,6 +84,8 @@
     bool mayTryAgain(const request_progress&, send_end) const;
     void endSend(request_progress&, send_id, send_end, const std::string& reason);
     void recordFailure(upstream_state&, send_end);
+    void recordCrash(upstream_state&);
+    static std::uint64_t fingerprint(const request_progress&);
     void release(const live_send&);
     void cancelSends(request_progress&, std::optional<send_id> except);
     request_progress* findBySend(send_id);
@@ -126,6 +129,7 @@
     retry_allowance m_retries;
     upstream_table m_upstreams;
     peer_group m_peers;
+    crash_ledger m_crashes;
     std::vector<placed_part> m_placedParts;
     std::uint64_t m_digestSequence = 0;
     instant m_digestSentAt;
--- a/servers/router/router_sending.cpp
+++ b/servers/router/router_sending.cpp
@@ -1,5 +1,7 @@
 #include "servers/router/router_reducer.h"
 
+#include "core/hash.h"
+
 #include <algorithm>
 
 namespace kumquat::router {
@@ -16,6 +18,8 @@
     constexpr double hedgeShare = 0.6;
     constexpr auto firstAvoidance = std::chrono::milliseconds(250);
     constexpr int maxAvoidanceDoublings = 4;
+    // An upstream that is found down this long after it lost a request may have crashed by it.
+    constexpr auto crashEvidence = std::chrono::milliseconds(1500);
     constexpr auto busyAvoidance = std::chrono::milliseconds(60);
     // Ranks are spread over the ten urgencies that engines know.
     constexpr int urgencyStep = 2;
@@ -118,6 +122,8 @@
     recordFailure(upstream, how);
     if (how == send_end::mayHaveRun)
         ++progress.runCount;
+    if (how == send_end::neverSent)
+        recordCrash(upstream);
     static constexpr const char* ends[] = { "never_sent", "not_run", "may_have_run" };
     const char* end = ends[static_cast<int>(how)];
     log(log_level::warning, "send_failed", { { "request", progress.request->requestId }, { "upstream", upstream.record.id }, { "outcome", end }, { "reason", reason }, { "after_ms", wholeMilliseconds(m_now - position->sentAt) }, { "sends", std::to_string(progress.sendCount) } });
@@ -156,6 +162,24 @@
     std::erase_if(progress.sends, [except](const live_send& item) { return item.id != except; });
 }
 
+// The same request comes again with the same path, caller and body, but under another id.
+std::uint64_t router_reducer::fingerprint(const request_progress& progress)
+{
+    const auto& request = *progress.request;
+    return hashBytes(request.body, hashBytes(request.target, hashBytes(progress.organisation)));
+}
+
+// An upstream that can't be reached shortly after it lost requests has crashed, perhaps by one of them.
+void router_reducer::recordCrash(upstream_state& upstream)
+{
+    for (const auto& [lost, at] : std::exchange(upstream.lost, {})) {
+        if (m_now - at > crashEvidence)
+            continue;
+        m_crashes.recordCrash(lost, m_now);
+        log(log_level::warning, "request_suspected", { { "fingerprint", std::to_string(lost) }, { "upstream", upstream.record.id }, { "crashes", std::to_string(m_crashes.crashes(lost, m_now)) } });
+    }
+}
+
 request_progress* router_reducer::findBySend(send_id id)
 {
     const auto owner = m_sends.find(id);
@@ -168,8 +192,15 @@
 void router_reducer::on(send_failed&& failed)
 {
     auto* progress = findBySend(failed.send);
-    if (progress)
-        endSend(*progress, failed.send, failed.sent ? send_end::mayHaveRun : send_end::neverSent, failed.reason);
+    if (!progress)
+        return;
+    if (failed.sent) {
+        for (const auto& send : progress->sends) {
+            if (send.id == failed.send)
+                send.upstream->lost.emplace_back(fingerprint(*progress), m_now);
+        }
+    }
+    endSend(*progress, failed.send, failed.sent ? send_end::mayHaveRun : send_end::neverSent, failed.reason);
 }
 
 } // namespace kumquat::router
--- a/servers/router/upstream_table.h
+++ b/servers/router/upstream_table.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace kumquat::router {
@@ -27,6 +28,8 @@
     // Those whose stream has begun.
     int streams = 0;
     prompt_memory memory;
+    // Requests that were lost there of late, by fingerprint. They are suspect if the upstream turns out to be down.
+    std::vector<std::pair<std::uint64_t, instant>> lost;
     // Sends in a row that failed without an answer.
     int failuresInRow = 0;
     // No new work before then, unless all are avoided.
--- /dev/null
+++ b/tests/servers/router/crash_test.cpp
@@ -0,0 +1,64 @@
+#include "tests/support/router_fixture.h"
+
+using namespace kumquat;
+using namespace kumquat::router;
+
+namespace {
+
+// The word of another router keeps keys good while time passes.
+router_digest confirmation(std::uint64_t sequence)
+{
+    router_digest digest;
+    digest.instance = "entry-2";
+    digest.sequence = sequence;
+    digest.configRevision = 5;
+    digest.configAge = milliseconds(0);
+    return digest;
+}
+
+// Sends the same request, loses it, and finds its upstream unreachable.
+bool crashOnce(router_fixture& site, caller_id caller)
+{
+    site.request(caller, "/oneshot/x");
+    const auto sends = site.all<send_request>();
+    if (sends.empty())
+        return false;
+    site.step(send_failed { sends[0].send, true, "reset" });
+    // Another request meets the upstream that is down.
+    site.request(caller + 100, "/stream/x");
+    site.step(send_failed { site.only<send_request>().send, false, "refused" });
+    site.advance(seconds(2));
+    site.step(digest_received { "10.0.0.2", confirmation(caller) });
+    return true;
+}
+
+} // namespace
+
+TEST_CASE("a request that has crashed three upstreams reaches no further one", "[router]")
+{
+    router_fixture site;
+    site.giveConfig(router_fixture::sampleConfig(), 5);
+    site.giveUpstreams({ router_fixture::makeUpstream("llm-1", "llm", 1001) }, 5);
+    CHECK(crashOnce(site, 1));
+    CHECK(crashOnce(site, 2));
+    CHECK(crashOnce(site, 3));
+    site.request(4, "/oneshot/x");
+    CHECK(site.all<send_request>().empty());
+    CHECK(site.replyStatus() == 503);
+    site.request(5, "/oneshot/other");
+    CHECK(site.all<send_request>().size() == 1);
+}
+
+TEST_CASE("crashes that other routers saw count, and a good end clears a request", "[router]")
+{
+    crash_ledger ledger;
+    const auto now = instant() + seconds(100);
+    ledger.recordCrash(7, now);
+    ledger.setPeer("entry-2", { { 7, 1 }, { 8, 3 } }, now);
+    ledger.setPeer("entry-3", { { 7, 1 } }, now);
+    CHECK(ledger.crashes(7, now) == 3);
+    CHECK(ledger.crashes(8, now) == 3);
+    ledger.recordSuccess(7, now);
+    CHECK(ledger.crashes(7, now) == 0);
+    CHECK(ledger.crashes(8, now + seconds(61)) == 0);
+}
