--- a/core/routing_config.h
+++ b/core/routing_config.h
@@ -14,7 +14,7 @@
 
 // How often a request may run.
 enum class repeatability { idempotent,
-    atMostOnce };
+    at_most_once };
 
 // The part of a route's requests that goes to one service.
 struct service_share {
@@ -28,7 +28,7 @@
     std::string host;
     std::string pathPrefix;
     std::vector<service_share> services;
-    repeatability kind = repeatability::atMostOnce;
+    repeatability kind = repeatability::at_most_once;
     // The answer is a series of server-sent events.
     bool streaming = false;
     // A broken stream may go on at another upstream after the last event that was delivered.
--- a/drivers/asio/http_server.cpp
+++ b/drivers/asio/http_server.cpp
@@ -59,11 +59,11 @@
     int refusalStatus(request_reader::state state)
     {
         switch (state) {
-        case request_reader::state::headerTooLarge:
+        case request_reader::state::header_too_large:
             return 431;
-        case request_reader::state::bodyTooLarge:
+        case request_reader::state::body_too_large:
             return 413;
-        case request_reader::state::versionUnsupported:
+        case request_reader::state::version_unsupported:
             return 505;
         default:
             return 400;
--- a/drivers/cbor/digest_codec.cpp
+++ b/drivers/cbor/digest_codec.cpp
@@ -14,14 +14,14 @@
         boot,
         sequence,
         leaving,
-        configRevision,
-        configAge,
-        upstreamRevision,
+        config_revision,
+        config_age,
+        upstream_revision,
         members,
         loads,
         parts,
         suspects,
-        fieldCount };
+        field_count };
 
     constexpr int currentVersion = 1;
     constexpr std::size_t loadNumbers = 4;
@@ -35,10 +35,10 @@
         digest.boot = root.at(boot).get<std::uint64_t>();
         digest.sequence = root.at(sequence).get<std::uint64_t>();
         digest.leaving = root.at(leaving).get<bool>();
-        digest.configRevision = root.at(configRevision).get<std::uint64_t>();
-        if (!root.at(configAge).is_null())
-            digest.configAge = std::chrono::milliseconds(root.at(configAge).get<std::int64_t>());
-        digest.upstreamRevision = root.at(upstreamRevision).get<std::uint64_t>();
+        digest.configRevision = root.at(config_revision).get<std::uint64_t>();
+        if (!root.at(config_age).is_null())
+            digest.configAge = std::chrono::milliseconds(root.at(config_age).get<std::int64_t>());
+        digest.upstreamRevision = root.at(upstream_revision).get<std::uint64_t>();
         digest.members = root.at(members).get<std::vector<std::string>>();
         const auto& loadList = root.at(loads);
         for (std::size_t at = 0; at + loadNumbers <= loadList.size(); at += loadNumbers)
@@ -76,7 +76,7 @@
 result<router_digest> decodeDigest(const std::string& bytes)
 {
     const auto root = json::from_cbor(bytes, true, false);
-    if (!root.is_array() || root.size() != fieldCount || root[version] != currentVersion)
+    if (!root.is_array() || root.size() != field_count || root[version] != currentVersion)
         return error { "a datagram of " + std::to_string(bytes.size()) + " bytes is no digest of version " + std::to_string(currentVersion) };
     try {
         return decode(root);
--- a/drivers/http_parser/head_scanner.cpp
+++ b/drivers/http_parser/head_scanner.cpp
@@ -32,13 +32,13 @@
     const auto end = m_text.find(headEnd, searchFrom);
     if (end == std::string::npos) {
         if (m_text.size() > limitBytes)
-            m_state = state::tooLarge;
+            m_state = state::too_large;
         return bytes.size();
     }
     const auto size = end + headEnd.size();
     m_text.resize(size);
     if (size > limitBytes) {
-        m_state = state::tooLarge;
+        m_state = state::too_large;
         return size - before;
     }
     check();
--- a/drivers/http_parser/head_scanner.h
+++ b/drivers/http_parser/head_scanner.h
@@ -12,7 +12,7 @@
     enum class state { incomplete,
         complete,
         malformed,
-        tooLarge };
+        too_large };
 
     // Takes bytes up to the end of the head. Returns how many were taken.
     std::size_t feed(std::string_view bytes, std::size_t limitBytes);
--- a/drivers/http_parser/request_reader.cpp
+++ b/drivers/http_parser/request_reader.cpp
@@ -62,7 +62,7 @@
         callbacks.on_body = [](http_parser* parser, const char* at, std::size_t size) {
             auto& owner = ownerOf<Implementation>(parser);
             if (owner.request.body.size() + size > owner.limits.bodyBytes) {
-                owner.current = request_reader::state::bodyTooLarge;
+                owner.current = request_reader::state::body_too_large;
                 return 1;
             }
             owner.request.body.append(at, size);
@@ -99,11 +99,11 @@
         return;
     }
     if (parser.http_major != 1 || parser.http_minor != 1) {
-        current = state::versionUnsupported;
+        current = state::version_unsupported;
         return;
     }
     if (current == state::reading && parser.content_length != ULLONG_MAX && parser.content_length > limits.bodyBytes)
-        current = state::bodyTooLarge;
+        current = state::body_too_large;
 }
 
 std::size_t request_reader::implementation::parse(std::string_view bytes)
@@ -124,8 +124,8 @@
         taken = self.head.feed(bytes, self.limits.headerBytes);
         if (self.head.current() == head_scanner::state::malformed)
             self.current = state::malformed;
-        if (self.head.current() == head_scanner::state::tooLarge)
-            self.current = state::headerTooLarge;
+        if (self.head.current() == head_scanner::state::too_large)
+            self.current = state::header_too_large;
         if (self.head.current() != head_scanner::state::complete)
             return taken;
         self.parseHead();
--- a/drivers/http_parser/request_reader.h
+++ b/drivers/http_parser/request_reader.h
@@ -18,9 +18,9 @@
     enum class state { reading,
         complete,
         malformed,
-        headerTooLarge,
-        bodyTooLarge,
-        versionUnsupported };
+        header_too_large,
+        body_too_large,
+        version_unsupported };
 
     explicit request_reader(http_read_limits);
     ~request_reader();
--- a/servers/router/router_answering.cpp
+++ b/servers/router/router_answering.cpp
@@ -54,12 +54,12 @@
     if (answer.notRun || answer.wrongUpstream) {
         const auto id = send.id;
         emit(cancel_send { id });
-        return endSend(*progress, id, send_end::notRun, "status " + std::to_string(answer.head.status));
+        return endSend(*progress, id, send_end::not_run, "status " + std::to_string(answer.head.status));
     }
     if (isSuccess(answer.head.status) && !answer.sealed) {
         const auto id = send.id;
         emit(cancel_send { id });
-        return endSend(*progress, id, send_end::mayHaveRun, "success without a seal");
+        return endSend(*progress, id, send_end::may_have_run, "success without a seal");
     }
     send.answer = std::move(started.answer);
     if (progress->terms->streaming && isSuccess(send.answer->head.status) && isEventStream(*send.answer))
@@ -115,7 +115,7 @@
         return;
     const auto& send = *findSend(*progress, ended.send);
     if (!send.answer)
-        return endSend(*progress, ended.send, send_end::mayHaveRun, "no answer");
+        return endSend(*progress, ended.send, send_end::may_have_run, "no answer");
     if (progress->terms->streaming && isSuccess(send.answer->head.status) && isEventStream(*send.answer))
         return onStreamEnd(*progress, ended.send);
     onWholeAnswer(*progress, ended.send);
@@ -124,7 +124,7 @@
 void router_reducer::onStreamEnd(request_progress& progress, send_id id)
 {
     if (progress.stream.midEvent() || !progress.replyStarted)
-        return endSend(progress, id, send_end::mayHaveRun, "stream ended within an event");
+        return endSend(progress, id, send_end::may_have_run, "stream ended within an event");
     release(*findSend(progress, id));
     m_sends.erase(id);
     progress.sends.clear();
@@ -141,13 +141,13 @@
     if (!isSuccess(status) && status >= firstServerError && progress.terms->repeatable()) {
         progress.failedAnswer = std::move(answer);
         progress.failedBody = std::move(body);
-        return endSend(progress, id, send_end::mayHaveRun, "status " + std::to_string(status));
+        return endSend(progress, id, send_end::may_have_run, "status " + std::to_string(status));
     }
     // The upstream did not say that the request was not run, so that the caller must not be told so.
     if (promisesNotRun(status))
-        return endSend(progress, id, send_end::mayHaveRun, "status " + std::to_string(status) + " without a promise");
+        return endSend(progress, id, send_end::may_have_run, "status " + std::to_string(status) + " without a promise");
     if (progress.replyStarted)
-        return endSend(progress, id, send_end::mayHaveRun, "status " + std::to_string(status) + " to a resumed stream");
+        return endSend(progress, id, send_end::may_have_run, "status " + std::to_string(status) + " to a resumed stream");
     send.upstream->failuresInRow = 0;
     release(send);
     m_sends.erase(id);
--- a/servers/router/router_reducer.cpp
+++ b/servers/router/router_reducer.cpp
@@ -203,7 +203,7 @@
     log(log_level::info, "router_terminating", { { "requests", std::to_string(m_requests.size()) }, { "grace_ms", wholeMilliseconds(m_options.settings.shutdownGrace) } });
     emit(close_callers_after_answers {});
     exchangeDigests();
-    setTimer(timer_kind::closeIdle, 0, m_now + rotationDelay);
+    setTimer(timer_kind::close_idle, 0, m_now + rotationDelay);
     setTimer(timer_kind::stop, 0, m_now + m_options.settings.shutdownGrace - shutdownMargin);
 }
 
@@ -226,26 +226,26 @@
         if (found != m_requests.end())
             hedge(found->second);
         return;
-    case timer_kind::readTimeout:
+    case timer_kind::read_timeout:
         emit(cancel_store_read { id });
         if (id == m_upstreamRead)
             on(upstreams_read { id, store_read_failed { "timeout" } });
         if (id == m_configRead || id == m_confirmation.read)
             on(config_read { id, store_read_failed { "timeout" } });
         return;
-    case timer_kind::upstreamReads:
-    case timer_kind::configReads:
+    case timer_kind::upstream_reads:
+    case timer_kind::config_reads:
         return;
     case timer_kind::lapse:
         return dropLapsed();
     case timer_kind::digest:
         return exchangeDigests();
-    case timer_kind::closeIdle:
+    case timer_kind::close_idle:
         emit(close_idle_callers {});
         if (m_requests.empty())
             emit(stop_router {});
         else
-            setTimer(timer_kind::closeIdle, 0, m_now + std::chrono::milliseconds(100));
+            setTimer(timer_kind::close_idle, 0, m_now + std::chrono::milliseconds(100));
         return;
     case timer_kind::stop:
         log(log_level::warning, "router_stopped_with_requests", { { "requests", std::to_string(m_requests.size()) } });
--- a/servers/router/router_reducer.h
+++ b/servers/router/router_reducer.h
@@ -39,19 +39,19 @@
 private:
     enum class timer_kind { deadline,
         hedge,
-        upstreamReads,
-        configReads,
-        readTimeout,
+        upstream_reads,
+        config_reads,
+        read_timeout,
         lapse,
         digest,
-        closeIdle,
+        close_idle,
         stop };
     using timer_key = std::pair<timer_kind, std::uint64_t>;
 
     // Why a sending has ended without an answer for the caller.
-    enum class send_end { neverSent,
-        notRun,
-        mayHaveRun };
+    enum class send_end { never_sent,
+        not_run,
+        may_have_run };
 
     void on(request_arrived&&);
     void on(caller_left&&);
--- a/servers/router/router_sending.cpp
+++ b/servers/router/router_sending.cpp
@@ -96,19 +96,19 @@
         return false;
     if (progress.mayHaveRun() && !progress.terms->repeatable())
         return false;
-    return how != send_end::mayHaveRun || progress.runCount < progress.terms->maxAttempts;
+    return how != send_end::may_have_run || progress.runCount < progress.terms->maxAttempts;
 }
 
 void router_reducer::recordFailure(upstream_state& upstream, send_end how)
 {
-    if (how == send_end::notRun) {
+    if (how == send_end::not_run) {
         upstream.avoidedUntil = std::max(upstream.avoidedUntil, m_now + busyAvoidance);
         return;
     }
     const auto doublings = std::min(upstream.failuresInRow, maxAvoidanceDoublings);
     ++upstream.failuresInRow;
     // One lost answer says little; an upstream that can't be reached says more.
-    if (how == send_end::mayHaveRun && doublings == 0)
+    if (how == send_end::may_have_run && doublings == 0)
         return;
     upstream.avoidedUntil = std::max(upstream.avoidedUntil, m_now + firstAvoidance * (1 << doublings));
     log(log_level::warning, "upstream_avoided", { { "upstream", upstream.record.id }, { "failures", std::to_string(upstream.failuresInRow) }, { "for_ms", wholeMilliseconds(upstream.avoidedUntil - m_now) } });
@@ -120,9 +120,9 @@
     auto& upstream = *position->upstream;
     release(*position);
     recordFailure(upstream, how);
-    if (how == send_end::mayHaveRun)
+    if (how == send_end::may_have_run)
         ++progress.runCount;
-    if (how == send_end::neverSent)
+    if (how == send_end::never_sent)
         recordCrash(upstream);
     static constexpr const char* ends[] = { "never_sent", "not_run", "may_have_run" };
     const char* end = ends[static_cast<int>(how)];
@@ -200,7 +200,7 @@
                 send.upstream->lost.emplace_back(fingerprint(*progress), m_now);
         }
     }
-    endSend(*progress, failed.send, failed.sent ? send_end::mayHaveRun : send_end::neverSent, failed.reason);
+    endSend(*progress, failed.send, failed.sent ? send_end::may_have_run : send_end::never_sent, failed.reason);
 }
 
 } // namespace kumquat::router
--- a/servers/router/router_store.cpp
+++ b/servers/router/router_store.cpp
@@ -29,7 +29,7 @@
     const auto watch = m_peers.count() > 0 ? watchAmongPeers : watchAlone;
     (kind == store_kind::upstreams ? m_upstreamRead : m_configRead) = id;
     emit(read_store { id, kind, reading.after, reading.sinceRevision, watch });
-    setTimer(timer_kind::readTimeout, id, m_now + readTimeout + (reading.sinceRevision ? watch : std::chrono::milliseconds(0)));
+    setTimer(timer_kind::read_timeout, id, m_now + readTimeout + (reading.sinceRevision ? watch : std::chrono::milliseconds(0)));
 }
 
 void router_reducer::readUpstreams()
@@ -37,7 +37,7 @@
     if (const auto reading = m_upstreamFollower.nextReading(m_now))
         return startRead(store_kind::upstreams, *reading);
     if (const auto until = m_upstreamFollower.pausedUntil())
-        setTimer(timer_kind::upstreamReads, 0, *until);
+        setTimer(timer_kind::upstream_reads, 0, *until);
 }
 
 void router_reducer::readConfig()
@@ -45,7 +45,7 @@
     if (const auto reading = m_configFollower.nextReading(m_now))
         return startRead(store_kind::configuration, *reading);
     if (const auto until = m_configFollower.pausedUntil())
-        setTimer(timer_kind::configReads, 0, *until);
+        setTimer(timer_kind::config_reads, 0, *until);
 }
 
 void router_reducer::restartRead(store_kind kind)
@@ -54,7 +54,7 @@
     if (read == 0)
         return;
     emit(cancel_store_read { read });
-    m_timers.cancel({ timer_kind::readTimeout, read });
+    m_timers.cancel({ timer_kind::read_timeout, read });
     read = 0;
 }
 
@@ -73,7 +73,7 @@
     if (read.read != m_upstreamRead)
         return;
     m_upstreamRead = 0;
-    m_timers.cancel({ timer_kind::readTimeout, read.read });
+    m_timers.cancel({ timer_kind::read_timeout, read.read });
     const bool wasSound = m_upstreamFollower.soundSince().has_value();
     auto news = m_upstreamFollower.onOutcome(std::move(read.outcome), m_now);
     noteDependency(news.failure, wasSound);
@@ -87,7 +87,7 @@
     if (read.read != m_configRead)
         return;
     m_configRead = 0;
-    m_timers.cancel({ timer_kind::readTimeout, read.read });
+    m_timers.cancel({ timer_kind::read_timeout, read.read });
     const bool wasSound = m_configFollower.soundSince().has_value();
     auto news = m_configFollower.onOutcome(std::move(read.outcome), m_now);
     noteDependency(news.failure, wasSound);
@@ -107,12 +107,12 @@
     m_confirmation.read = ++m_lastId;
     m_confirmation.sentAt = m_now;
     emit(read_store { m_confirmation.read, store_kind::configuration, {}, std::nullopt, {} });
-    setTimer(timer_kind::readTimeout, m_confirmation.read, m_now + readTimeout);
+    setTimer(timer_kind::read_timeout, m_confirmation.read, m_now + readTimeout);
 }
 
 void router_reducer::acceptConfirmation(store_read_outcome<shared_config>&& outcome)
 {
-    m_timers.cancel({ timer_kind::readTimeout, m_confirmation.read });
+    m_timers.cancel({ timer_kind::read_timeout, m_confirmation.read });
     m_confirmation.read = 0;
     auto* page = std::get_if<store_page<shared_config>>(&outcome);
     if (!page) {
--- a/tests/drivers/request_reader_test.cpp
+++ b/tests/drivers/request_reader_test.cpp
@@ -63,15 +63,15 @@
     CHECK(readAll("POST / HTTP/1.1\nHost: h\n\n\r\n\r\n") == state::malformed);
     CHECK(readAll(post("Transfer-Encoding: xchunked\r\n", "0\r\n\r\n")) == state::malformed);
     CHECK(readAll("CONNECT a:1 HTTP/1.1\r\nHost: a\r\n\r\n") == state::malformed);
-    CHECK(readAll("GET / HTTP/1.0\r\nHost: a\r\n\r\n") == state::versionUnsupported);
+    CHECK(readAll("GET / HTTP/1.0\r\nHost: a\r\n\r\n") == state::version_unsupported);
 }
 
 TEST_CASE("what is too large is refused before it is read", "[http]")
 {
-    CHECK(readAll(post("Content-Length: 99999999999\r\n")) == state::bodyTooLarge);
-    CHECK(readAll(post("Content-Length: 65\r\n")) == state::bodyTooLarge);
-    CHECK(readAll(post("X-Long: " + std::string(2000, 'x') + "\r\n")) == state::headerTooLarge);
-    CHECK(readAll(post("Transfer-Encoding: chunked\r\n", "50\r\n" + std::string(80, 'x') + "\r\n0\r\n\r\n")) == state::bodyTooLarge);
+    CHECK(readAll(post("Content-Length: 99999999999\r\n")) == state::body_too_large);
+    CHECK(readAll(post("Content-Length: 65\r\n")) == state::body_too_large);
+    CHECK(readAll(post("X-Long: " + std::string(2000, 'x') + "\r\n")) == state::header_too_large);
+    CHECK(readAll(post("Transfer-Encoding: chunked\r\n", "50\r\n" + std::string(80, 'x') + "\r\n0\r\n\r\n")) == state::body_too_large);
 }
 
 TEST_CASE("a caller may wait for permission to send its body", "[http]")
