--- a/servers/router/router_sending.cpp
+++ b/servers/router/router_sending.cpp
@@ -132,10 +132,9 @@
     m_sends.erase(id);
     if (!progress.sends.empty())
         return;
-    const bool broken = progress.replyStarted;
-    if (broken)
-        progress.stream.restart();
-    if (mayTryAgain(progress, how) && m_retries.take(progress.service, m_now) && dispatch(progress, broken ? "resume" : "retry"))
+    // What is left of an event belongs to the run that broke off.
+    progress.stream.restart();
+    if (mayTryAgain(progress, how) && m_retries.take(progress.service, m_now) && dispatch(progress, progress.replyStarted ? "resume" : "retry"))
         return;
     giveFailure(progress);
 }
--- a/tests/servers/router/stream_test.cpp
+++ b/tests/servers/router/stream_test.cpp
@@ -55,6 +55,18 @@
     CHECK(site.all<end_reply>().size() == 1);
 }
 
+TEST_CASE("half of a first event is not joined to the stream that follows", "[router]")
+{
+    router_fixture site;
+    const auto first = startStream(site, "/stream/x");
+    site.step(answer_continued { first.send, "id: 1\nda" });
+    site.step(send_failed { first.send, true, "reset" });
+    const auto second = site.only<send_request>();
+    site.step(answer_started { second.send, router_fixture::answer(200, true, true) });
+    site.step(answer_continued { second.send, events(1, 2) });
+    CHECK(site.only<extend_reply>().bytes == events(1, 2));
+}
+
 TEST_CASE("a stream that can't be resumed ends without looking whole", "[router]")
 {
     router_fixture site;
