--- a/tests/drivers/answer_reader_test.cpp
+++ b/tests/drivers/answer_reader_test.cpp
@@ -33,7 +33,8 @@
         answer_reader reader;
         read_answer seen;
         std::vector<answer_part> parts;
-        const auto taken = reader.feed(text + "HTTP/1.1 500", parts);
+        const auto received = text + "HTTP/1.1 500";
+        const auto taken = reader.feed(received, parts);
         seen.take(parts);
         CHECK(taken == text.size());
         CHECK(seen.status == 200);
