--- a/core/store_object.h
+++ b/core/store_object.h
@@ -7,6 +7,10 @@
 
 namespace kumquat {
 
+// What is kept in the store.
+enum class store_kind { upstreams,
+    configuration };
+
 // An object of the store that holds nothing usable.
 struct unusable_object {
     std::string reason;
--- a/drivers/asio/http_client.cpp
+++ b/drivers/asio/http_client.cpp
@@ -61,7 +61,7 @@
         answer_reader reader;
         // The call in progress; zero when idle.
         call_id call = 0;
-        answer_identity identity;
+        expected_header identity;
         std::string unsent;
         std::unique_ptr<asio::steady_timer> connectTimer;
         instant idleUntil;
--- a/drivers/asio/http_client.h
+++ b/drivers/asio/http_client.h
@@ -15,7 +15,7 @@
 
 // A header whose value every answer to the call repeats. An answer with another value belongs to an earlier call on the
 // same connection and is skipped.
-struct answer_identity {
+struct expected_header {
     std::string header;
     std::string value;
 };
@@ -26,7 +26,7 @@
     endpoint target;
     std::string bytes;
     bool toHeadRequest = false;
-    answer_identity identity;
+    expected_header identity;
     duration connectTimeout = std::chrono::milliseconds(300);
 };
 
--- a/drivers/asio/http_server.cpp
+++ b/drivers/asio/http_server.cpp
@@ -124,7 +124,7 @@
     asio::ip::tcp::acceptor acceptor;
     asio::steady_timer sweepTimer;
     handlers callbacks;
-    http_server_limits limits;
+    caller_limits limits;
     std::unordered_map<connection_id, std::unique_ptr<connection>> connections;
     std::array<char, readBufferBytes> buffer {};
     connection_id lastId = 0;
@@ -401,7 +401,7 @@
     return std::unique_ptr<http_server>(new http_server(std::move(opened)));
 }
 
-void http_server::setLimits(const http_server_limits& limits)
+void http_server::setLimits(const caller_limits& limits)
 {
     m_implementation->limits = limits;
 }
--- a/drivers/asio/http_server.h
+++ b/drivers/asio/http_server.h
@@ -3,6 +3,7 @@
 #include "core/clock.h"
 #include "core/http_message.h"
 #include "core/result.h"
+#include "core/routing_config.h"
 #include "drivers/asio/reactor.h"
 
 #include <cstdint>
@@ -14,14 +15,6 @@
 
 using connection_id = std::uint64_t;
 
-// What callers may send, and how long a connection may wait.
-struct http_server_limits {
-    std::size_t headerBytes = 16384;
-    std::size_t bodyBytes = 4 << 20;
-    duration headerTimeout = std::chrono::seconds(3);
-    duration idleTimeout = std::chrono::seconds(15);
-};
-
 // Serves HTTP/1.1 on the reactor's thread. Each connection has at most one request in progress; an idle connection holds
 // no buffer. Requests whose framing is in doubt are answered with 400 and their connection is closed.
 class http_server {
@@ -39,7 +32,7 @@
     static result<std::unique_ptr<http_server>> open(reactor&, const endpoint&, handlers);
     ~http_server();
 
-    void setLimits(const http_server_limits&);
+    void setLimits(const caller_limits&);
     // Starts an answer. Without a content length the body is sent in chunks.
     void beginAnswer(connection_id, const http_answer_head&);
     // Returns false when the caller reads too slowly to send more now; onWritable tells when it may go on.
--- a/drivers/json/completion_codec.cpp
+++ b/drivers/json/completion_codec.cpp
@@ -1,6 +1,7 @@
 #include "drivers/json/completion_codec.h"
 
 #include "core/hash.h"
+#include "drivers/json/error_body.h"
 
 #include <nlohmann/json.hpp>
 
@@ -101,14 +102,9 @@
         return { { "prompt_tokens", promptTokens }, { "completion_tokens", outputTokens }, { "total_tokens", promptTokens + outputTokens } };
     }
 
-    std::string serverSentEvent(const json& value)
+    std::string serverSentEvent(const std::string& data)
     {
-        return "data: " + dump(value) + "\n\n";
-    }
-
-    json errorObject(const std::string& requestId, const caller_error& failure)
-    {
-        return { { "error", { { "code", toString(failure.code) }, { "message", failure.message }, { "ran", toString(failure.ran) }, { "request_id", requestId } } } };
+        return "data: " + data + "\n\n";
     }
 
 } // namespace
@@ -189,7 +185,7 @@
         root["choices"] = json::array({ { { "index", 0 }, { "delta", { { "content", text } } }, { "finish_reason", nullptr } } });
     else
         root["choices"] = json::array({ { { "index", 0 }, { "text", text }, { "finish_reason", nullptr } } });
-    return serverSentEvent(root);
+    return serverSentEvent(dump(root));
 }
 
 std::string formatStreamEnd(const answer_identity& identity, const std::string& finishReason, std::uint32_t promptTokens, std::uint32_t outputTokens)
@@ -200,12 +196,12 @@
     else
         root["choices"] = json::array({ { { "index", 0 }, { "text", "" }, { "finish_reason", finishReason } } });
     root["usage"] = usage(promptTokens, outputTokens);
-    return serverSentEvent(root) + "data: [DONE]\n\n";
+    return serverSentEvent(dump(root)) + "data: [DONE]\n\n";
 }
 
 std::string formatStreamError(const std::string& requestId, const caller_error& failure)
 {
-    return serverSentEvent(errorObject(requestId, failure));
+    return serverSentEvent(formatErrorBody(requestId, failure));
 }
 
 std::string formatWholeAnswer(const answer_identity& identity, const std::string& text, const std::string& finishReason, std::uint32_t promptTokens, std::uint32_t outputTokens)
@@ -221,7 +217,7 @@
 
 std::string formatError(const std::string& requestId, const caller_error& failure)
 {
-    return dump(errorObject(requestId, failure));
+    return formatErrorBody(requestId, failure);
 }
 
 } // namespace kumquat
--- a/processes/router_process.cpp
+++ b/processes/router_process.cpp
@@ -6,6 +6,7 @@
 #include "drivers/asio/http_server.h"
 #include "drivers/asio/reactor.h"
 #include "drivers/cbor/digest_codec.h"
+#include "drivers/json/error_body.h"
 #include "drivers/prometheus/metrics_registry.h"
 #include "drivers/spdlog/bounded_sink.h"
 #include "drivers/spdlog/event_log.h"
@@ -44,7 +45,7 @@
 
     // A read of the store whose answer is being collected.
     struct store_call {
-        router::store_kind kind = router::store_kind::upstreams;
+        store_kind kind = store_kind::upstreams;
         int status = 0;
         std::string body;
     };
@@ -64,9 +65,10 @@
         void reloadSettings();
         void onCallerRequest(connection_id, http_request&&);
         void onAdminRequest(connection_id, const http_request&);
+        void refuse(const router::refuse_reply&);
         void startRead(const router::read_store&);
         void finishRead(call_id);
-        void reportRead(call_id, router::store_kind, int status, const std::string& body, const std::string& failure);
+        void reportRead(call_id, store_kind, int status, const std::string& body, const std::string& failure);
         void onDatagram(const std::string& host, const std::string& bytes);
         void watchClock();
         http_client::handlers upstreamHandlers();
@@ -263,15 +265,25 @@
         post(router::settings_changed { m_settings });
     }
 
+    void router_process::refuse(const router::refuse_reply& reply)
+    {
+        const auto& refusal = reply.refusal;
+        const auto body = formatErrorBody(reply.requestId, refusal);
+        http_answer_head head { httpStatus(refusal.code), { { "Content-Type", "application/json" } }, body.size(), true };
+        // Fractions of a second are understood.
+        if (refusal.retryAfter)
+            head.headers.push_back({ "Retry-After", std::to_string(std::chrono::duration<double>(*refusal.retryAfter).count()) });
+        m_callers->answer(reply.caller, head, body);
+    }
+
     void router_process::startRead(const router::read_store& read)
     {
         m_reads[read.read].kind = read.kind;
-        const auto kind = read.kind == router::store_kind::upstreams ? platform::object_kind::upstreams : platform::object_kind::configuration;
         http_call call;
         call.id = read.read;
         call.target = m_settings.store;
-        call.bytes = read.sinceRevision ? platform::encodeWatch(kind, m_settings.store, *read.sinceRevision, read.wait) : platform::encodeList(kind, m_settings.store, read.after);
-        m_metrics.apply(count_metric { "kumquat_router_store_reads_total", { { "kind", read.kind == router::store_kind::upstreams ? "upstreams" : "configuration" } } });
+        call.bytes = read.sinceRevision ? platform::encodeWatch(read.kind, m_settings.store, *read.sinceRevision, read.wait) : platform::encodeList(read.kind, m_settings.store, read.after);
+        m_metrics.apply(count_metric { "kumquat_router_store_reads_total", { { "kind", read.kind == store_kind::upstreams ? "upstreams" : "configuration" } } });
         m_store.start(std::move(call));
     }
 
@@ -285,9 +297,9 @@
         reportRead(call, done.kind, done.status, done.body, {});
     }
 
-    void router_process::reportRead(call_id call, router::store_kind kind, int status, const std::string& body, const std::string& failure)
+    void router_process::reportRead(call_id call, store_kind kind, int status, const std::string& body, const std::string& failure)
     {
-        if (kind == router::store_kind::upstreams) {
+        if (kind == store_kind::upstreams) {
             router::upstreams_read read { call, store_read_failed { failure } };
             if (failure.empty())
                 read.outcome = platform::decodeUpstreams(status, body);
@@ -306,7 +318,7 @@
                 http_call call;
                 call.id = send.send;
                 call.target = send.target;
-                call.bytes = platform::encodeRequest(*send.request, { send.upstreamId, send.organisation, send.timeLeft, send.urgency, send.resumeAfter, send.toEngine });
+                call.bytes = platform::encodeRequest(*send.request, send);
                 call.toHeadRequest = send.request->method == "HEAD";
                 call.identity = { platform::requestIdHeader, send.request->requestId };
                 m_upstreams.start(std::move(call));
@@ -321,6 +333,7 @@
             },
             [this](const router::end_reply& reply) { m_callers->finishAnswer(reply.caller); },
             [this](const router::whole_reply& reply) { m_callers->answer(reply.caller, reply.head, reply.body); },
+            [this](const router::refuse_reply& reply) { refuse(reply); },
             [this](const router::break_reply& reply) { m_callers->abortAnswer(reply.caller); },
             [this](const router::read_store& read) { startRead(read); },
             [this](const router::cancel_store_read& cancel) {
@@ -332,9 +345,7 @@
                 for (const auto& address : send.addresses)
                     m_peers->send({ address, m_settings.peerPort }, bytes);
             },
-            [this](const router::apply_caller_limits& apply) {
-                m_callers->setLimits({ apply.limits.headerBytes, apply.limits.bodyBytes, apply.limits.headerTimeout, apply.limits.idleTimeout });
-            },
+            [this](const router::apply_caller_limits& apply) { m_callers->setLimits(apply.limits); },
             [this](const router::close_callers_after_answers&) { m_callers->closeAfterAnswers(); },
             [this](const router::close_idle_callers&) { m_callers->closeIdle(); },
             [this](const router::stop_router&) { m_reactor.stop(); },
--- a/processes/server_main.h
+++ b/processes/server_main.h
@@ -8,6 +8,7 @@
 #include "processes/file_reader.h"
 
 #include <iostream>
+#include <optional>
 #include <string>
 
 namespace kumquat {
@@ -21,9 +22,10 @@
     return exitCode;
 }
 
-// The common main function of the server programs: command line, settings, check, run.
-template <typename Parse, typename Run>
-int serverMain(const std::string& program, const std::string& purpose, int argumentCount, const char* const* arguments, Parse parse, Run run)
+// The command line of a program that takes a settings file. Check says what is wrong with the file, if anything; run
+// returns the exit code.
+template <typename Check, typename Run>
+int commandMain(const std::string& program, const std::string& purpose, int argumentCount, const char* const* arguments, Check check, Run run)
 {
     const auto command = parseServerCommandLine(program, purpose, argumentCount, arguments);
     if (const auto* failure = errorOf(command))
@@ -33,27 +35,51 @@
         return 0;
     }
     const auto& start = std::get<run_command>(valueOf(command));
-    const auto text = readFile(start.settingsFile);
-    if (const auto* failure = errorOf(text))
-        return reportFailure(*failure, exitUsage);
-    const auto settings = parse("settings '" + start.settingsFile + "'", valueOf(text));
-    if (const auto* failure = errorOf(settings))
+    if (!start.checkOnly)
+        return run(start.settingsFile);
+    if (const std::optional<error> failure = check(start.settingsFile))
         return reportFailure(*failure, exitUsage);
-    const common_settings& common = valueOf(settings).common;
-    if (start.checkOnly) {
-        if (!common.documentFile.empty()) {
-            const auto loaded = loadDocument(common.documentFile);
-            if (const auto* failure = errorOf(loaded))
-                return reportFailure(*failure, exitUsage);
-        }
-        std::cout << start.settingsFile << ": ok\n";
-        return 0;
-    }
-    openLog(program, common.logLevel);
-    const auto outcome = run(valueOf(settings));
-    if (const auto* failure = errorOf(outcome))
-        return reportFailure(*failure, exitFailure);
-    return valueOf(outcome);
+    std::cout << start.settingsFile << ": ok\n";
+    return 0;
+}
+
+// Reads a settings file with the parser of its program.
+template <typename Parse>
+auto loadSettings(const std::string& file, Parse parse) -> decltype(parse(file, file))
+{
+    const auto text = readFile(file);
+    if (const auto* failure = errorOf(text))
+        return *failure;
+    return parse("settings '" + file + "'", valueOf(text));
+}
+
+// The common main function of the server programs: command line, settings, check, run.
+template <typename Parse, typename Run>
+int serverMain(const std::string& program, const std::string& purpose, int argumentCount, const char* const* arguments, Parse parse, Run run)
+{
+    const auto check = [&parse](const std::string& file) -> std::optional<error> {
+        const auto settings = loadSettings(file, parse);
+        if (const auto* failure = errorOf(settings))
+            return *failure;
+        const auto& document = valueOf(settings).common.documentFile;
+        if (document.empty())
+            return std::nullopt;
+        const auto loaded = loadDocument(document);
+        if (const auto* failure = errorOf(loaded))
+            return *failure;
+        return std::nullopt;
+    };
+    const auto start = [&](const std::string& file) {
+        const auto settings = loadSettings(file, parse);
+        if (const auto* failure = errorOf(settings))
+            return reportFailure(*failure, exitUsage);
+        openLog(program, valueOf(settings).common.logLevel);
+        const auto outcome = run(valueOf(settings));
+        if (const auto* failure = errorOf(outcome))
+            return reportFailure(*failure, exitFailure);
+        return valueOf(outcome);
+    };
+    return commandMain(program, purpose, argumentCount, arguments, check, start);
 }
 
 } // namespace kumquat
--- a/servers/router/kind_follower.h
+++ b/servers/router/kind_follower.h
@@ -76,9 +76,8 @@
 
     // The last moment at which the store is known to have had nothing newer than what was reported.
     std::optional<instant> confirmedAt() const { return m_confirmedAt; }
-    // The first answer after the last failed read; absent while reads fail.
-    std::optional<instant> soundSince() const { return m_soundSince; }
-    int failures() const { return m_failures; }
+    // The last read was answered.
+    bool sound() const { return m_sound; }
     std::uint64_t revision() const { return m_revision; }
 
 private:
@@ -88,9 +87,9 @@
     static constexpr auto longestPause = std::chrono::milliseconds(800);
     static constexpr int maxPauseDoublings = 3;
 
-    follower_news<Value> accept(store_page<Value>&& page, instant now)
+    follower_news<Value> accept(store_page<Value>&& page, instant)
     {
-        succeed(now);
+        succeed();
         std::move(page.entries.begin(), page.entries.end(), std::back_inserter(m_listed));
         if (m_after.empty())
             m_listSince = m_readSince;
@@ -112,7 +111,7 @@
 
     follower_news<Value> accept(store_changes<Value>&& changes, instant now)
     {
-        succeed(now);
+        succeed();
         m_revision = std::max(m_revision, changes.revision);
         if (m_confirmedAt)
             m_confirmedAt = std::max(*m_confirmedAt, now - watchBlindness);
@@ -130,16 +129,15 @@
         const auto pause = firstPause * (1 << std::min(m_failures, maxPauseDoublings));
         m_pausedUntil = now + std::min<duration>(pause, longestPause);
         ++m_failures;
-        m_soundSince.reset();
+        m_sound = false;
         listAgain();
         return { false, {}, std::move(failed.reason) };
     }
 
-    void succeed(instant now)
+    void succeed()
     {
         m_failures = 0;
-        if (!m_soundSince)
-            m_soundSince = now;
+        m_sound = true;
     }
 
     void listAgain()
@@ -159,7 +157,7 @@
     instant m_listSince;
     instant m_pausedUntil;
     std::optional<instant> m_confirmedAt;
-    std::optional<instant> m_soundSince;
+    bool m_sound = false;
 };
 
 } // namespace kumquat::router
--- a/servers/router/placement.cpp
+++ b/servers/router/placement.cpp
@@ -59,24 +59,25 @@
         return { leastLoaded(candidates, asked), candidates.size(), "least_in_flight" };
     }
 
-    // The candidates in the order in which all routers prefer them for a prompt.
-    std::vector<shared_upstream> preferenceOrder(const std::vector<shared_upstream>& candidates, std::uint64_t key)
-    {
-        std::vector<std::pair<std::uint64_t, shared_upstream>> weighted;
-        weighted.reserve(candidates.size());
-        for (const auto& item : candidates)
-            weighted.emplace_back(hashBytes(item->record.id, key), item);
-        std::sort(weighted.begin(), weighted.end(), [](const auto& left, const auto& right) { return left.first > right.first; });
-        std::vector<shared_upstream> ordered;
-        ordered.reserve(weighted.size());
-        for (auto& [weight, item] : weighted)
-            ordered.push_back(std::move(item));
-        return ordered;
-    }
+    // A candidate with what all routers together have there.
+    struct weighed_upstream {
+        shared_upstream upstream;
+        // Its place in the order in which all routers prefer the candidates for a prompt: the highest first.
+        std::uint64_t preference = 0;
+        double backlog = 0;
+        double streams = 0;
+    };
 
-    double backlogOf(const upstream_state& item, const peer_group& peers)
+    std::vector<weighed_upstream> weighInOrder(const std::vector<shared_upstream>& candidates, const peer_group& peers, std::uint64_t key)
     {
-        return item.tokensToRead + peers.loadOf(item.key).tokensToRead;
+        std::vector<weighed_upstream> weighed;
+        weighed.reserve(candidates.size());
+        for (const auto& item : candidates) {
+            const auto others = peers.loadOf(item->key);
+            weighed.push_back({ item, hashBytes(item->record.id, key), item->tokensToRead + others.tokensToRead, static_cast<double>(item->streams + others.streams) });
+        }
+        std::sort(weighed.begin(), weighed.end(), [](const auto& left, const auto& right) { return left.preference > right.preference; });
+        return weighed;
     }
 
     placement choose(const least_reading& policy, const std::vector<shared_upstream>& candidates, const placement_request& asked)
@@ -84,27 +85,27 @@
         const auto& prompt = asked.request.prompt;
         if (prompt.parts.empty())
             return choose(least_in_flight {}, candidates, asked);
+        const auto weighed = weighInOrder(candidates, asked.peers, affinityKey(prompt));
         double total = 0;
-        for (const auto& item : candidates)
-            total += backlogOf(*item, asked.peers);
+        for (const auto& item : weighed)
+            total += item.backlog;
         // Where all have much to read, it is no use to read a prompt in yet another place.
-        const double scale = std::max(1.0, total / static_cast<double>(candidates.size()) / policy.evenBacklogTokens);
+        const double scale = std::max(1.0, total / static_cast<double>(weighed.size()) / policy.evenBacklogTokens);
         placement best;
         best.candidates = candidates.size();
         best.reason = "least_reading";
         double bestCost = 0;
         int position = 0;
-        for (const auto& item : preferenceOrder(candidates, affinityKey(prompt))) {
-            double reading = item->memory.tokensToRead(prompt);
+        for (const auto& item : weighed) {
+            double reading = item.upstream->memory.tokensToRead(prompt);
             if (position == 0)
                 reading = std::min(reading, prompt.inputTokens * policy.preferredShare);
-            const double streams = item->streams + asked.peers.loadOf(item->key).streams;
-            const double cost = backlogOf(*item, asked.peers) / scale + policy.readingWeight * reading + policy.streamTokens * streams
+            const double cost = item.backlog / scale + policy.readingWeight * reading + policy.streamTokens * item.streams
                 + policy.positionShare * position * prompt.inputTokens;
             ++position;
             if (best.upstream && cost >= bestCost)
                 continue;
-            best.upstream = item;
+            best.upstream = item.upstream;
             best.tokensToRead = reading;
             bestCost = cost;
         }
--- a/servers/router/request_progress.h
+++ b/servers/router/request_progress.h
@@ -19,6 +19,8 @@
     // Prompt tokens that the upstream has to read, until the stream begins.
     double tokensToRead = 0;
     bool streaming = false;
+    // The answer is a stream of events that are passed on as they come.
+    bool deliversEvents = false;
     // The head of the answer, once it has come.
     std::optional<upstream_answer> answer;
     // The body so far, where it is kept until it is whole.
--- a/servers/router/router_answering.cpp
+++ b/servers/router/router_answering.cpp
@@ -62,7 +62,8 @@
         return endSend(*progress, id, send_end::may_have_run, "success without a seal");
     }
     send.answer = std::move(started.answer);
-    if (progress->terms->streaming && isSuccess(send.answer->head.status) && isEventStream(*send.answer))
+    send.deliversEvents = progress->terms->streaming && isSuccess(send.answer->head.status) && isEventStream(*send.answer);
+    if (send.deliversEvents)
         onStreamHead(*progress, send);
 }
 
@@ -80,8 +81,7 @@
     auto& send = *findSend(*progress, continued.send);
     if (!send.answer)
         return;
-    const bool streams = progress->terms->streaming && isSuccess(send.answer->head.status) && isEventStream(*send.answer);
-    if (!streams) {
+    if (!send.deliversEvents) {
         send.body += continued.bytes;
         return;
     }
@@ -116,7 +116,7 @@
     const auto& send = *findSend(*progress, ended.send);
     if (!send.answer)
         return endSend(*progress, ended.send, send_end::may_have_run, "no answer");
-    if (progress->terms->streaming && isSuccess(send.answer->head.status) && isEventStream(*send.answer))
+    if (send.deliversEvents)
         return onStreamEnd(*progress, ended.send);
     onWholeAnswer(*progress, ended.send);
 }
@@ -125,9 +125,7 @@
 {
     if (progress.stream.midEvent() || !progress.replyStarted)
         return endSend(progress, id, send_end::may_have_run, "stream ended within an event");
-    release(*findSend(progress, id));
-    m_sends.erase(id);
-    progress.sends.clear();
+    dropSend(progress, id);
     emit(end_reply { progress.caller });
     finish(progress, firstSuccess, "streamed");
 }
@@ -149,10 +147,8 @@
     if (progress.replyStarted)
         return endSend(progress, id, send_end::may_have_run, "status " + std::to_string(status) + " to a resumed stream");
     send.upstream->failuresInRow = 0;
-    release(send);
-    m_sends.erase(id);
-    std::erase_if(progress.sends, [id](const live_send& item) { return item.id == id; });
-    cancelSends(progress, std::nullopt);
+    dropSend(progress, id);
+    cancelSends(progress);
     answer.head.contentLength = body.size();
     emit(whole_reply { progress.caller, std::move(answer.head), std::move(body) });
     finish(progress, status, "answered");
@@ -182,7 +178,7 @@
 void router_reducer::giveUp(request_progress& progress)
 {
     const bool mayHaveRun = progress.mayHaveRun();
-    cancelSends(progress, std::nullopt);
+    cancelSends(progress);
     if (progress.replyStarted) {
         emit(break_reply { progress.caller });
         return finish(progress, 0, "stream_out_of_time");
--- a/servers/router/router_effect.h
+++ b/servers/router/router_effect.h
@@ -1,23 +1,18 @@
 #pragma once
 
+#include "core/caller_error.h"
 #include "core/log_event.h"
 #include "core/metric.h"
+#include "core/upstream_terms.h"
 #include "servers/router/router_event.h"
 
 namespace kumquat::router {
 
-// Send a request to an upstream.
-struct send_request {
+// Send a request to an upstream, on terms that are its own.
+struct send_request : upstream_terms {
     send_id send = 0;
     endpoint target;
     shared_request request;
-    std::string upstreamId;
-    std::string organisation;
-    duration timeLeft {};
-    // From 0, the most urgent, to 9.
-    int urgency = 5;
-    std::optional<std::uint64_t> resumeAfter;
-    bool toEngine = false;
 };
 
 // Close the connection of a sending, so that the upstream stops its work.
@@ -58,14 +53,18 @@
     std::string body;
 };
 
+// Answer with an error of the router's own.
+struct refuse_reply {
+    caller_id caller = 0;
+    std::string requestId;
+    caller_error refusal;
+};
+
 // Close the caller's connection, so that it sees that its answer is incomplete.
 struct break_reply {
     caller_id caller = 0;
 };
 
-enum class store_kind { upstreams,
-    configuration };
-
 // Read from the store: a list, or the changes since a revision.
 struct read_store {
     std::uint64_t read = 0;
@@ -94,7 +93,7 @@
 struct close_idle_callers { };
 struct stop_router { };
 
-using router_effect = std::variant<send_request, cancel_send, throttle_send, forget_upstream, start_reply, extend_reply, end_reply, whole_reply,
+using router_effect = std::variant<send_request, cancel_send, throttle_send, forget_upstream, start_reply, extend_reply, end_reply, whole_reply, refuse_reply,
     break_reply, read_store, cancel_store_read, send_digest, apply_caller_limits, close_callers_after_answers, close_idle_callers, stop_router, log_event,
     count_metric, observe_metric>;
 
--- a/servers/router/router_peers.cpp
+++ b/servers/router/router_peers.cpp
@@ -54,6 +54,7 @@
     m_peers.expire(m_now);
     if (m_peers.count() != before)
         log(log_level::warning, "peer_lost", { { "peers", std::to_string(m_peers.count()) } });
+    m_retries.setOptions(retryOptions());
     checkAgainstPeers();
     confirmConfig();
     setTimer(timer_kind::digest, 0, m_now + m_peers.interval());
@@ -92,7 +93,6 @@
 // What other routers know shows when this one's watch has died.
 void router_reducer::checkAgainstPeers()
 {
-    m_retries.setOptions(retryOptions());
     const bool behind = m_peers.newestConfig() > m_configRevision || m_peers.newestUpstreams() > m_newestRecord;
     if (!behind)
         m_behindSince.reset();
--- a/servers/router/router_reducer.cpp
+++ b/servers/router/router_reducer.cpp
@@ -152,20 +152,13 @@
 void router_reducer::refuse(caller_id caller, const std::string& requestId, const caller_error& refusal)
 {
     const auto status = httpStatus(refusal.code);
-    http_answer_head head { status, { { "Content-Type", "application/json" } }, std::nullopt, true };
-    if (refusal.retryAfter)
-        head.headers.push_back({ "Retry-After", std::to_string(static_cast<double>(refusal.retryAfter->count()) / 1000) });
-    std::string body = R"({"error":{"code":")";
-    body += toString(refusal.code);
-    body += R"(","message":")" + refusal.message + R"(","ran":")" + toString(refusal.ran) + R"("}})";
-    head.contentLength = body.size();
     const auto confirmed = configConfirmedAt();
     log(log_level::warning, "request_refused",
         { { "request", requestId }, { "code", toString(refusal.code) }, { "status", std::to_string(status) }, { "ran", toString(refusal.ran) },
             { "reason", refusal.message }, { "config", std::to_string(m_config ? m_config->version : 0) },
             { "config_age_ms", confirmed ? wholeMilliseconds(m_now - *confirmed) : "never" } });
     emit(count_metric { "kumquat_router_refusals_total", { { "code", toString(refusal.code) } } });
-    emit(whole_reply { caller, std::move(head), std::move(body) });
+    emit(refuse_reply { caller, requestId, refusal });
 }
 
 void router_reducer::on(caller_left&& left)
@@ -173,7 +166,7 @@
     const auto found = m_requests.find(left.caller);
     if (found == m_requests.end())
         return;
-    cancelSends(found->second, std::nullopt);
+    cancelSends(found->second);
     finish(found->second, 0, "caller_left");
 }
 
--- a/servers/router/router_reducer.h
+++ b/servers/router/router_reducer.h
@@ -87,7 +87,8 @@
     void recordCrash(upstream_state&);
     static std::uint64_t fingerprint(const request_progress&);
     void release(const live_send&);
-    void cancelSends(request_progress&, std::optional<send_id> except);
+    void dropSend(request_progress&, send_id);
+    void cancelSends(request_progress&);
     request_progress* findBySend(send_id);
 
     // Answering.
--- a/servers/router/router_sending.cpp
+++ b/servers/router/router_sending.cpp
@@ -55,7 +55,7 @@
     upstream.tokensToRead += chosen.tokensToRead;
     if (progress.toEngine)
         notePrompt(upstream, progress);
-    progress.sends.push_back({ id, chosen.upstream, m_now, chosen.tokensToRead, false, std::nullopt, {} });
+    progress.sends.push_back({ id, chosen.upstream, m_now, chosen.tokensToRead, false, false, std::nullopt, {} });
     m_sends.emplace(id, progress.caller);
     send_request effect;
     effect.send = id;
@@ -117,8 +117,9 @@
 void router_reducer::endSend(request_progress& progress, send_id id, send_end how, const std::string& reason)
 {
     const auto position = std::find_if(progress.sends.begin(), progress.sends.end(), [id](const live_send& item) { return item.id == id; });
-    auto& upstream = *position->upstream;
-    release(*position);
+    // Outlives the sending.
+    const auto held = position->upstream;
+    auto& upstream = *held;
     recordFailure(upstream, how);
     if (how == send_end::may_have_run)
         ++progress.runCount;
@@ -128,8 +129,7 @@
     const char* end = ends[static_cast<int>(how)];
     log(log_level::warning, "send_failed", { { "request", progress.request->requestId }, { "upstream", upstream.record.id }, { "outcome", end }, { "reason", reason }, { "after_ms", wholeMilliseconds(m_now - position->sentAt) }, { "sends", std::to_string(progress.sendCount) } });
     emit(count_metric { "kumquat_router_failed_sends_total", { { "outcome", end } } });
-    progress.sends.erase(position);
-    m_sends.erase(id);
+    dropSend(progress, id);
     if (!progress.sends.empty())
         return;
     // What is left of an event belongs to the run that broke off.
@@ -149,16 +149,21 @@
         --upstream.streams;
 }
 
-void router_reducer::cancelSends(request_progress& progress, std::optional<send_id> except)
+void router_reducer::dropSend(request_progress& progress, send_id id)
 {
-    for (auto& send : progress.sends) {
-        if (send.id == except)
-            continue;
-        release(send);
-        m_sends.erase(send.id);
-        emit(cancel_send { send.id });
+    const auto position = std::find_if(progress.sends.begin(), progress.sends.end(), [id](const live_send& item) { return item.id == id; });
+    release(*position);
+    progress.sends.erase(position);
+    m_sends.erase(id);
+}
+
+void router_reducer::cancelSends(request_progress& progress)
+{
+    while (!progress.sends.empty()) {
+        const auto id = progress.sends.back().id;
+        dropSend(progress, id);
+        emit(cancel_send { id });
     }
-    std::erase_if(progress.sends, [except](const live_send& item) { return item.id != except; });
 }
 
 // The same request comes again with the same path, caller and body, but under another id.
--- a/servers/router/router_store.cpp
+++ b/servers/router/router_store.cpp
@@ -74,7 +74,7 @@
         return;
     m_upstreamRead = 0;
     m_timers.cancel({ timer_kind::read_timeout, read.read });
-    const bool wasSound = m_upstreamFollower.soundSince().has_value();
+    const bool wasSound = m_upstreamFollower.sound();
     auto news = m_upstreamFollower.onOutcome(std::move(read.outcome), m_now);
     noteDependency(news.failure, wasSound);
     applyUpstreams(std::move(news));
@@ -88,7 +88,7 @@
         return;
     m_configRead = 0;
     m_timers.cancel({ timer_kind::read_timeout, read.read });
-    const bool wasSound = m_configFollower.soundSince().has_value();
+    const bool wasSound = m_configFollower.sound();
     auto news = m_configFollower.onOutcome(std::move(read.outcome), m_now);
     noteDependency(news.failure, wasSound);
     applyConfig(std::move(news));
--- a/tests/servers/router/attempt_test.cpp
+++ b/tests/servers/router/attempt_test.cpp
@@ -57,7 +57,8 @@
     const auto second = site.only<send_request>();
     site.step(answer_started { second.send, router_fixture::refusal(429) });
     CHECK(site.replyStatus() == 503);
-    CHECK(findHeader(site.only<whole_reply>().head.headers, "Retry-After") != nullptr);
+    CHECK(site.only<refuse_reply>().refusal.retryAfter.has_value());
+    CHECK(site.only<refuse_reply>().refusal.ran == ran_state::no);
 }
 
 TEST_CASE("a status that promises not run is not passed on without the upstream's word", "[router]")
@@ -132,9 +133,10 @@
     router_fixture site;
     sendOne(site, "/pay/x");
     const auto effects = site.advance(milliseconds(1001));
-    const auto replies = router_fixture::all<whole_reply>(effects);
+    const auto replies = router_fixture::all<refuse_reply>(effects);
     REQUIRE(replies.size() == 1);
-    CHECK(replies[0].head.status == 504);
+    CHECK(router_fixture::all<whole_reply>(effects).empty());
+    CHECK(httpStatus(replies[0].refusal.code) == 504);
     CHECK(router_fixture::all<cancel_send>(effects).size() == 1);
 }
 
--- a/tests/support/router_fixture.h
+++ b/tests/support/router_fixture.h
@@ -159,7 +159,13 @@
         return found.front();
     }
 
-    int replyStatus() const { return only<whole_reply>().head.status; }
+    // The status of the only answer, whether an upstream's or the router's own.
+    int replyStatus() const
+    {
+        const auto refusals = all<refuse_reply>();
+        REQUIRE(refusals.size() + all<whole_reply>().size() == 1);
+        return refusals.empty() ? only<whole_reply>().head.status : httpStatus(refusals.front().refusal.code);
+    }
 
     static upstream_answer answer(int status, bool sealed = true, bool stream = false)
     {
