Order requests to engines by the organisation's rank, then the route's

A rank of the organisation replaced that of the route, so that all requests of an organisation had one urgency; a full engine then preempts its newest, a checklist before a handover. Ruled out: full memory as such (a cost for it only hid the fault), a changed configuration (the trace shows the rank of the organisation on every preempted request). Change: urgency_order gives each pair of ranks its own of the ten urgencies, the organisation's first. Test that failed first: a ranked organisation's urgent route had the urgency of its others.

--- a/core/routing_config.h
+++ b/core/routing_config.h
@@ -96,6 +96,8 @@
 
     void addRoute(route);
     std::size_t routeCount() const { return m_routes.size(); }
+    // By host and prefix, in no order.
+    const std::unordered_map<std::string, route>& routes() const { return m_routes; }
     // Returns the route of that host with the longest prefix of the path, or null.
     const route* match(std::string_view host, std::string_view path) const;
 
--- a/servers/router/request_progress.h
+++ b/servers/router/request_progress.h
@@ -36,7 +36,8 @@
     const route* terms = nullptr;
     std::string service;
     std::string organisation;
-    int rank = 0;
+    // How urgent it is to an engine, from 0.
+    int urgency = 0;
     bool toEngine = false;
     instant arrivedAt;
     // The request is given up then.
--- a/servers/router/router_reducer.cpp
+++ b/servers/router/router_reducer.cpp
@@ -131,7 +131,7 @@
         return caller_error { error_code::unknown_service, "no route for '" + request.host + request.path + "'", ran_state::no, std::nullopt };
     progress.config = m_config;
     progress.terms = terms;
-    progress.rank = terms->rank;
+    std::optional<int> organisationRank;
     if (m_config->requiresKeys && !terms->anonymous) {
         const auto key = m_config->keys.find(request.apiKey);
         // A router that has lost the store can't tell which keys are still good.
@@ -140,8 +140,9 @@
         if (key == m_config->keys.end())
             return caller_error { error_code::unauthenticated, "the key is not known", ran_state::no, std::nullopt };
         progress.organisation = key->second.name;
-        progress.rank = key->second.rank.value_or(terms->rank);
+        organisationRank = key->second.rank;
     }
+    progress.urgency = m_urgencies.urgencyOf(*terms, organisationRank);
     progress.service = chooseService(*terms, request.requestId);
     const auto service = m_config->services.find(progress.service);
     progress.toEngine = service != m_config->services.end() && service->second.engine.has_value();
--- a/servers/router/router_reducer.h
+++ b/servers/router/router_reducer.h
@@ -9,6 +9,7 @@
 #include "servers/router/request_progress.h"
 #include "servers/router/retry_allowance.h"
 #include "servers/router/router_effect.h"
+#include "servers/router/urgency_order.h"
 
 #include <unordered_map>
 
@@ -145,6 +146,7 @@
         std::optional<instant> confirmedAt;
     } m_confirmation;
     shared_config m_config;
+    urgency_order m_urgencies;
     std::uint64_t m_configRevision = 0;
     kind_follower<upstream_record> m_upstreamFollower;
     kind_follower<shared_config> m_configFollower;
--- a/servers/router/router_sending.cpp
+++ b/servers/router/router_sending.cpp
@@ -21,9 +21,6 @@
     // An upstream that is found down this long after it lost a request may have crashed by it.
     constexpr auto crashEvidence = std::chrono::milliseconds(1500);
     constexpr auto busyAvoidance = std::chrono::milliseconds(60);
-    // Ranks are spread over the ten urgencies that engines know.
-    constexpr int urgencyStep = 2;
-    constexpr int leastUrgent = 9;
 
 } // namespace
 
@@ -46,7 +43,7 @@
     auto& upstream = *chosen.upstream;
     const auto id = ++m_lastId;
     log(log_level::info, "request_sent",
-        { { "request", progress.request->requestId }, { "route", progress.terms->name }, { "organisation", progress.organisation }, { "upstream", upstream.record.id },
+        { { "request", progress.request->requestId }, { "route", progress.terms->name }, { "organisation", progress.organisation }, { "urgency", std::to_string(progress.urgency) }, { "upstream", upstream.record.id },
             { "cause", cause }, { "by", chosen.reason }, { "candidates", std::to_string(chosen.candidates) }, { "in_flight", std::to_string(upstream.inFlight) },
             { "record", std::to_string(upstream.revision) }, { "record_age_ms", wholeMilliseconds(m_now - upstream.readAt) }, { "config", std::to_string(progress.config->version) }, { "left_ms", wholeMilliseconds(progress.deadline - m_now) } });
     ++upstream.inFlight;
@@ -64,7 +61,7 @@
     effect.upstreamId = upstream.record.id;
     effect.organisation = progress.organisation;
     effect.timeLeft = progress.deadline - m_now - upstreamDeadlineMargin;
-    effect.urgency = std::clamp(progress.rank * urgencyStep + 1, 0, leastUrgent);
+    effect.urgency = progress.urgency;
     effect.resumeAfter = progress.stream.lastId();
     effect.toEngine = progress.toEngine;
     emit(std::move(effect));
--- a/servers/router/router_store.cpp
+++ b/servers/router/router_store.cpp
@@ -199,6 +199,7 @@
             continue;
         m_configRevision = entry.revision;
         m_config = std::move(*config);
+        m_urgencies = urgency_order(*m_config);
         log(log_level::info, "config_adopted", { { "config", std::to_string(m_config->version) }, { "revision", std::to_string(entry.revision) }, { "routes", std::to_string(m_config->routeCount()) }, { "keys", std::to_string(m_config->keys.size()) } });
         emit(apply_caller_limits { m_config->limits });
     }
--- /dev/null
+++ b/servers/router/urgency_order.cpp
@@ -0,0 +1,46 @@
+#include "servers/router/urgency_order.h"
+
+#include "core/routing_config.h"
+
+#include <algorithm>
+#include <set>
+
+namespace kumquat::router {
+
+namespace {
+
+    constexpr std::size_t engineUrgencies = 10;
+
+} // namespace
+
+urgency_order::urgency_order(const routing_config& config)
+{
+    std::set<std::optional<int>> organisationRanks { std::nullopt };
+    for (const auto& [key, organisation] : config.keys)
+        organisationRanks.insert(organisation.rank);
+    std::set<rank_pair> ranks;
+    for (const auto& [key, item] : config.routes()) {
+        // Routes without a prompt do not go to engines.
+        if (!item.usesPromptCache)
+            continue;
+        for (const auto& rank : organisationRanks)
+            ranks.insert(pairOf(item, rank));
+    }
+    m_ranks.assign(ranks.begin(), ranks.end());
+}
+
+urgency_order::rank_pair urgency_order::pairOf(const route& item, std::optional<int> organisationRank)
+{
+    return { organisationRank.value_or(item.rank), item.rank };
+}
+
+int urgency_order::urgencyOf(const route& item, std::optional<int> organisationRank) const
+{
+    const auto place = std::lower_bound(m_ranks.begin(), m_ranks.end(), pairOf(item, organisationRank)) - m_ranks.begin();
+    const auto position = static_cast<std::size_t>(place);
+    // More ranks than urgencies share them evenly.
+    const auto urgency = m_ranks.size() <= engineUrgencies ? position : position * engineUrgencies / m_ranks.size();
+    return static_cast<int>(std::min(urgency, engineUrgencies - 1));
+}
+
+} // namespace kumquat::router
--- /dev/null
+++ b/tests/servers/router/urgency_order_test.cpp
@@ -0,0 +1,73 @@
+#include "servers/router/urgency_order.h"
+
+#include "tests/support/router_fixture.h"
+
+using namespace kumquat;
+using namespace kumquat::router;
+
+namespace {
+
+route engineRoute(int rank)
+{
+    return router_fixture::makeRoute("/" + std::to_string(rank) + "/", "llm", [rank](route& item) { item.usesPromptCache = true; item.rank = rank; });
+}
+
+routing_config configOf(int routes, const std::vector<std::optional<int>>& organisationRanks)
+{
+    routing_config config;
+    for (int rank = 0; rank < routes; ++rank)
+        config.addRoute(engineRoute(rank));
+    for (const auto& rank : organisationRanks)
+        config.keys["key-" + std::to_string(config.keys.size())] = { "org", rank };
+    return config;
+}
+
+} // namespace
+
+TEST_CASE("urgent routes keep their place among organisations of one rank", "[router]")
+{
+    const urgency_order order(configOf(3, { 0, 1 }));
+    int before = -1;
+    for (int organisation = 0; organisation < 2; ++organisation) {
+        for (int rank = 0; rank < 3; ++rank) {
+            const int urgency = order.urgencyOf(engineRoute(rank), organisation);
+            CHECK(urgency > before);
+            CHECK(urgency <= 9);
+            before = urgency;
+        }
+    }
+}
+
+TEST_CASE("an organisation without a rank has that of its route", "[router]")
+{
+    const urgency_order order(configOf(2, { std::nullopt, 1 }));
+    CHECK(order.urgencyOf(engineRoute(0), std::nullopt) < order.urgencyOf(engineRoute(0), 1));
+    CHECK(order.urgencyOf(engineRoute(1), std::nullopt) == order.urgencyOf(engineRoute(1), 1));
+}
+
+TEST_CASE("more ranks than engines know never turn the order round", "[router]")
+{
+    const urgency_order order(configOf(7, { 0, 1, 2, 3 }));
+    int before = 0;
+    for (int organisation = 0; organisation < 4; ++organisation) {
+        for (int rank = 0; rank < 7; ++rank) {
+            const int urgency = order.urgencyOf(engineRoute(rank), organisation);
+            CHECK(urgency >= before);
+            CHECK(urgency <= 9);
+            before = urgency;
+        }
+    }
+}
+
+TEST_CASE("a ranked organisation's urgent route is sent before its others", "[router]")
+{
+    router_fixture fixture;
+    auto config = router_fixture::sampleConfig();
+    config.keys["key-a"].rank = 1;
+    fixture.giveConfig(config, 5);
+    fixture.giveUpstreams({ router_fixture::makeUpstream("llm-1", "llm", 1001) }, 5);
+    fixture.request(1, "/stream/x");
+    const auto urgent = fixture.only<send_request>().urgency;
+    fixture.request(2, "/oneshot/x");
+    CHECK(urgent < fixture.only<send_request>().urgency);
+}
