Read upstream records that change in a row together

Ruled out: confirmations (one a 0.75 s for all routers) and watches that time out (a trace of one router's reads). Change: after changes the next watch waits 15 ms for each router heard, 50 to 500 ms; a router takes its watch for dead that much later.

--- a/servers/router/kind_follower.h
+++ b/servers/router/kind_follower.h
@@ -51,6 +51,9 @@
         return std::visit([&](auto& read) { return accept(std::move(read), now); }, outcome);
     }
 
+    // How long to wait after changes before watching for more, so that changes in a row come in one answer.
+    void setPace(duration pace) { m_pace = pace; }
+
     // Reads all again, though nothing is known to be wrong with what was read.
     void listAfresh()
     {
@@ -115,6 +118,8 @@
         m_revision = std::max(m_revision, changes.revision);
         if (m_confirmedAt)
             m_confirmedAt = std::max(*m_confirmedAt, now - watchBlindness);
+        if (!changes.entries.empty())
+            m_pausedUntil = now + m_pace;
         return { false, std::move(changes.entries), {} };
     }
 
@@ -156,6 +161,7 @@
     instant m_readSince;
     instant m_listSince;
     instant m_pausedUntil;
+    duration m_pace {};
     std::optional<instant> m_confirmedAt;
     bool m_sound = false;
 };
--- a/servers/router/router_peers.cpp
+++ b/servers/router/router_peers.cpp
@@ -10,6 +10,10 @@
     constexpr auto heartbeatInterval = std::chrono::milliseconds(400);
     // Another router may know of a change this much earlier before this one's watch is taken for dead.
     constexpr auto watchLag = std::chrono::milliseconds(400);
+    // Each router pays for an answer of the store to its watch, so that many watch less often.
+    constexpr auto recordPaceOfPeer = std::chrono::milliseconds(15);
+    constexpr auto shortestRecordPace = std::chrono::milliseconds(50);
+    constexpr auto longestRecordPace = std::chrono::milliseconds(500);
 
 } // namespace
 
@@ -55,6 +59,7 @@
     if (m_peers.count() != before)
         log(log_level::warning, "peer_lost", { { "peers", std::to_string(m_peers.count()) } });
     m_retries.setOptions(retryOptions());
+    m_upstreamFollower.setPace(recordPace());
     checkAgainstPeers();
     confirmConfig();
     setTimer(timer_kind::digest, 0, m_now + m_peers.interval());
@@ -98,7 +103,7 @@
         m_behindSince.reset();
     else if (!m_behindSince)
         m_behindSince = m_now;
-    else if (m_now - *m_behindSince > watchLag && m_upstreamsKnown && m_config) {
+    else if (m_now - *m_behindSince > watchLag + recordPace() && m_upstreamsKnown && m_config) {
         log(log_level::warning, "watch_behind_peers", { { "config_revision", std::to_string(m_configRevision) }, { "peers_config", std::to_string(m_peers.newestConfig()) }, { "record", std::to_string(m_newestRecord) }, { "peers_record", std::to_string(m_peers.newestUpstreams()) } });
         m_behindSince.reset();
         restartRead(store_kind::upstreams);
@@ -108,6 +113,12 @@
     }
 }
 
+// How long to wait for more changes of upstream records.
+duration router_reducer::recordPace() const
+{
+    return std::clamp<duration>(recordPaceOfPeer * static_cast<int>(m_peers.count()), shortestRecordPace, longestRecordPace);
+}
+
 std::optional<instant> router_reducer::ownConfirmedAt() const
 {
     const auto followed = m_configFollower.confirmedAt();
--- a/servers/router/router_reducer.h
+++ b/servers/router/router_reducer.h
@@ -119,6 +119,7 @@
     void exchangeDigests();
     router_digest makeDigest();
     void checkAgainstPeers();
+    duration recordPace() const;
     retry_allowance_options retryOptions() const;
     std::optional<instant> configConfirmedAt() const;
 
--- a/tests/servers/router/store_following_test.cpp
+++ b/tests/servers/router/store_following_test.cpp
@@ -145,3 +145,23 @@
     site.step(upstreams_read { site.upstreamRead, change(again, 9) });
     CHECK(site.reducer.upstreams().find("app-1") != before);
 }
+
+TEST_CASE("changes of upstreams in a row are read together, the first at once", "[router]")
+{
+    router_fixture site;
+    site.start();
+    for (int peer = 0; peer < 30; ++peer) {
+        router_digest digest;
+        digest.instance = "entry-" + std::to_string(100 + peer);
+        digest.boot = 1;
+        digest.sequence = 1;
+        site.step(digest_received { "127.0.1." + std::to_string(peer), digest });
+    }
+    site.advance(milliseconds(60));
+    site.step(upstreams_read { site.upstreamRead, change(router_fixture::makeUpstream("app-3", "app", 1005), 6) });
+    CHECK(site.all<read_store>().empty());
+    CHECK(site.reducer.upstreams().find("app-3"));
+    const auto effects = site.advance(milliseconds(450));
+    const auto reads = router_fixture::all<read_store>(effects);
+    CHECK(std::count_if(reads.begin(), reads.end(), [](const read_store& read) { return read.kind == store_kind::upstreams; }) == 1);
+}
