--- /dev/null
+++ b/servers/sidecar/sidecar_answers.cpp
@@ -0,0 +1,175 @@
+#include "servers/sidecar/sidecar_reducer.h"
+
+#include "core/overloaded.h"
+
+namespace kumquat {
+
+namespace {
+
+    bool hasEnded(const attempt_state& state)
+    {
+        return !std::holds_alternative<attempt_queued>(state) && !std::holds_alternative<attempt_running>(state);
+    }
+
+} // namespace
+
+// Moves an attempt to a final state and keeps it as a tombstone.
+void sidecar_reducer::end(attempt_record& record, attempt_state state)
+{
+    if (const auto* running = std::get_if<attempt_running>(&record.state))
+        m_runs.erase(running->run);
+    record.state = std::move(state);
+    record.request.job = {};
+    record.request.deliveredPrefix.clear();
+    m_entries.ended(record.request.from, record.request.attempt);
+    if (!record.chunks.empty())
+        m_entries.keptAnswer(record.request.from, record.request.attempt);
+    m_tombstones.set(record.request.attempt, m_now + m_options.tombstoneRetention);
+}
+
+void sidecar_reducer::answerState(const attempt_record& record, std::uint32_t firstChunk)
+{
+    const auto header = headerOf(record);
+    const auto& address = record.request.from.address;
+    const auto sendChunks = [&] {
+        for (std::uint32_t sequence = firstChunk; sequence < record.chunks.size(); ++sequence)
+            answerChunk(record, sequence);
+    };
+    const auto visitor = overloaded {
+        [&](const attempt_queued& queued) {
+            // What was preempted has started, as far as its entry is concerned.
+            if (queued.started)
+                send(address, offer_started { header });
+            else
+                send(address, offer_queued { header, static_cast<std::uint32_t>(queuedCount()) });
+            sendChunks();
+        },
+        [&](const attempt_running&) {
+            send(address, offer_started { header });
+            sendChunks();
+        },
+        [&](const attempt_finished& finished) {
+            sendChunks();
+            send(address, offer_finished { header, static_cast<std::uint32_t>(record.chunks.size()), record.status, record.contentType, finished.finishReason, finished.promptTokens });
+        },
+        [&](const attempt_failed& failed) {
+            sendChunks();
+            send(address, offer_failed { header, failed.started, failed.crashed, failed.reason, failed.message });
+        },
+        [&](const attempt_refused& refused) { send(address, offer_refused { header, refused.reason, refused.message, refused.retryAfter }); },
+        [&](const attempt_withdrawn& withdrawn) { send(address, offer_withdrawn { header, withdrawn.started }); },
+    };
+    std::visit(visitor, record.state);
+}
+
+void sidecar_reducer::answerChunk(const attempt_record& record, std::uint32_t sequence)
+{
+    const auto& chunk = record.chunks[sequence];
+    send(record.request.from.address, output_chunk { headerOf(record), sequence, chunk.tokens, chunk.text });
+}
+
+void sidecar_reducer::receive(const withdraw& request)
+{
+    heardFrom(request.from);
+    const auto known = m_attempts.find(request.attempt);
+    if (known != m_attempts.end()) {
+        withdrawKnown(known->second);
+        return;
+    }
+    if (request.sidecarIncarnation != m_options.incarnation) {
+        const answer_header header { request.attempt, m_options.id, m_options.incarnation };
+        send(request.from.address, wrong_incarnation { header, request.sidecarIncarnation });
+        return;
+    }
+    // The tombstone makes an offer that arrives after its withdrawal harmless.
+    auto& record = m_attempts[request.attempt];
+    record.request.from = request.from;
+    record.request.attempt = request.attempt;
+    m_scheduler->closed(request.attempt);
+    end(record, attempt_withdrawn { false });
+    answerState(record, 0);
+}
+
+void sidecar_reducer::withdrawKnown(attempt_record& record)
+{
+    const auto& attempt = record.request.attempt;
+    if (const auto* queued = std::get_if<attempt_queued>(&record.state)) {
+        m_scheduler->withdraw(attempt, m_now);
+        end(record, attempt_withdrawn { queued->started });
+    } else if (const auto* running = std::get_if<attempt_running>(&record.state)) {
+        m_effects->push_back(cancel_run { running->run });
+        m_scheduler->ended(attempt, slot_scheduler::run_end::cancelled, m_now);
+        end(record, attempt_withdrawn { true });
+        log(log_level::info, "attempt_cancelled", record);
+    }
+    releaseAnswer(record);
+    answerState(record, 0);
+}
+
+// Ends the entry's interest in an answer. That of finished work that must not run twice is kept for claim queries.
+void sidecar_reducer::releaseAnswer(attempt_record& record)
+{
+    if (record.request.repeatable || !std::holds_alternative<attempt_finished>(record.state))
+        dropAnswer(record);
+    else
+        m_entries.droppedAnswer(record.request.from, record.request.attempt);
+}
+
+void sidecar_reducer::dropAnswer(attempt_record& record)
+{
+    record.chunks.clear();
+    record.chunks.shrink_to_fit();
+    m_entries.droppedAnswer(record.request.from, record.request.attempt);
+}
+
+void sidecar_reducer::receive(const acknowledge& request)
+{
+    const auto known = m_attempts.find(request.attempt);
+    if (known == m_attempts.end() || !hasEnded(known->second.state))
+        return;
+    releaseAnswer(known->second);
+}
+
+void sidecar_reducer::receive(const subscribe& request)
+{
+    heardFrom(request.from);
+    if (m_entries.subscribe(request.from, request.reportInterval, m_now))
+        send(request.from.address, makeReport());
+    stepKeeper(peer_version_seen { request.from, { request.generation, request.documentHash } });
+}
+
+void sidecar_reducer::heardFrom(const peer_identity& entry)
+{
+    m_entries.heard(entry, m_now);
+    if (!m_nextReport)
+        m_nextReport = m_now + m_options.reportInterval;
+}
+
+// Says how a not-repeatable request fared whose entry is gone. Silence means that it is not known here.
+void sidecar_reducer::receive(const claim_query& query)
+{
+    for (auto position = m_attempts.lower_bound({ query.requestId, 0 }); position != m_attempts.end() && position->first.requestId == query.requestId; ++position) {
+        const auto status = claimStatusOf(position->second);
+        if (status.state != claim_state::unknown)
+            send(query.from.address, status);
+    }
+}
+
+claim_status sidecar_reducer::claimStatusOf(const attempt_record& record) const
+{
+    claim_status status { .requestId = record.request.attempt.requestId };
+    if (!hasEnded(record.state)) {
+        status.state = claim_state::in_progress;
+        return status;
+    }
+    const auto* finished = std::get_if<attempt_finished>(&record.state);
+    if (!finished || record.request.repeatable)
+        return status;
+    status.state = claim_state::finished;
+    status.answer = { true, record.status, record.contentType, {}, finished->finishReason, finished->promptTokens, record.producedTokens };
+    for (const auto& chunk : record.chunks)
+        status.answer.text += chunk.text;
+    return status;
+}
+
+} // namespace kumquat
--- /dev/null
+++ b/servers/sidecar/sidecar_runs.cpp
@@ -0,0 +1,70 @@
+#include "servers/sidecar/sidecar_reducer.h"
+
+namespace kumquat {
+
+void sidecar_reducer::handle(const run_head& event)
+{
+    auto* record = findRunning(event.run);
+    if (!record)
+        return;
+    record->status = event.status;
+    record->contentType = event.contentType;
+}
+
+void sidecar_reducer::handle(const run_output& event)
+{
+    auto* record = findRunning(event.run);
+    if (!record)
+        return;
+    record->chunks.push_back({ event.text, event.tokens });
+    record->producedTokens += event.tokens;
+    m_scheduler->produced(record->request.attempt, event.tokens, m_now);
+    answerChunk(*record, static_cast<std::uint32_t>(record->chunks.size() - 1));
+}
+
+void sidecar_reducer::handle(const run_finished& event)
+{
+    auto* record = findRunning(event.run);
+    if (!record)
+        return;
+    m_scheduler->ended(record->request.attempt, slot_scheduler::run_end::finished, m_now);
+    end(*record, attempt_finished { event.finishReason, event.promptTokens });
+    // The chunks have been sent as they came; a gap is repaired when the entry resends its offer.
+    answerState(*record, static_cast<std::uint32_t>(record->chunks.size()));
+    log(log_level::info, "attempt_finished", *record, { { "tokens", std::to_string(record->producedTokens) } });
+    count("kumquat_sidecar_finished_total", { { "class", record->request.className } });
+}
+
+void sidecar_reducer::handle(const run_failed& event)
+{
+    auto* record = findRunning(event.run);
+    if (!record)
+        return;
+    const auto how = event.connectionBroke ? slot_scheduler::run_end::connection_broke : slot_scheduler::run_end::failed;
+    m_scheduler->ended(record->request.attempt, how, m_now);
+    // An attempt that was preempted has run, whatever became of its last part.
+    const bool started = event.started || record->producedTokens > 0;
+    end(*record, attempt_failed { started, event.connectionBroke, error_code::upstream_failed, event.message });
+    answerState(*record, static_cast<std::uint32_t>(record->chunks.size()));
+    log(log_level::warning, "attempt_failed", *record, { { "started", started ? "true" : "false" }, { "message", event.message } });
+    count("kumquat_sidecar_failed_total", { { "reason", toString(error_code::upstream_failed) } });
+}
+
+void sidecar_reducer::handle(const upstream_probed& event)
+{
+    if (event.healthy == m_healthy)
+        return;
+    m_healthy = event.healthy;
+    m_scheduler->setHealthy(m_healthy, m_now, m_actions);
+    executeActions();
+    m_effects->push_back(log_event { log_level::warning, "upstream_health", { { "upstream", m_options.id }, { "healthy", m_healthy ? "true" : "false" } } });
+    publishReport();
+}
+
+attempt_record* sidecar_reducer::findRunning(run_id run)
+{
+    const auto found = m_runs.find(run);
+    return found == m_runs.end() ? nullptr : &m_attempts.at(found->second);
+}
+
+} // namespace kumquat
