Take no request that a short time to stop in would cut off

Ruled out: workers (each had run the request whole), the callers' library (one request on the connection). Change: requests that may outlast the stop are refused after 0.3 of the grace, at most 2.5 s; idle connections are closed after half of it, at most 3.5 s. With 8 s, as on the users' sites, 2.4 and 3.5 s. Test that failed first: termination_test with 3 s.

--- a/servers/router/router_reducer.cpp
+++ b/servers/router/router_reducer.cpp
@@ -18,7 +18,10 @@
     // The platform takes this long to send new callers elsewhere after a router has said that it is not ready.
     constexpr auto rotationDelay = std::chrono::milliseconds(3500);
     // From then on, a terminating router takes only requests that end before it does.
-    constexpr auto shutdownAcceptance = std::chrono::milliseconds(2500);
+    constexpr auto longestAcceptance = std::chrono::milliseconds(2500);
+    // The same and the delay above as parts of a short time to stop in.
+    constexpr double acceptanceShare = 0.3;
+    constexpr double rotationShare = 0.5;
     // Another entry takes the request at once.
     constexpr auto retryElsewhere = std::chrono::milliseconds(20);
     // A router ends this long before it would be killed.
@@ -27,6 +30,11 @@
     constexpr int maxCrashes = 3;
     constexpr auto retryAfterStart = std::chrono::milliseconds(500);
 
+    duration atMost(duration longest, duration grace, double share)
+    {
+        return std::min(longest, std::chrono::duration_cast<duration>(grace * share));
+    }
+
     const std::string& chooseService(const route& terms, const std::string& requestId)
     {
         std::uint64_t total = 0;
@@ -118,7 +126,8 @@
 
 bool router_reducer::outlastsShutdown(const request_progress& progress) const
 {
-    return m_terminating && m_now - m_terminatingSince > shutdownAcceptance && progress.deadline > m_terminatingSince + m_options.settings.shutdownGrace - shutdownMargin;
+    const auto grace = m_options.settings.shutdownGrace;
+    return m_terminating && m_now - m_terminatingSince > atMost(longestAcceptance, grace, acceptanceShare) && progress.deadline > m_terminatingSince + grace - shutdownMargin;
 }
 
 std::optional<caller_error> router_reducer::classify(request_progress& progress) const
@@ -197,7 +206,7 @@
     log(log_level::info, "router_terminating", { { "requests", std::to_string(m_requests.size()) }, { "grace_ms", wholeMilliseconds(m_options.settings.shutdownGrace) } });
     emit(close_callers_after_answers {});
     exchangeDigests();
-    setTimer(timer_kind::close_idle, 0, m_now + rotationDelay);
+    setTimer(timer_kind::close_idle, 0, m_now + atMost(rotationDelay, m_options.settings.shutdownGrace, rotationShare));
     setTimer(timer_kind::stop, 0, m_now + m_options.settings.shutdownGrace - shutdownMargin);
 }
 
--- a/tests/servers/router/termination_test.cpp
+++ b/tests/servers/router/termination_test.cpp
@@ -42,3 +42,19 @@
     idle.step(termination_requested {});
     CHECK_FALSE(router_fixture::all<stop_router>(idle.advance(seconds(4))).empty());
 }
+
+TEST_CASE("a router with little time to stop in cuts off nothing that it takes", "[router]")
+{
+    auto options = router_fixture::defaultOptions();
+    options.settings.shutdownGrace = seconds(3);
+    router_fixture site(options);
+    site.start();
+    site.request(1, "/stream/x");
+    site.step(termination_requested {});
+    site.advance(milliseconds(1900));
+    site.request(2, "/pay/x");
+    CHECK(site.replyStatus() == 503);
+    site.step(caller_left { 1 });
+    const auto effects = site.advance(milliseconds(300));
+    CHECK(router_fixture::all<stop_router>(effects).size() == 1);
+}
