Explain a failed request from saved logs, and hold the pages of logs and metrics to the code

Cause: explain asked living nodes only; of a process that is gone only its log is left. Tests hold LOGS.md and METRICS.md to the names in the code.

--- a/drivers/cxxopts/ctl_command_line.cpp
+++ b/drivers/cxxopts/ctl_command_line.cpp
@@ -16,7 +16,7 @@
   publish FILE        put a document in force; needs --as or 'operator' in the settings
   status              show the document in the store and on every node
   dump HOST:PORT      print the state of one node
-  explain REQUEST_ID  show what the nodes know of a request
+  explain REQUEST_ID  show what the nodes know of a request, or with --log what saved logs tell of it
   completion bash     print a completion script
 
 Exit codes: 0 done, 1 refused or in conflict, 2 wrong usage, 3 outcome unknown.
@@ -25,9 +25,9 @@
     constexpr const char* bashCompletion = R"(_kumquat_ctl() {
     local word=${COMP_WORDS[COMP_CWORD]}
     local commands="validate diff publish status dump explain completion"
-    local options="--settings --object-api --node --as --base --json --help --version"
+    local options="--settings --object-api --node --as --base --log --json --help --version"
     case ${COMP_WORDS[COMP_CWORD-1]} in
-        validate|diff|publish|--settings) COMPREPLY=($(compgen -f -- "$word")) ;;
+        validate|diff|publish|--settings|--log) COMPREPLY=($(compgen -f -- "$word")) ;;
         completion) COMPREPLY=($(compgen -W bash -- "$word")) ;;
         *) COMPREPLY=($(compgen -W "$commands $options" -- "$word")) ;;
     esac
@@ -58,7 +58,7 @@
         if (name == "dump")
             return ctl_command { dump_command { argument } };
         if (name == "explain")
-            return ctl_command { explain_command { argument } };
+            return ctl_command { explain_command { argument, parsed.count("log") ? parsed["log"].as<std::vector<std::string>>() : std::vector<std::string>() } };
         if (name == "completion") {
             if (argument != "bash")
                 return usage("there is no completion for '" + argument + "'");
@@ -114,6 +114,7 @@
     add("node", "Admin address of a node; may be repeated", cxxopts::value<std::vector<std::string>>(), "HOST:PORT");
     add("as", "Name of the operator who publishes", cxxopts::value<std::string>(), "NAME");
     add("base", "Generation that the document was made from; by default the one that it names", cxxopts::value<std::uint64_t>(), "GENERATION");
+    add("log", "Saved log of a process, for explain; may be repeated", cxxopts::value<std::vector<std::string>>(), "FILE");
     add("json", "Print JSON");
     add("help", "Print this text");
     add("version", "Print the version");
--- a/drivers/cxxopts/ctl_command_line.h
+++ b/drivers/cxxopts/ctl_command_line.h
@@ -32,6 +32,8 @@
 
 struct explain_command {
     std::string requestId;
+    // Saved logs of processes. Without any, the nodes are asked.
+    std::vector<std::string> logFiles;
 };
 
 // Prints a text, such as the help or a completion script.
--- a/processes/ctl_process.cpp
+++ b/processes/ctl_process.cpp
@@ -8,8 +8,10 @@
 #include "drivers/json/settings_codec.h"
 #include "processes/file_reader.h"
 #include "processes/fleet_client.h"
+#include "servers/explain/request_story.h"
 
 #include <iostream>
+#include <sstream>
 
 namespace kumquat {
 
@@ -78,6 +80,7 @@
         int run(const publish_command&) const;
         int run(const status_command&) const;
         int run(const dump_command&) const;
+        static int explainFromLogs(const explain_command&);
         int run(const explain_command&) const;
 
     private:
@@ -195,8 +198,30 @@
         return exitDone;
     }
 
+    int ctl_process::explainFromLogs(const explain_command& command)
+    {
+        std::vector<log_line> lines;
+        for (const auto& file : command.logFiles) {
+            const auto text = readFile(file);
+            if (const auto* failure = errorOf(text))
+                return fail(*failure, exitUsage);
+            std::istringstream stream(valueOf(text));
+            for (std::string written; std::getline(stream, written);) {
+                if (auto line = parseLogLine(written, file))
+                    lines.push_back(std::move(*line));
+            }
+        }
+        const auto story = tellRequestStory(command.requestId, lines);
+        if (!story.found())
+            return fail({ "no line of " + std::to_string(command.logFiles.size()) + " log files names request '" + command.requestId + "'" }, exitRefused);
+        std::cout << formatRequestStory(command.requestId, story);
+        return story.missing.empty() ? exitDone : exitUnknown;
+    }
+
     int ctl_process::run(const explain_command& command) const
     {
+        if (!command.logFiles.empty())
+            return explainFromLogs(command);
         if (m_settings.nodes.empty())
             return fail(noNodes, exitUsage);
         std::vector<std::string> lines;
--- /dev/null
+++ b/servers/explain/request_story.cpp
@@ -0,0 +1,118 @@
+#include "servers/explain/request_story.h"
+
+#include <algorithm>
+#include <set>
+
+namespace kumquat {
+
+namespace {
+
+    // What came this long before a request may have decided it.
+    constexpr auto before = std::chrono::seconds(5);
+    constexpr auto after = std::chrono::seconds(1);
+
+    // Events of a process that touch all its requests.
+    bool concernsAllRequests(const log_line& line)
+    {
+        static const std::set<std::string, std::less<>> events { "store_lost", "store_regained", "confirmation_failed", "config_adopted", "config_unusable", "clock_jumped", "settings_changed", "watch_behind_peers",
+            "router_started", "router_terminating", "router_stopped", "router_stopped_with_requests" };
+        return events.contains(line.event);
+    }
+
+    bool isOf(const log_line& line, const std::string& requestId)
+    {
+        const auto* id = line.find("request");
+        return id && *id == requestId;
+    }
+
+    std::string valueOr(const log_line& line, std::string_view name, const std::string& other)
+    {
+        const auto* value = line.find(name);
+        return value ? *value : other;
+    }
+
+    const log_line* lastOf(const std::vector<log_line>& lines, std::string_view event)
+    {
+        const auto found = std::find_if(lines.rbegin(), lines.rend(), [event](const log_line& line) { return line.event == event; });
+        return found == lines.rend() ? nullptr : &*found;
+    }
+
+    std::string endingOf(const std::vector<log_line>& own)
+    {
+        const auto* refused = lastOf(own, "request_refused");
+        const auto* failed = lastOf(own, "send_failed");
+        const auto* finished = lastOf(own, "request_finished");
+        if (refused)
+            return "refused with " + valueOr(*refused, "status", "?") + ", ran: " + valueOr(*refused, "ran", "?") + ", because: " + valueOr(*refused, "reason", "?")
+                + (failed ? "; the last send ended by: " + valueOr(*failed, "reason", "?") : "");
+        if (finished && failed)
+            return valueOr(*finished, "outcome", "?") + "; the last send that failed ended by: " + valueOr(*failed, "reason", "?");
+        if (finished)
+            return valueOr(*finished, "outcome", "?") + " after " + valueOr(*finished, "ms", "?") + " ms";
+        return "unknown";
+    }
+
+    std::vector<std::string> missingOf(const std::vector<log_line>& own, const std::vector<log_line>& all)
+    {
+        std::vector<std::string> missing;
+        const auto* sent = lastOf(own, "request_sent");
+        const auto* finished = lastOf(own, "request_finished");
+        if (!finished && !lastOf(own, "request_refused"))
+            missing.emplace_back("its end: the process may have been killed, or dropped lines");
+        if (finished && !sent)
+            missing.emplace_back("its sends: lines may have been dropped");
+        for (const auto& line : all) {
+            if (line.event == "log_lines_dropped" && !own.empty() && line.source == own.front().source)
+                missing.push_back(valueOr(line, "count", "some") + " lines that " + line.source + " dropped");
+        }
+        return missing;
+    }
+
+} // namespace
+
+request_story tellRequestStory(const std::string& requestId, const std::vector<log_line>& all)
+{
+    std::vector<log_line> own;
+    std::set<std::string> sources;
+    std::set<std::string> upstreams;
+    for (const auto& line : all) {
+        if (!isOf(line, requestId))
+            continue;
+        own.push_back(line);
+        sources.insert(line.source);
+        if (const auto* upstream = line.find("upstream"))
+            upstreams.insert(*upstream);
+    }
+    request_story story;
+    if (own.empty())
+        return story;
+    const auto byTime = [](const log_line& left, const log_line& right) { return left.time < right.time; };
+    std::stable_sort(own.begin(), own.end(), byTime);
+    const auto from = own.front().time - before;
+    const auto until = own.back().time + after;
+    for (const auto& line : all) {
+        const bool near = line.time >= from && line.time <= until;
+        const auto* upstream = line.find("upstream");
+        const bool ofUpstream = upstream && upstreams.contains(*upstream) && !line.find("request");
+        const bool ofProcess = sources.contains(line.source) && concernsAllRequests(line);
+        if (isOf(line, requestId) || (near && (ofUpstream || ofProcess)))
+            story.lines.push_back(line);
+    }
+    std::stable_sort(story.lines.begin(), story.lines.end(), byTime);
+    story.ending = endingOf(own);
+    story.missing = missingOf(own, all);
+    return story;
+}
+
+std::string formatRequestStory(const std::string& requestId, const request_story& story)
+{
+    std::string text;
+    for (const auto& line : story.lines)
+        text += line.source + " " + line.text + "\n";
+    text += "request " + requestId + " ended: " + story.ending + "\n";
+    for (const auto& item : story.missing)
+        text += "missing: " + item + "\n";
+    return text;
+}
+
+} // namespace kumquat
--- /dev/null
+++ b/tests/servers/router/router_pages_test.cpp
@@ -0,0 +1,81 @@
+#include <catch2/catch.hpp>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <regex>
+#include <set>
+#include <string>
+
+namespace {
+
+namespace fs = std::filesystem;
+
+std::string contentOf(const fs::path& file)
+{
+    std::ifstream stream(file);
+    return { std::istreambuf_iterator<char>(stream), {} };
+}
+
+void collect(const std::string& text, const std::regex& pattern, std::set<std::string>& found)
+{
+    for (std::sregex_iterator item(text.begin(), text.end(), pattern), end; item != end; ++item)
+        found.insert((*item)[1]);
+}
+
+std::set<std::string> eventsInCode()
+{
+    const std::regex written(R"(log_level::\w+,\s*"([a-z_]+)\")");
+    const std::regex chosen(R"(log_level::\w+,[^;{]*\?\s*"([a-z_]+)\")");
+    const std::regex otherwise(R"(log_level::\w+,[^;{]*:\s*"([a-z_]+)\")");
+    const std::regex plain(R"(event=([a-z_]+))");
+    std::set<std::string> events;
+    const fs::path root(KUMQUAT_SOURCE_DIR);
+    for (const auto& item : fs::directory_iterator(root / "servers/router")) {
+        const auto text = contentOf(item.path());
+        for (const auto* pattern : { &written, &chosen, &otherwise })
+            collect(text, *pattern, events);
+    }
+    collect(contentOf(root / "processes/router_process.cpp"), written, events);
+    collect(contentOf(root / "drivers/spdlog/bounded_sink.cpp"), plain, events);
+    return events;
+}
+
+// The names in the first column of the page's table.
+std::set<std::string> eventsOnPage()
+{
+    std::ifstream page(fs::path(KUMQUAT_SOURCE_DIR) / "docs/LOGS.md");
+    const std::regex name(R"(`([a-z_]+)`)");
+    std::set<std::string> events;
+    for (std::string line; std::getline(page, line);) {
+        if (line.starts_with("| `"))
+            collect(line.substr(0, line.find('|', 1)), name, events);
+    }
+    return events;
+}
+
+std::set<std::string> metricsIn(const std::string& text)
+{
+    std::set<std::string> names;
+    collect(text, std::regex(R"(\b(kumquat_router_[a-z_]+))"), names);
+    return names;
+}
+
+} // namespace
+
+TEST_CASE("the page of log lines names all events of the router and no others", "[docs]")
+{
+    const auto code = eventsInCode();
+    CHECK(code.size() > 20);
+    CHECK(eventsOnPage() == code);
+}
+
+TEST_CASE("the page of metrics names all metrics of the router and no others", "[docs]")
+{
+    const fs::path root(KUMQUAT_SOURCE_DIR);
+    std::set<std::string> code;
+    for (const auto& item : fs::directory_iterator(root / "servers/router"))
+        code.merge(metricsIn(contentOf(item.path())));
+    code.merge(metricsIn(contentOf(root / "processes/router_process.cpp")));
+    CHECK(code.size() > 5);
+    CHECK(metricsIn(contentOf(root / "docs/METRICS.md")) == code);
+}
