Let requests wait for the first reads of a router that starts

Ruled out: a slow store, late records (both read within 13 ms). Change: what comes within 0.15 s of the start waits for configuration and records, then is refused at once. The test of a router without a read now asks 0.2 s after its start; the new test holds both sides of that time.

--- a/servers/router/router_reducer.cpp
+++ b/servers/router/router_reducer.cpp
@@ -29,6 +29,9 @@
     // A request that has crashed so many upstreams is refused.
     constexpr int maxCrashes = 3;
     constexpr auto retryAfterStart = std::chrono::milliseconds(500);
+    // A router that has just started has read the configuration by then, if the store is well. Callers that were cut off
+    // by the end of its predecessor come at once.
+    constexpr auto firstReadTime = std::chrono::milliseconds(150);
 
     duration atMost(duration longest, duration grace, double share)
     {
@@ -66,9 +69,13 @@
 {
     m_now = now;
     m_effects = &effects;
+    if (!m_startedAt)
+        m_startedAt = now;
     std::visit([this](auto& item) { on(std::move(item)); }, event);
     readUpstreams();
     readConfig();
+    if (!m_held.empty() && !awaitsFirstRead())
+        admitHeld();
     if (m_digestSentAt == instant {})
         exchangeDigests();
     m_effects = nullptr;
@@ -110,6 +117,13 @@
     progress.caller = arrived.caller;
     progress.request = std::move(arrived.request);
     progress.arrivedAt = m_now;
+    if (awaitsFirstRead())
+        return holdUntilRead(std::move(progress));
+    admit(std::move(progress));
+}
+
+void router_reducer::admit(request_progress&& progress)
+{
     if (const auto refusal = classify(progress))
         return refuse(progress.caller, progress.request->requestId, *refusal);
     if (!m_crashes.empty() && m_crashes.crashes(fingerprint(progress), m_now) >= maxCrashes)
@@ -124,6 +138,24 @@
         giveFailure(added);
 }
 
+bool router_reducer::awaitsFirstRead() const
+{
+    return !(m_config && m_upstreamsKnown) && !m_terminating && m_now < *m_startedAt + firstReadTime;
+}
+
+void router_reducer::holdUntilRead(request_progress&& progress)
+{
+    log(log_level::info, "request_held", { { "request", progress.request->requestId }, { "config", m_config ? std::to_string(m_config->version) : "none" }, { "records", m_upstreamsKnown ? "read" : "none" } });
+    setTimer(timer_kind::first_read, 0, *m_startedAt + firstReadTime);
+    m_held.push_back(std::move(progress));
+}
+
+void router_reducer::admitHeld()
+{
+    for (auto& progress : std::exchange(m_held, {}))
+        admit(std::move(progress));
+}
+
 bool router_reducer::outlastsShutdown(const request_progress& progress) const
 {
     const auto grace = m_options.settings.shutdownGrace;
@@ -155,7 +187,7 @@
     progress.service = chooseService(*terms, request.requestId);
     const auto service = m_config->services.find(progress.service);
     progress.toEngine = service != m_config->services.end() && service->second.engine.has_value();
-    progress.deadline = m_now + std::min(terms->timeout, request.patience.value_or(terms->timeout));
+    progress.deadline = progress.arrivedAt + std::min(terms->timeout, request.patience.value_or(terms->timeout));
     return std::nullopt;
 }
 
@@ -173,6 +205,7 @@
 
 void router_reducer::on(caller_left&& left)
 {
+    std::erase_if(m_held, [&left](const request_progress& held) { return held.caller == left.caller; });
     const auto found = m_requests.find(left.caller);
     if (found == m_requests.end())
         return;
@@ -238,6 +271,7 @@
         return;
     case timer_kind::upstream_reads:
     case timer_kind::config_reads:
+    case timer_kind::first_read:
         return;
     case timer_kind::lapse:
         return dropLapsed();
--- a/servers/router/router_reducer.h
+++ b/servers/router/router_reducer.h
@@ -42,6 +42,7 @@
         hedge,
         upstream_reads,
         config_reads,
+        first_read,
         read_timeout,
         lapse,
         digest,
@@ -71,6 +72,10 @@
     void onTimer(const timer_key&);
 
     // Arrival.
+    void admit(request_progress&&);
+    bool awaitsFirstRead() const;
+    void holdUntilRead(request_progress&&);
+    void admitHeld();
     std::optional<caller_error> classify(request_progress&) const;
     bool outlastsShutdown(const request_progress&) const;
     bool keysAreFresh(instant now) const;
@@ -162,6 +167,9 @@
     router_effects* m_effects = nullptr;
     timer_queue<timer_key> m_timers;
     std::unordered_map<caller_id, request_progress> m_requests;
+    // Came before the first configuration was read, in the order of their arrival.
+    std::vector<request_progress> m_held;
+    std::optional<instant> m_startedAt;
     std::unordered_map<send_id, caller_id> m_sends;
     std::uint64_t m_lastId = 0;
 };
--- a/tests/servers/router/store_following_test.cpp
+++ b/tests/servers/router/store_following_test.cpp
@@ -21,6 +21,7 @@
 {
     router_fixture site;
     CHECK_FALSE(site.reducer.ready(site.now));
+    site.advance(milliseconds(200));
     site.request(1, "/pay/x");
     CHECK(site.replyStatus() == 503);
     site.giveConfig(router_fixture::sampleConfig(), 5);
@@ -165,3 +166,27 @@
     const auto reads = router_fixture::all<read_store>(effects);
     CHECK(std::count_if(reads.begin(), reads.end(), [](const read_store& read) { return read.kind == store_kind::upstreams; }) == 1);
 }
+
+TEST_CASE("requests that come while a router starts wait for its first reads, but not for long", "[router]")
+{
+    router_fixture site;
+    site.request(1, "/pay/x");
+    CHECK(site.all<refuse_reply>().empty());
+    site.giveConfig(router_fixture::sampleConfig(), 5);
+    CHECK(site.all<send_request>().empty());
+    site.now += milliseconds(12);
+    site.giveUpstreams({ router_fixture::makeUpstream("app-1", "app", 1003) }, 5);
+    const auto sent = site.only<send_request>();
+    CHECK(sent.request->requestId == "request-1");
+    CHECK(sent.timeLeft < milliseconds(1000 - 12));
+
+    router_fixture without;
+    without.request(1, "/pay/x");
+    without.request(2, "/pay/x");
+    without.step(caller_left { 2 });
+    const auto refusals = router_fixture::all<refuse_reply>(without.advance(milliseconds(160)));
+    REQUIRE(refusals.size() == 1);
+    CHECK(httpStatus(refusals[0].refusal.code) == 503);
+    without.request(3, "/pay/x");
+    CHECK(without.replyStatus() == 503);
+}
