--- a/misc/measure_slopes.sh
+++ b/misc/measure_slopes.sh
@@ -118,3 +118,16 @@
 before=$(cpu_of kasa-1)
 sleep 5
 echo "idle sidecar: $((($(cpu_of kasa-1) - before) / 5)) us/s with $running streams of one token a second"
+
+# The router, in front of a store, a worker and callers that one program plays.
+cat >"$work/router.json" <<JSON
+{"NodeName":"router","Zone":"z","Ip":"127.0.0.10","Listen":{"Front":"127.0.0.1:$(port 300)","Ready":"127.0.0.1:$(port 301)"},
+ "InternalPorts":[$(port 302),$(port 309)],"Seeds":[],"Platform":{"Address":"127.0.0.1:$(port 310)"},
+ "Bounds":{"RevokeMs":5000,"GraceS":3,"DrainMs":2000,"BudgetRatio":0.2,"RetrySlack":54,"BudgetWindowS":10}}
+JSON
+start router $bin/kumquat-router --settings "$work/router.json"
+$bin/tests/measure-router-load "$(port 310)" "$(port 320)" "$(port 300)" "$(pid_of router)" >"$work/router.txt"
+router_slopes() { slopes "$1" "$2" $(awk -v kind="$3" '$1 == kind {print $2, $3}' "$work/router.txt"); }
+router_slopes "router memory per idle connection" "KB" connections
+router_slopes "router time per request" "us" requests
+router_slopes "router time per event" "us" events
