--- /dev/null
+++ b/servers/claims/claim_outcomes.cpp
@@ -0,0 +1,95 @@
+#include "servers/claims/claim_reducer.h"
+
+#include "core/overloaded.h"
+#include "core/request_id.h"
+
+namespace kumquat {
+
+void claim_reducer::handle(const claimed_request_finished& event)
+{
+    const auto found = m_granted.find(event.requestId);
+    if (found == m_granted.end())
+        return;
+    auto kept = withinLimit(event.answer);
+    found->second.state = claim_state::finished;
+    found->second.answer = kept;
+    journalOf(found->second.key).append(claim_finished { found->second.key, event.requestId, std::move(kept) });
+}
+
+kept_answer claim_reducer::withinLimit(kept_answer answer) const
+{
+    if (answer.text.size() > m_options.answerLimitBytes) {
+        answer.whole = false;
+        answer.text.clear();
+    }
+    return answer;
+}
+
+void claim_reducer::handle(const claimed_request_failed& event)
+{
+    const auto found = m_granted.find(event.requestId);
+    if (found == m_granted.end())
+        return;
+    found->second.state = event.mayHaveRun ? claim_state::unknown : claim_state::abandoned;
+    if (!event.mayHaveRun)
+        journalOf(found->second.key).append(claim_released { found->second.key, event.requestId });
+}
+
+void claim_reducer::handle(const claim_peer_received& event)
+{
+    const auto visitor = overloaded {
+        [this](const claim_query& query) { receive(query); },
+        [this](const claim_status& status) { receive(status); },
+        [](const auto&) {},
+    };
+    std::visit(visitor, event.message);
+}
+
+void claim_reducer::receive(const claim_query& query)
+{
+    m_effects->push_back(send_claim_message { query.from.address, statusOf(query.requestId) });
+}
+
+// A request that is neither waiting nor granted here is never dispatched, provided that this incarnation named it.
+claim_status claim_reducer::statusOf(const std::string& requestId) const
+{
+    claim_status status { .requestId = requestId };
+    if (m_waiting.contains(requestId)) {
+        status.state = claim_state::in_progress;
+        return status;
+    }
+    const auto found = m_granted.find(requestId);
+    if (found == m_granted.end()) {
+        const auto prefix = requestIdPrefix(m_options.self);
+        status.state = requestId.starts_with(prefix) ? claim_state::abandoned : claim_state::unknown;
+        return status;
+    }
+    const auto& run = found->second;
+    status.state = run.state;
+    if (run.answer)
+        status.answer = *run.answer;
+    // The answer is in the object API by now, where the asker finds it next time.
+    else if (run.state == claim_state::finished)
+        status.state = claim_state::in_progress;
+    return status;
+}
+
+void claim_reducer::receive(const claim_status& status)
+{
+    std::vector<std::string> concerned;
+    for (const auto& [id, waiting] : m_waiting) {
+        const bool isAsking = waiting.state == waiting_state::asking_claimant || waiting.state == waiting_state::asking_sidecars;
+        if (isAsking && waiting.askedFor == status.requestId)
+            concerned.push_back(id);
+    }
+    for (const auto& id : concerned) {
+        auto& waiting = m_waiting.at(id);
+        const auto* holder = journalOf(waiting.request.key).index().find(waiting.request.key);
+        if (holder && holder->requestId == status.requestId)
+            settle(waiting, *holder, status);
+        else
+            review(waiting);
+    }
+}
+
+} // namespace kumquat
--- /dev/null
+++ b/servers/claims/claim_segments.cpp
@@ -0,0 +1,73 @@
+#include "servers/claims/claim_reducer.h"
+
+namespace kumquat {
+
+void claim_reducer::handle(const claim_segments_listed& event)
+{
+    if (event.shard < m_journals.size())
+        apply(event.shard, m_journals[event.shard].handle(event, m_now, *m_effects));
+}
+
+void claim_reducer::handle(const claim_segment_read& event)
+{
+    if (event.shard >= m_journals.size())
+        return;
+    deliverFetched(event);
+    apply(event.shard, m_journals[event.shard].handle(event, m_now, *m_effects));
+}
+
+void claim_reducer::handle(const claim_segment_written& event)
+{
+    if (event.shard < m_journals.size())
+        apply(event.shard, m_journals[event.shard].handle(event, m_now, *m_effects));
+}
+
+void claim_reducer::apply(std::uint32_t shard, const claim_journal::news& news)
+{
+    for (const auto& segment : news.applied) {
+        releaseAbandoned(m_journals[shard], segment);
+        forgetStored(segment);
+    }
+    if (!news.failed && !news.caughtUp && news.applied.empty())
+        return;
+    for (auto position = m_waiting.begin(); position != m_waiting.end();) {
+        auto& waiting = (position++)->second;
+        if (shardOf(waiting.request.key) != shard)
+            continue;
+        if (news.caughtUp)
+            waiting.refreshed = true;
+        const bool needsStore = waiting.state == waiting_state::claiming || waiting.state == waiting_state::refreshing;
+        if (!needsStore)
+            continue;
+        if (news.failed)
+            giveUp(waiting);
+        else
+            review(waiting);
+    }
+}
+
+// A claim of this process that landed after its request had been given up has nobody to run it.
+void claim_reducer::releaseAbandoned(claim_journal& journal, const claim_segment& segment)
+{
+    for (const auto& record : segment.records) {
+        const auto* made = std::get_if<claim_made>(&record);
+        if (!made || !isOwn(made->claimant) || statusOf(made->requestId).state != claim_state::abandoned)
+            continue;
+        const claim_released released { made->key, made->requestId };
+        if (journal.index().wouldApply(released))
+            journal.append(released);
+    }
+}
+
+void claim_reducer::forgetStored(const claim_segment& segment)
+{
+    for (const auto& record : segment.records) {
+        const auto* finished = std::get_if<claim_finished>(&record);
+        if (!finished)
+            continue;
+        if (const auto found = m_granted.find(finished->requestId); found != m_granted.end())
+            found->second.answer.reset();
+    }
+}
+
+} // namespace kumquat
--- /dev/null
+++ b/servers/claims/claim_waiting.cpp
@@ -0,0 +1,242 @@
+#include "servers/claims/claim_reducer.h"
+
+#include <algorithm>
+
+namespace kumquat {
+
+namespace {
+
+    constexpr std::chrono::milliseconds retryAfterInProgress { 1000 };
+    constexpr std::chrono::milliseconds retryAfterUnavailable { 1000 };
+
+    bool isPrintable(char character)
+    {
+        return character >= ' ' && character <= '~';
+    }
+
+} // namespace
+
+void claim_reducer::handle(const claim_wanted& request)
+{
+    forgetOldRuns();
+    auto& waiting = m_waiting[request.requestId];
+    waiting.request = request;
+    if (request.key.size() > m_options.keyLimitBytes) {
+        deny(waiting, { .code = error_code::malformed_request, .message = "the idempotency key has more than " + std::to_string(m_options.keyLimitBytes) + " bytes" });
+        return;
+    }
+    // Other characters might not survive the object API, and the key would differ between entries.
+    if (!std::all_of(request.key.begin(), request.key.end(), isPrintable)) {
+        deny(waiting, { .code = error_code::malformed_request, .message = "the idempotency key has characters other than printable ASCII" });
+        return;
+    }
+    auto& journal = journalOf(request.key);
+    if (journal.isUnavailable(m_now)) {
+        giveUp(waiting);
+        return;
+    }
+    setDeadline(waiting, m_options.claimTimeout);
+    review(waiting);
+}
+
+void claim_reducer::setDeadline(waiting_claim& waiting, duration span)
+{
+    waiting.deadline = m_now + span;
+    m_timers.set(waiting.request.requestId, waiting.deadline);
+}
+
+// Takes the next step of a request, given what the journal says of its key.
+void claim_reducer::review(waiting_claim& waiting)
+{
+    // An answer of the object API that arrives too late grants nothing, also after a pause of this process.
+    if (m_now >= waiting.deadline) {
+        onTimer(waiting);
+        return;
+    }
+    auto& journal = journalOf(waiting.request.key);
+    if (!journal.isLoaded()) {
+        journal.load();
+        return;
+    }
+    const auto* holder = journal.index().find(waiting.request.key);
+    if (!holder) {
+        claim(waiting, "");
+        return;
+    }
+    if (holder->requestId == waiting.request.requestId) {
+        grant(waiting);
+        return;
+    }
+    reviewHeld(waiting, *holder);
+}
+
+void claim_reducer::reviewHeld(waiting_claim& waiting, const claim_holder& holder)
+{
+    if (waiting.appended && waiting.replaces == holder.requestId)
+        return;
+    waiting.appended = false;
+    if (holder.answeredIn) {
+        fetchAnswer(waiting, holder);
+        return;
+    }
+    if (isOwn(holder.claimant)) {
+        settle(waiting, holder, statusOf(holder.requestId));
+        return;
+    }
+    if (!waiting.refreshed) {
+        waiting.state = waiting_state::refreshing;
+        journalOf(waiting.request.key).catchUp();
+        return;
+    }
+    if (waiting.askedFor != holder.requestId)
+        askClaimant(waiting, holder);
+}
+
+void claim_reducer::claim(waiting_claim& waiting, std::string replaces)
+{
+    if (waiting.appended)
+        return;
+    waiting.state = waiting_state::claiming;
+    waiting.appended = true;
+    waiting.refreshed = false;
+    waiting.replaces = std::move(replaces);
+    const auto& request = waiting.request;
+    journalOf(request.key).append(claim_made { request.key, request.requestId, request.fingerprint, request.service, m_options.self, waiting.replaces });
+}
+
+void claim_reducer::grant(waiting_claim& waiting)
+{
+    const auto id = waiting.request.requestId;
+    m_granted[id] = { .key = waiting.request.key, .grantedAt = m_now };
+    m_grantOrder.emplace_back(m_now, id);
+    m_timers.cancel(id);
+    m_waiting.erase(id);
+    m_effects->push_back(claim_granted { id });
+}
+
+void claim_reducer::fetchAnswer(waiting_claim& waiting, const claim_holder& holder)
+{
+    if (holder.fingerprint != waiting.request.fingerprint) {
+        deny(waiting, { .code = error_code::key_reused, .message = "the idempotency key has been used with another request" });
+        return;
+    }
+    if (waiting.state == waiting_state::fetching_answer)
+        return;
+    waiting.state = waiting_state::fetching_answer;
+    m_effects->push_back(claim_store_call { read_claim_segment { shardOf(waiting.request.key), *holder.answeredIn } });
+}
+
+void claim_reducer::deliverFetched(const claim_segment_read& event)
+{
+    if (errorOf(event.segment) || !valueOf(event.segment))
+        return;
+    for (const auto& record : valueOf(event.segment)->contents.records) {
+        const auto* finished = std::get_if<claim_finished>(&record);
+        if (!finished)
+            continue;
+        const auto* holder = journalOf(finished->key).index().find(finished->key);
+        if (!holder || holder->requestId != finished->requestId)
+            continue;
+        for (auto position = m_waiting.begin(); position != m_waiting.end();) {
+            auto& waiting = (position++)->second;
+            if (waiting.state == waiting_state::fetching_answer && waiting.request.key == finished->key)
+                answer(waiting, finished->answer);
+        }
+    }
+}
+
+void claim_reducer::askClaimant(waiting_claim& waiting, const claim_holder& holder)
+{
+    waiting.state = waiting_state::asking_claimant;
+    waiting.askedFor = holder.requestId;
+    setDeadline(waiting, m_options.queryTimeout);
+    m_effects->push_back(send_claim_message { holder.claimant.address, claim_query { m_options.self, holder.requestId } });
+}
+
+void claim_reducer::askSidecars(waiting_claim& waiting, const claim_holder& holder)
+{
+    waiting.state = waiting_state::asking_sidecars;
+    waiting.askedFor = holder.requestId;
+    setDeadline(waiting, m_options.queryTimeout);
+    m_effects->push_back(ask_sidecars { holder.service, claim_query { m_options.self, holder.requestId } });
+}
+
+// Acts on what the claimant or a sidecar says of the run that holds the key.
+void claim_reducer::settle(waiting_claim& waiting, const claim_holder& holder, const claim_status& status)
+{
+    const auto& request = waiting.request;
+    if (status.state == claim_state::abandoned) {
+        claim(waiting, holder.requestId);
+        return;
+    }
+    if (holder.fingerprint != request.fingerprint) {
+        deny(waiting, { .code = error_code::key_reused, .message = "the idempotency key has been used with another request" });
+        return;
+    }
+    switch (status.state) {
+    case claim_state::finished:
+        journalOf(request.key).append(claim_finished { request.key, holder.requestId, withinLimit(status.answer) });
+        answer(waiting, status.answer);
+        return;
+    case claim_state::in_progress:
+        denyInProgress(waiting);
+        return;
+    case claim_state::unknown:
+    case claim_state::abandoned:
+        break;
+    }
+    if (waiting.state != waiting_state::asking_sidecars)
+        askSidecars(waiting, holder);
+}
+
+void claim_reducer::answer(waiting_claim& waiting, const kept_answer& kept)
+{
+    if (!kept.whole) {
+        deny(waiting, { .code = error_code::answer_not_kept, .message = "a request with this idempotency key has run; its answer was too large to be kept", .ran = ran_state::yes });
+        return;
+    }
+    const auto id = waiting.request.requestId;
+    m_timers.cancel(id);
+    m_waiting.erase(id);
+    m_effects->push_back(claim_answered { id, kept });
+    m_effects->push_back(count_metric { "kumquat_claim_answered_total", {} });
+}
+
+void claim_reducer::denyInProgress(waiting_claim& waiting)
+{
+    deny(waiting, { .code = error_code::in_progress, .message = "a request with this idempotency key is in progress", .ran = ran_state::unknown, .retryAfter = retryAfterInProgress });
+}
+
+void claim_reducer::deny(waiting_claim& waiting, caller_error error)
+{
+    const auto id = waiting.request.requestId;
+    journalOf(waiting.request.key).dropClaim(id);
+    m_timers.cancel(id);
+    m_waiting.erase(id);
+    m_effects->push_back(count_metric { "kumquat_claim_denied_total", { { "code", toString(error.code) } } });
+    m_effects->push_back(claim_denied { id, std::move(error) });
+}
+
+// This request never runs. Whether an earlier one with the same key did is another matter.
+void claim_reducer::giveUp(waiting_claim& waiting)
+{
+    const auto* holder = journalOf(waiting.request.key).index().find(waiting.request.key);
+    const bool isHeld = holder && holder->requestId != waiting.request.requestId && !waiting.appended;
+    deny(waiting, { .code = error_code::claim_unavailable, .message = "the object API did not settle the idempotency key in time", .ran = isHeld ? ran_state::unknown : ran_state::no, .retryAfter = retryAfterUnavailable });
+}
+
+void claim_reducer::onTimer(waiting_claim& waiting)
+{
+    const auto* holder = journalOf(waiting.request.key).index().find(waiting.request.key);
+    if (waiting.state == waiting_state::asking_claimant && holder && holder->requestId == waiting.askedFor) {
+        askSidecars(waiting, *holder);
+        return;
+    }
+    if (waiting.state == waiting_state::asking_sidecars) {
+        deny(waiting, { .code = error_code::outcome_unknown, .message = "a request with this idempotency key may have run, and nobody can say how it ended", .ran = ran_state::unknown });
+        return;
+    }
+    giveUp(waiting);
+}
+
+} // namespace kumquat
--- /dev/null
+++ b/servers/sidecar/slot_preemption.cpp
@@ -0,0 +1,86 @@
+#include "servers/sidecar/slot_scheduler.h"
+
+#include <algorithm>
+
+namespace kumquat {
+
+bool slot_scheduler::mayPreempt(const scheduled_attempt& attempt) const
+{
+    // What runs by the guaranteed share of its class would be preempted as soon as it runs.
+    if (!isFair() || attempt.guaranteed || attempt.facts.suspect)
+        return false;
+    const bool canResume = m_options.kind == service_kind::engine && attempt.kind == service_kind::engine;
+    return canResume && attempt.repeatable && attempt.preemptions < m_options.preemptionLimit;
+}
+
+void slot_scheduler::startAllUrgent(instant now, schedule_actions& actions)
+{
+    if (!m_healthy || runningCount() < usableSlots())
+        return;
+    while (const auto id = m_queue.popUrgent(now))
+        startUrgent(queued_attempt(*m_queue.find(*id)), now, actions);
+}
+
+void slot_scheduler::startUrgent(const queued_attempt& urgent, instant now, schedule_actions& actions)
+{
+    while (m_healthy && m_queue.find(urgent.attempt)) {
+        const bool mustWait = urgent.suspect && m_suspects.suspectRuns();
+        if (mustWait || !openSlotFor(urgent, now, actions))
+            return;
+        // A slot that was opened for one attempt goes to it, unless a higher tier waits as well.
+        if (m_queue.hasAbove(urgent.tierRank)) {
+            if (!fillOne(slot_cause::preempted, now, actions))
+                return;
+            continue;
+        }
+        begin({ *m_queue.popOne(urgent.attempt, now), false }, now, actions);
+    }
+}
+
+bool slot_scheduler::openSlotFor(const queued_attempt& urgent, instant now, schedule_actions& actions)
+{
+    if (mayExceedLimit(urgent))
+        return true;
+    const auto victim = m_candidates.below(urgent.tierRank);
+    if (!victim)
+        return false;
+    interrupt(*victim, urgent.tierRank, now, actions);
+    return true;
+}
+
+// One more run costs every run a little pace, and a preempted one costs reading its prompt again. So a stream yields its
+// slot only when the upstream has none left; below that, the limit takes the slot back from the lower tiers as runs end.
+bool slot_scheduler::mayExceedLimit(const queued_attempt& urgent) const
+{
+    const auto lowerRunning = m_load.runningBelow(urgent.tierRank);
+    if (runningCount() >= m_options.slots || lowerRunning == 0)
+        return false;
+    // What would be refused is never refused beside a lower stream; the rest takes no more than lower tiers hold.
+    if (urgent.deadline == urgent.startBy)
+        return true;
+    const auto usable = usableSlots();
+    const auto exceeding = runningCount() > usable ? runningCount() - usable : 0;
+    return exceeding < lowerRunning;
+}
+
+void slot_scheduler::interrupt(const preemption_candidates::candidate& victim, std::uint32_t beneficiaryRank, instant now, schedule_actions& actions)
+{
+    auto& attempt = m_attempts.at(victim.attempt);
+    auto& facts = attempt.facts;
+    leaveSlot(attempt, now);
+    m_suspects.ended(victim.attempt);
+    m_load.add(load_tally::stage::queued, facts.tierRank, attempt.remainingTokens);
+    m_invariants.preempted(victim.attempt, beneficiaryRank);
+    attempt.preemptions++;
+    attempt.ranBefore += now - attempt.startedAt;
+    facts.resumes = true;
+    facts.charge = 0;
+    facts.cost = std::max(attempt.remainingTokens, 1U);
+    facts.startBy = instant::min();
+    facts.urgentAt = instant::max();
+    facts.deadline = attempt.deadline;
+    m_queue.push(facts, now);
+    actions.push_back(interrupt_attempt { victim.attempt });
+}
+
+} // namespace kumquat
--- a/servers/sidecar/slot_scheduler.cpp
+++ b/servers/sidecar/slot_scheduler.cpp
@@ -8,22 +8,8 @@
 
     using shed_cause = scheduling_invariants::shed_cause;
     using std::chrono::milliseconds;
-
-    constexpr milliseconds shortestRetryAfter { 100 };
     constexpr milliseconds retryAfterOverload { 1000 };
-    constexpr milliseconds longestRetryAfter { 60000 };
-    // A lower stream is preempted this part of the first-token target before the latest start, since the first token of
-    // some runs takes longer than the mean.
-    constexpr int urgencyDivisor = 4;
-    // A prediction is a mean; what it says is out of reach only when it says so clearly.
-    constexpr double unreachableFactor = 1.5;
-    // An estimate never leaves less than this part of a target for waiting, so that one learned under stress cannot make
-    // every later request seem out of reach.
-    constexpr int estimateDivisor = 2;
-    constexpr std::uint32_t observedStretchTokens = 32;
     constexpr std::uint32_t smallestObservedStretchTokens = 8;
-    constexpr std::uint32_t smallestExtraCharge = 32;
-    constexpr std::uint32_t extraChargeDivisor = 4;
 
 } // namespace
 
@@ -50,157 +36,6 @@
     return std::min(*queue, *suspects);
 }
 
-slot_scheduler::scheduled_attempt slot_scheduler::describe(const offer& request, instant now) const
-{
-    const auto* terms = m_terms.find(request.className);
-    scheduled_attempt attempt;
-    attempt.kind = request.job.kind;
-    attempt.repeatable = request.repeatable && (!terms || terms->repeatable);
-    // A caller's own limit lies below the first guess of the class and binds whatever has been learned.
-    const bool isLimited = terms && request.expectedTokens < terms->expectedTokens;
-    const auto learned = m_estimator.expectedTokens(request.className).value_or(request.expectedTokens);
-    attempt.expectedTokens = isLimited ? std::min(learned, request.expectedTokens) : learned;
-    attempt.remainingTokens = attempt.expectedTokens;
-    auto& facts = attempt.facts;
-    facts.attempt = request.attempt;
-    facts.tierRank = terms ? terms->tierRank : request.tierRank;
-    facts.className = request.className;
-    facts.organisation = request.organisation;
-    facts.fingerprint = request.fingerprint;
-    facts.charge = std::max(attempt.expectedTokens, 1U);
-    facts.cost = facts.charge;
-    facts.expectedRun = m_estimator.expectedRun(request.className, attempt.expectedTokens);
-    facts.suspect = request.suspect || m_suspects.isSuspect(request.fingerprint);
-    facts.arrived = now;
-    attempt.deadline = now + request.timeLeft;
-    facts.deadline = attempt.deadline;
-    if (terms && isFair())
-        setTargets(attempt, *terms, now - request.waited);
-    return attempt;
-}
-
-void slot_scheduler::setTargets(scheduled_attempt& attempt, const request_class& terms, instant arrived) const
-{
-    auto& facts = attempt.facts;
-    attempt.betweenTokens = terms.targets.betweenTokens;
-    attempt.lateIsUseless = terms.lateIsUseless;
-    if (const auto target = terms.targets.total)
-        facts.startBy = arrived + std::max<duration>(*target - facts.expectedRun, *target / estimateDivisor);
-    if (const auto target = terms.targets.firstToken) {
-        const auto startBy = arrived + std::max<duration>(*target - m_estimator.firstToken(facts.className), *target / estimateDivisor);
-        facts.startBy = std::min(facts.startBy, startBy);
-        facts.urgentAt = facts.startBy - *target / urgencyDivisor;
-    }
-    if (attempt.lateIsUseless)
-        facts.deadline = std::min(facts.deadline, facts.startBy);
-}
-
-void slot_scheduler::submit(const offer& request, instant now, schedule_actions& actions)
-{
-    const auto described = describe(request, now);
-    const auto facts = described.facts;
-    if (m_suspects.isRefused(facts.fingerprint)) {
-        refuseSuspected(facts, now, actions);
-        return;
-    }
-    const auto predicted = predictedWait(facts);
-    if (!makeRoomFor(facts, now, actions)) {
-        shed(facts, shed_cause::queue_full, { .reason = error_code::overloaded, .message = "queue of upstream '" + m_options.id + "' is full", .retryAfter = retryAfter(predicted) }, actions);
-        return;
-    }
-    m_attempts.insert_or_assign(facts.attempt, described);
-    m_load.add(load_tally::stage::queued, facts.tierRank, described.remainingTokens);
-    m_invariants.queued(facts.attempt, facts.tierRank, facts.suspect);
-    m_queue.push(facts, now);
-    fill(now, actions);
-    avoidMiss(facts.attempt, predicted, now, actions);
-}
-
-// Acts on the prediction that a new arrival would miss its target: a lower stream makes room, or the arrival is refused
-// at once when a late answer is useless to it.
-void slot_scheduler::avoidMiss(const attempt_id& id, duration predicted, instant now, schedule_actions& actions)
-{
-    const auto* waiting = m_queue.find(id);
-    if (!waiting || now + predicted <= waiting->startBy)
-        return;
-    if (waiting->urgentAt != instant::max())
-        startUrgent(queued_attempt(*waiting), now, actions);
-    waiting = m_queue.find(id);
-    if (!waiting || !m_attempts.at(id).lateIsUseless)
-        return;
-    const duration allowed = std::max(duration { 0 }, waiting->startBy - now);
-    if (std::chrono::duration<double>(predicted) <= unreachableFactor * std::chrono::duration<double>(allowed))
-        return;
-    const auto facts = *m_queue.remove(id, now);
-    // A suspect may have to wait for another one, whoever else runs.
-    const auto cause = facts.suspect ? shed_cause::other : shed_cause::target_unreachable;
-    shed(facts, cause, { .reason = error_code::target_unreachable, .message = "upstream '" + m_options.id + "' cannot meet the target of class '" + facts.className + "' now", .retryAfter = retryAfter(predicted - allowed) }, actions);
-}
-
-bool slot_scheduler::makeRoomFor(const queued_attempt& arrival, instant now, schedule_actions& actions)
-{
-    if (m_queue.unstartedCount() < m_options.queueLimit)
-        return true;
-    if (const auto displaced = m_queue.displaceFor(arrival, now)) {
-        const auto message = displaced->tierRank > arrival.tierRank ? "displaced by a request of a higher tier" : "displaced by a request of an organisation that has less waiting";
-        shed(*displaced, shed_cause::queue_full, { .reason = error_code::overloaded, .message = message, .retryAfter = retryAfter(predictedWait(*displaced)) }, actions);
-        return true;
-    }
-    if (!m_healthy || m_queue.size() == 0 || !openSlotFor(arrival, now, actions))
-        return false;
-    fillOne(slot_cause::preempted, now, actions);
-    return m_queue.unstartedCount() < m_options.queueLimit;
-}
-
-void slot_scheduler::shed(const queued_attempt& facts, shed_cause cause, give_up_attempt action, schedule_actions& actions)
-{
-    forget(facts.attempt);
-    m_invariants.shed(facts.attempt, facts.tierRank, cause);
-    action.attempt = facts.attempt;
-    actions.push_back(std::move(action));
-}
-
-void slot_scheduler::refuseSuspected(const queued_attempt& facts, instant now, schedule_actions& actions)
-{
-    const auto wait = std::chrono::ceil<milliseconds>(m_suspects.refusedFor(facts.fingerprint, now));
-    giveUp(facts, { .reason = error_code::request_suspected, .message = "the same request has crashed upstreams", .retryAfter = wait }, actions);
-}
-
-// Gives up a waiting attempt for a reason other than load. What has run before has failed; the rest is refused.
-void slot_scheduler::giveUp(const queued_attempt& facts, give_up_attempt action, schedule_actions& actions)
-{
-    forget(facts.attempt);
-    if (facts.resumes)
-        m_invariants.ended(facts.attempt);
-    else
-        m_invariants.shed(facts.attempt, facts.tierRank, shed_cause::other);
-    action.attempt = facts.attempt;
-    action.resumes = facts.resumes;
-    actions.push_back(std::move(action));
-}
-
-void slot_scheduler::forget(const attempt_id& id)
-{
-    const auto known = m_attempts.find(id);
-    if (known == m_attempts.end())
-        return;
-    m_load.remove(load_tally::stage::queued, known->second.facts.tierRank, known->second.remainingTokens);
-    m_attempts.erase(known);
-}
-
-void slot_scheduler::withdraw(const attempt_id& id, instant now)
-{
-    m_queue.remove(id, now);
-    forget(id);
-    m_invariants.ended(id);
-}
-
-void slot_scheduler::refuseWaiting(error_code reason, const std::string& message, instant now, schedule_actions& actions)
-{
-    for (const auto& facts : m_queue.removeIf([](const queued_attempt& waiting) { return !waiting.resumes; }, now))
-        giveUp(facts, { .reason = reason, .message = message }, actions);
-}
-
 void slot_scheduler::fill(instant now, schedule_actions& actions)
 {
     m_suspects.expire(now);
@@ -256,85 +91,6 @@
     actions.push_back(begin_attempt { id, attempt.facts.resumes });
 }
 
-bool slot_scheduler::mayPreempt(const scheduled_attempt& attempt) const
-{
-    // What runs by the guaranteed share of its class would be preempted as soon as it runs.
-    if (!isFair() || attempt.guaranteed || attempt.facts.suspect)
-        return false;
-    const bool canResume = m_options.kind == service_kind::engine && attempt.kind == service_kind::engine;
-    return canResume && attempt.repeatable && attempt.preemptions < m_options.preemptionLimit;
-}
-
-void slot_scheduler::startAllUrgent(instant now, schedule_actions& actions)
-{
-    if (!m_healthy || runningCount() < usableSlots())
-        return;
-    while (const auto id = m_queue.popUrgent(now))
-        startUrgent(queued_attempt(*m_queue.find(*id)), now, actions);
-}
-
-void slot_scheduler::startUrgent(const queued_attempt& urgent, instant now, schedule_actions& actions)
-{
-    while (m_healthy && m_queue.find(urgent.attempt)) {
-        const bool mustWait = urgent.suspect && m_suspects.suspectRuns();
-        if (mustWait || !openSlotFor(urgent, now, actions))
-            return;
-        // A slot that was opened for one attempt goes to it, unless a higher tier waits as well.
-        if (m_queue.hasAbove(urgent.tierRank)) {
-            if (!fillOne(slot_cause::preempted, now, actions))
-                return;
-            continue;
-        }
-        begin({ *m_queue.popOne(urgent.attempt, now), false }, now, actions);
-    }
-}
-
-bool slot_scheduler::openSlotFor(const queued_attempt& urgent, instant now, schedule_actions& actions)
-{
-    if (mayExceedLimit(urgent))
-        return true;
-    const auto victim = m_candidates.below(urgent.tierRank);
-    if (!victim)
-        return false;
-    interrupt(*victim, urgent.tierRank, now, actions);
-    return true;
-}
-
-// One more run costs every run a little pace, and a preempted one costs reading its prompt again. So a stream yields its
-// slot only when the upstream has none left; below that, the limit takes the slot back from the lower tiers as runs end.
-bool slot_scheduler::mayExceedLimit(const queued_attempt& urgent) const
-{
-    const auto lowerRunning = m_load.runningBelow(urgent.tierRank);
-    if (runningCount() >= m_options.slots || lowerRunning == 0)
-        return false;
-    // What would be refused is never refused beside a lower stream; the rest takes no more than lower tiers hold.
-    if (urgent.deadline == urgent.startBy)
-        return true;
-    const auto usable = usableSlots();
-    const auto exceeding = runningCount() > usable ? runningCount() - usable : 0;
-    return exceeding < lowerRunning;
-}
-
-void slot_scheduler::interrupt(const preemption_candidates::candidate& victim, std::uint32_t beneficiaryRank, instant now, schedule_actions& actions)
-{
-    auto& attempt = m_attempts.at(victim.attempt);
-    auto& facts = attempt.facts;
-    leaveSlot(attempt, now);
-    m_suspects.ended(victim.attempt);
-    m_load.add(load_tally::stage::queued, facts.tierRank, attempt.remainingTokens);
-    m_invariants.preempted(victim.attempt, beneficiaryRank);
-    attempt.preemptions++;
-    attempt.ranBefore += now - attempt.startedAt;
-    facts.resumes = true;
-    facts.charge = 0;
-    facts.cost = std::max(attempt.remainingTokens, 1U);
-    facts.startBy = instant::min();
-    facts.urgentAt = instant::max();
-    facts.deadline = attempt.deadline;
-    m_queue.push(facts, now);
-    actions.push_back(interrupt_attempt { victim.attempt });
-}
-
 void slot_scheduler::leaveSlot(const scheduled_attempt& attempt, instant now)
 {
     const auto& facts = attempt.facts;
@@ -360,48 +116,6 @@
     }
 }
 
-void slot_scheduler::produced(const attempt_id& id, std::uint32_t tokens, instant now)
-{
-    if (!m_running.contains(id))
-        return;
-    auto& attempt = m_attempts.at(id);
-    const auto counted = std::min(tokens, attempt.remainingTokens);
-    attempt.remainingTokens -= counted;
-    m_load.produced(attempt.facts.tierRank, counted);
-    measurePace(attempt, tokens, now);
-    attempt.producedTokens += tokens;
-    attempt.lastOutputAt = now;
-    if (attempt.kind != service_kind::engine || attempt.producedTokens <= attempt.charged)
-        return;
-    // The length was underestimated; the organisation pays as the output grows.
-    const double extra = std::max(smallestExtraCharge, attempt.producedTokens / extraChargeDivisor);
-    attempt.charged += extra;
-    m_queue.charge(attempt.facts.tierRank, attempt.facts.organisation, extra);
-}
-
-void slot_scheduler::measurePace(scheduled_attempt& attempt, std::uint32_t tokens, instant now)
-{
-    if (!attempt.lastOutputAt) {
-        if (!attempt.facts.resumes)
-            m_estimator.sawFirstOutput(attempt.facts.className, now - attempt.startedAt);
-        return;
-    }
-    attempt.stretchTokens += tokens;
-    attempt.stretchTime += now - *attempt.lastOutputAt;
-    observePace(attempt, observedStretchTokens, now);
-}
-
-// Targets hold for the mean of a request, so the pace is judged over stretches and not by the single gap.
-void slot_scheduler::observePace(scheduled_attempt& attempt, std::uint32_t smallestStretch, instant now)
-{
-    if (attempt.stretchTokens < smallestStretch)
-        return;
-    if (attempt.betweenTokens)
-        m_limit.observe(attempt.stretchTime / attempt.stretchTokens, *attempt.betweenTokens, runningCount(), now);
-    attempt.stretchTokens = 0;
-    attempt.stretchTime = duration { 0 };
-}
-
 void slot_scheduler::ended(const attempt_id& id, run_end how, instant now)
 {
     if (!m_running.contains(id))
@@ -453,24 +167,4 @@
     }
 }
 
-duration slot_scheduler::predictedWait(const queued_attempt& arrival) const
-{
-    if (runningCount() < usableSlots() || m_releasesPerSecond <= 0)
-        return duration { 0 };
-    const double wait = static_cast<double>(m_queue.ahead(arrival) + 1) / m_releasesPerSecond;
-    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(wait));
-}
-
-// Slots become free at the sum of the rates at which the single runs end.
-double slot_scheduler::releaseRate(const scheduled_attempt& attempt)
-{
-    const auto expected = std::chrono::duration<double>(attempt.facts.expectedRun).count();
-    return expected > 0 ? 1 / expected : 0;
-}
-
-milliseconds slot_scheduler::retryAfter(duration wait) const
-{
-    return std::clamp(std::chrono::ceil<milliseconds>(wait), shortestRetryAfter, longestRetryAfter);
-}
-
 } // namespace kumquat
