Let the soak cut one router from the store for long, and publish versions in a row

Change: a link to the store for each router, faults that overlap, cuts of up to 10 s, answers of the store that overtake each other, a version each 0.3 to 1.5 s, and seeds that leave routers alone for seconds.

--- a/tests/process/router_soak_test.sh
+++ b/tests/process/router_soak_test.sh
@@ -18,7 +18,7 @@
 write_settings() {
     cat >"$work/router-$1.json" <<JSON
 {"NodeName":"router-$1","Zone":"z","Ip":"127.0.0.$((10 + $1))","Listen":{"Front":"127.0.0.1:$(port $((600 + $1)))","Ready":"127.0.0.1:$(port $((610 + $1)))"},
- "InternalPorts":[$(port 620),$(port 629)],"Seeds":["127.0.0.10:1","127.0.0.11:1"],"Platform":{"Address":"127.0.0.1:$proxied_store_port"},
+ "InternalPorts":[$(port 620),$(port 629)],"Seeds":["127.0.0.10:1","127.0.0.11:1"],"Platform":{"Address":"127.0.0.1:$((proxied_store_port + $1))"},
  "Bounds":{"RevokeMs":5000,"GraceS":3,"DrainMs":2000,"BudgetRatio":0.2,"RetrySlack":54,"BudgetWindowS":10}}
 JSON
 }
@@ -42,7 +42,9 @@
 }
 
 start_proxy() {
-    local links=("$proxied_store_port" "$store_port")
+    local links=()
+    # Each router has a link of its own to the store, so that one of them may be cut off alone.
+    for number in $(seq 0 $((routers - 1))); do links+=("$((proxied_store_port + number))" "$store_port"); done
     for number in $(seq 0 $((workers - 1))); do links+=("$((proxied_worker_port + number))" "$((worker_port + number))"); done
     start "proxy-$1" "$bin/tests/soak-fault-proxy" "$2" "${links[@]}"
 }
@@ -66,7 +68,8 @@
     sleep 2
     while kill -0 "$world" 2>/dev/null; do
         draw_fault "$kind"
-        sleep "0.$((RANDOM % 9 + 1))"
+        # Some seeds leave routers alone for long, so that they hold what they believe through a long cut.
+        sleep "$(($1 % 3 * (RANDOM % 4))).$((RANDOM % 9 + 1))"
     done
     wait "$world"
     local outcome=$?
--- a/tests/soak/fault_proxy_main.cpp
+++ b/tests/soak/fault_proxy_main.cpp
@@ -19,14 +19,25 @@
 constexpr auto holdCheckInterval = milliseconds(10);
 constexpr auto longestQuiet = milliseconds(900);
 constexpr auto longestFault = milliseconds(1600);
+// Some links are cut for longer than keys may be trusted without the store.
+constexpr auto longestCut = milliseconds(9000);
+constexpr unsigned cutOneIn = 3;
+
+using moment = std::chrono::steady_clock::time_point;
+
+bool isBefore(moment end)
+{
+    return std::chrono::steady_clock::now() < end;
+}
 constexpr auto longestDelay = milliseconds(250);
 
-// What a link does to the bytes and connections that pass it, until the fault ends.
+// What a link does to the bytes and connections that pass it, and until when. Faults may overlap.
 struct link_state {
     milliseconds delay { 0 };
+    moment delayedUntil;
     // Towards the target, and back.
-    std::array<bool, 2> held {};
-    bool refuses = false;
+    std::array<moment, 2> heldUntil {};
+    moment refusesUntil;
     // Connections older than this generation are silent for good, while new ones work.
     int silentBefore = 0;
     int resetBefore = 0;
@@ -56,14 +67,14 @@
 
 private:
     bool isReset() const { return m_generation < m_link->resetBefore; }
-    bool isHeld(int from) const { return m_link->held[from] || m_generation < m_link->silentBefore; }
+    bool isHeld(int from) const { return isBefore(m_link->heldUntil[from]) || m_generation < m_link->silentBefore; }
 
     void read(int from)
     {
         m_sockets[from].async_read_some(asio::buffer(m_buffers[from]), [self = shared_from_this(), from](asio::error_code failure, std::size_t size) {
             if (failure && failure != asio::error::eof)
                 return self->reset();
-            self->pass(from, size, self->m_link->delay);
+            self->pass(from, size, isBefore(self->m_link->delayedUntil) ? self->m_link->delay : milliseconds(0));
         });
     }
 
@@ -123,7 +134,7 @@
     void accept()
     {
         m_acceptor.async_accept([this](asio::error_code failure, tcp::socket caller) {
-            if (!failure && !m_state->refuses) {
+            if (!failure && !isBefore(m_state->refusesUntil)) {
                 ++m_state->generation;
                 std::make_shared<proxied_connection>(std::move(caller), m_state)->start(m_target);
             }
@@ -140,8 +151,7 @@
 class fault_schedule {
 public:
     fault_schedule(asio::io_context& context, std::vector<std::unique_ptr<proxied_link>>& links, unsigned seed)
-        : m_context(context)
-        , m_timer(context)
+        : m_timer(context)
         , m_links(links)
         , m_random(seed)
     {
@@ -162,35 +172,31 @@
 
     void harm(link_state& link)
     {
+        const auto end = std::chrono::steady_clock::now() + draw(longestFault);
+        const auto cutEnd = m_random() % cutOneIn == 0 ? end + draw(longestCut) : end;
         switch (m_random() % 6) {
         case 0:
             link.delay = draw(longestDelay);
+            link.delayedUntil = end;
             break;
         case 1:
-            link.held[m_random() % 2] = true;
+            link.heldUntil[m_random() % 2] = cutEnd;
             break;
         case 2:
-            link.held = { true, true };
+            link.heldUntil = { cutEnd, cutEnd };
             break;
         case 3:
-            link.refuses = true;
+            link.refusesUntil = end;
             break;
         case 4:
             link.resetBefore = link.generation + 1;
-            return;
+            break;
         case 5:
             link.silentBefore = link.generation + 1;
-            return;
+            break;
         }
-        auto end = std::make_shared<asio::steady_timer>(m_context, draw(longestFault));
-        end->async_wait([end, &link](asio::error_code) {
-            link.delay = milliseconds(0);
-            link.held = {};
-            link.refuses = false;
-        });
     }
 
-    asio::io_context& m_context;
     asio::steady_timer m_timer;
     std::vector<std::unique_ptr<proxied_link>>& m_links;
     std::mt19937 m_random;
--- a/tests/soak/router_world_main.cpp
+++ b/tests/soak/router_world_main.cpp
@@ -21,6 +21,8 @@
 constexpr auto revocationDeadline = milliseconds(5000);
 constexpr auto configDeadline = milliseconds(2000);
 constexpr auto drainDeadline = milliseconds(2000);
+// No fault keeps a router from the store for longer.
+constexpr auto longestStaleness = milliseconds(12000);
 
 struct soak_options {
     int storePort = 0;
@@ -118,7 +120,7 @@
     std::map<int, std::unique_ptr<httplib::Client>> m_clients;
 };
 
-// Publishes configurations, lets a worker leave and return, and asks the routers which version they act on.
+// Lets a worker leave and return, draws trouble for the store, and asks the routers which version they act on.
 class soak_operator {
 public:
     soak_operator(const soak_options& options, soak_store& store, soak_worker& leaver, soak_book& book)
@@ -135,8 +137,6 @@
         const auto end = steady::now() + m_options.span;
         while (steady::now() < end) {
             const auto drawn = m_random() % 8;
-            if (drawn == 0)
-                m_store.publish();
             if (drawn == 1)
                 m_store.drawTrouble();
             if (drawn == 2)
@@ -164,7 +164,7 @@
         for (int version = std::max(1, newest - 2); version <= newest; ++version) {
             const auto age = m_store.age(version + 1);
             const int seenBefore = seen;
-            const auto [status, id] = ask(router, version, "key");
+            const auto [status, id] = ask(router, "/v" + std::to_string(version) + "/x", "key");
             const bool ran = m_book.runs(id) > 0;
             if (status == 200)
                 seen = std::max(seen, version);
@@ -173,22 +173,25 @@
             if (m_options.plannedWorkOnly && ran && age > configDeadline)
                 m_book.noteBroken("an old configuration still in force", id);
         }
-        // The last version that had this key is two before the one that took it away.
-        const int revoked = newest - 2;
-        const auto since = m_store.age(revoked + 2);
-        const auto [status, id] = ask(router, newest, "key-" + std::to_string(revoked));
-        if (revoked > 0 && since > revocationDeadline && m_book.runs(id) > 0)
-            m_book.noteBroken("a key that was taken away still works, status " + std::to_string(status), id);
+        // A router that has lost the store for long may still hold one of these.
+        for (int revoked = 1; revoked + 2 <= newest; ++revoked) {
+            const auto since = m_store.age(revoked + 2);
+            if (since <= revocationDeadline || since > longestStaleness)
+                continue;
+            const auto [status, id] = ask(router, "/read/x", "key-" + std::to_string(revoked));
+            if (m_book.runs(id) > 0)
+                m_book.noteBroken("a key that was taken away still works, status " + std::to_string(status), id);
+        }
     }
 
-    std::pair<int, std::string> ask(int router, int version, const std::string& key)
+    std::pair<int, std::string> ask(int router, const std::string& path, const std::string& key)
     {
         const auto id = "probe-" + std::to_string(m_options.seed) + "-" + std::to_string(m_count++);
         auto& client = m_clients[router];
         if (!client)
             client = connect(router);
         client->set_read_timeout(milliseconds(requestDeadlineMs));
-        const auto result = client->Get("/v" + std::to_string(version) + "/x", headersFor(id, key));
+        const auto result = client->Get(path, headersFor(id, key));
         if (!result)
             client.reset();
         return { result ? result->status : 0, id };
@@ -205,6 +208,16 @@
     std::map<int, std::unique_ptr<httplib::Client>> m_clients;
 };
 
+void publishVersions(const soak_options& options, soak_store& store)
+{
+    std::mt19937 random(options.seed + 600);
+    const auto end = steady::now() + options.span;
+    while (steady::now() < end) {
+        std::this_thread::sleep_for(milliseconds(300 + random() % 1200));
+        store.publish();
+    }
+}
+
 int soak(const soak_options& options)
 {
     soak_book book;
@@ -215,8 +228,10 @@
         workers.push_back(std::make_unique<soak_worker>(soak_worker::options { .number = number, .port = options.workerPort + number, .seed = options.seed + 1000 + static_cast<unsigned>(number), .misbehaves = !options.plannedWorkOnly }, book));
     std::this_thread::sleep_for(seconds(1));
     std::vector<std::thread> threads;
+    threads.reserve(callerCount + 2);
     soak_operator changes(options, store, *workers.front(), book);
     threads.emplace_back([&changes] { changes.run(); });
+    threads.emplace_back([&options, &store] { publishVersions(options, store); });
     std::vector<std::unique_ptr<soak_caller>> callers;
     callers.reserve(callerCount);
     for (int number = 0; number < callerCount; ++number) {
--- a/tests/soak/soak_store.h
+++ b/tests/soak/soak_store.h
@@ -2,7 +2,9 @@
 
 #include <chrono>
 #include <condition_variable>
+#include <cstdlib>
 #include <httplib.h>
+#include <iostream>
 #include <map>
 #include <mutex>
 #include <nlohmann/json.hpp>
@@ -38,7 +40,16 @@
         publish();
         m_server.new_task_queue = [] { return new httplib::ThreadPool(readerThreads); };
         m_server.Get(R"(/objects/(\w+))", [this](const httplib::Request& request, httplib::Response& response) { serve(request, response); });
-        m_thread = std::thread([this] { m_server.listen("127.0.0.1", m_options.port); });
+        // Without sharing of the port, so that two soaks on the same ports do not read each other's store.
+        m_server.set_socket_options([](socket_t socket) {
+            const int reuse = 1;
+            ::setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof(reuse));
+        });
+        if (!m_server.bind_to_port("127.0.0.1", m_options.port)) {
+            std::cerr << "the store's port " << m_options.port << " is in use" << std::endl;
+            std::exit(2);
+        }
+        m_thread = std::thread([this] { m_server.listen_after_bind(); });
     }
 
     ~soak_store()
@@ -81,7 +92,7 @@
         if (!m_options.misbehaves)
             return;
         m_busy = m_random() % 4 == 0;
-        m_slow = std::chrono::milliseconds(m_random() % 4 == 0 ? m_random() % 1200 : 0);
+        m_slow = std::chrono::milliseconds(m_random() % 3 == 0 ? 1 + m_random() % 1200 : 0);
         if (m_random() % 4 == 0)
             m_history.clear();
     }
@@ -133,12 +144,15 @@
     void serve(const httplib::Request& request, httplib::Response& response)
     {
         std::unique_lock lock(m_mutex);
-        const auto slow = m_slow;
-        if (slow.count() > 0) {
-            lock.unlock();
-            std::this_thread::sleep_for(slow);
-            lock.lock();
-        }
+        const auto slow = m_slow.count() == 0 ? m_slow : std::chrono::milliseconds(m_random() % static_cast<unsigned>(m_slow.count()));
+        read(request, response, lock);
+        lock.unlock();
+        // What was read grows old on the way, and answers overtake each other.
+        std::this_thread::sleep_for(slow);
+    }
+
+    void read(const httplib::Request& request, httplib::Response& response, std::unique_lock<std::mutex>& lock)
+    {
         if (m_busy) {
             response.status = 503;
             return;
