Tell of dropped log lines also while lines come too fast

Cause: the line that counts dropped lines was dropped itself when the second's bound was reached, and its count forgotten. Ruled out: the reader (the pipe was empty again). Change: that line is exempt from the rate, not from the buffer's bound, and is written after what waits has gone. Tests: a log whose reader does not read (failed first: no count was written); no key in any line of the router's log.

--- a/drivers/spdlog/bounded_sink.cpp
+++ b/drivers/spdlog/bounded_sink.cpp
@@ -21,6 +21,10 @@
     public:
         std::uint64_t dropped() const { return m_dropped; }
 
+        bool hasRoom() const { return m_waiting.size() <= maxWaitingBytes; }
+        // Lines are admitted whatever their rate, as long as there is room.
+        void exemptFromRate(bool exempt) { m_exempt = exempt; }
+
         void drain()
         {
             while (!m_waiting.empty()) {
@@ -55,10 +59,11 @@
                 m_linesInSecond = 0;
             }
             ++m_linesInSecond;
-            return m_linesInSecond <= (routine ? maxRoutineLinesPerSecond : maxLinesPerSecond)
+            return (m_exempt || m_linesInSecond <= (routine ? maxRoutineLinesPerSecond : maxLinesPerSecond))
                 && m_waiting.size() <= (routine ? maxRoutineWaitingBytes : maxWaitingBytes);
         }
 
+        bool m_exempt = false;
         std::string m_waiting;
         std::uint64_t m_dropped = 0;
         std::int64_t m_second = 0;
@@ -85,10 +90,13 @@
 {
     if (!activeSink)
         return;
-    if (activeSink->dropped() > reportedDrops) {
-        spdlog::warn("event=log_lines_dropped count={} total={}", activeSink->dropped() - reportedDrops, activeSink->dropped());
-        reportedDrops = activeSink->dropped();
-    }
+    activeSink->drain();
+    if (activeSink->dropped() == reportedDrops || !activeSink->hasRoom())
+        return;
+    activeSink->exemptFromRate(true);
+    spdlog::warn("event=log_lines_dropped count={} total={}", activeSink->dropped() - reportedDrops, activeSink->dropped());
+    activeSink->exemptFromRate(false);
+    reportedDrops = activeSink->dropped();
     activeSink->drain();
 }
 
--- /dev/null
+++ b/tests/drivers/bounded_sink_test.cpp
@@ -0,0 +1,80 @@
+#include "drivers/spdlog/bounded_sink.h"
+
+#include <array>
+#include <catch2/catch.hpp>
+#include <fcntl.h>
+#include <spdlog/spdlog.h>
+#include <string>
+#include <unistd.h>
+
+using namespace kumquat;
+
+namespace {
+
+// Puts a pipe that nobody reads in the place of standard output.
+class silent_reader {
+public:
+    silent_reader()
+        : m_logger(spdlog::default_logger())
+        , m_output(::dup(STDOUT_FILENO))
+    {
+        REQUIRE(::pipe(m_pipe.data()) == 0);
+        ::dup2(m_pipe[1], STDOUT_FILENO);
+        ::fcntl(m_pipe[0], F_SETFL, O_NONBLOCK);
+    }
+
+    ~silent_reader()
+    {
+        ::dup2(m_output, STDOUT_FILENO);
+        for (const int descriptor : { m_pipe[0], m_pipe[1], m_output })
+            ::close(descriptor);
+        spdlog::set_default_logger(m_logger);
+    }
+
+    // Takes what is in the pipe.
+    std::string take()
+    {
+        std::string taken;
+        std::array<char, 4096> buffer {};
+        for (auto size = ::read(m_pipe[0], buffer.data(), buffer.size()); size > 0; size = ::read(m_pipe[0], buffer.data(), buffer.size()))
+            taken.append(buffer.data(), static_cast<std::size_t>(size));
+        return taken;
+    }
+
+private:
+    std::shared_ptr<spdlog::logger> m_logger;
+    int m_output;
+    std::array<int, 2> m_pipe {};
+};
+
+} // namespace
+
+TEST_CASE("a log that nobody reads never blocks, counts what it drops and keeps its lines whole", "[log]")
+{
+    std::string taken;
+    std::uint64_t dropped = 0;
+    {
+        silent_reader reader;
+        openBoundedLog();
+        const std::string text(200, 'x');
+        for (int number = 0; number < 20000; ++number) {
+            spdlog::info("event=routine number={} text={}", number, text);
+            spdlog::warn("event=failure number={} text={}", number, text);
+            if (number % 1000 == 0)
+                flushBoundedLog();
+        }
+        dropped = droppedLogLines();
+        for (int round = 0; round < 100; ++round) {
+            flushBoundedLog();
+            taken += reader.take();
+        }
+    }
+    CHECK(dropped > 0);
+    CHECK(taken.find("event=log_lines_dropped count=") != std::string::npos);
+    CHECK(taken.ends_with('\n'));
+    std::size_t lines = 0;
+    std::size_t whole = 0;
+    for (std::size_t at = 0; at < taken.size(); at = taken.find('\n', at) + 1, ++lines)
+        whole += taken.compare(at, 5, "time=") == 0 ? 1 : 0;
+    CHECK(lines == whole);
+}
--- a/tests/servers/router/attempt_test.cpp
+++ b/tests/servers/router/attempt_test.cpp
@@ -164,3 +164,25 @@
     CHECK(again > 0);
     CHECK(again <= 100 * settings.retryRatio + settings.retryAllowance / 2);
 }
+
+TEST_CASE("no key stands in a log line, known or not", "[router]")
+{
+    router_fixture site;
+    auto config = router_fixture::sampleConfig();
+    config.keys["secret-known"] = { "org-b", std::nullopt };
+    site.giveConfig(config, 5);
+    site.giveUpstreams({ router_fixture::makeUpstream("app-1", "app", 1003) }, 5);
+    router_effects all;
+    const auto keep = [&all](const router_effects& effects) { all.insert(all.end(), effects.begin(), effects.end()); };
+    keep(site.request(1, "/pay/x", "secret-known"));
+    keep(site.request(2, "/pay/x", "secret-unknown"));
+    keep(site.step(send_failed { router_fixture::all<send_request>(all).front().send, true, "reset" }));
+    const auto lines = router_fixture::all<log_event>(all);
+    CHECK(lines.size() >= 4);
+    for (const auto& line : lines) {
+        for (const auto& [name, value] : line.fields) {
+            INFO(line.name << " " << name << "=" << value);
+            CHECK(value.find("secret") == std::string::npos);
+        }
+    }
+}
