Follow a store that is restored from an older copy

Cause: a watcher discarded every list whose revision was lower than its own, so that after a restore, when revisions go back and are given out again, a router followed nothing until the numbers had passed its own; peers compared bare revisions in the same way. Change: a revision and its era form one comparable position, in watchers, records, digests and log lines. A new era makes a router list everything again; answers of older eras are dropped; routers report the era to each other. The configuration in force stays until the store has one that is not older; confirmations keep their age and are renewed only by answers that have the version in force; a router that starts refuses keys while another router knows a newer version. A list with an older revision of the same era is read again after a pause instead of at once. Ruled out: discarding confirmations at once. They state that nothing newer existed at a time, so a restore does not make them false.

--- a/core/router_digest.h
+++ b/core/router_digest.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/clock.h"
+#include "core/store_position.h"
 
 #include <cstdint>
 #include <optional>
@@ -39,12 +40,17 @@
     std::uint64_t sequence = 0;
     // The router is shutting down and has no requests left, so receivers discard its load and stop counting it.
     bool leaving = false;
-    // The store revision of the newest configuration that the router has, and the time since the store last confirmed
-    // to the router itself that there was no newer one.
-    std::uint64_t configRevision = 0;
+    // The era of the store in its last answer to the router.
+    std::uint64_t storeEra = 0;
+    // The newest position at which the router has read the configuration, and the time since the store last confirmed to
+    // the router itself that there was no newer one.
+    store_position configPosition;
     std::optional<std::chrono::milliseconds> configAge;
-    // The newest store revision of an upstream record that the router has read.
-    std::uint64_t upstreamRevision = 0;
+    // The version of the configuration in force, or 0. After a restore of the store it may be newer than the version at
+    // configPosition.
+    std::uint64_t configVersion = 0;
+    // The newest position of an upstream record that the router has read.
+    store_position upstreamPosition;
     // Addresses of the routers from which it receives digests.
     std::vector<std::string> members;
     std::vector<outstanding_load> loads;
--- a/drivers/cbor/digest_codec.cpp
+++ b/drivers/cbor/digest_codec.cpp
@@ -14,8 +14,12 @@
         incarnation,
         sequence,
         leaving,
+        store_era,
+        config_era,
         config_revision,
         config_age,
+        config_version,
+        upstream_era,
         upstream_revision,
         members,
         loads,
@@ -23,7 +27,7 @@
         suspects,
         field_count };
 
-    constexpr int formatVersion = 1;
+    constexpr int formatVersion = 2;
     // How many consecutive numbers of a flat list encode one load, one cached prompt part and one suspect.
     constexpr std::size_t numbersPerLoad = 4;
     constexpr std::size_t numbersPerPart = 3;
@@ -36,10 +40,12 @@
         digest.incarnation = root.at(incarnation).get<std::uint64_t>();
         digest.sequence = root.at(sequence).get<std::uint64_t>();
         digest.leaving = root.at(leaving).get<bool>();
-        digest.configRevision = root.at(config_revision).get<std::uint64_t>();
+        digest.storeEra = root.at(store_era).get<std::uint64_t>();
+        digest.configPosition = { root.at(config_era).get<std::uint64_t>(), root.at(config_revision).get<std::uint64_t>() };
         if (!root.at(config_age).is_null())
             digest.configAge = std::chrono::milliseconds(root.at(config_age).get<std::int64_t>());
-        digest.upstreamRevision = root.at(upstream_revision).get<std::uint64_t>();
+        digest.configVersion = root.at(config_version).get<std::uint64_t>();
+        digest.upstreamPosition = { root.at(upstream_era).get<std::uint64_t>(), root.at(upstream_revision).get<std::uint64_t>() };
         digest.members = root.at(members).get<std::vector<std::string>>();
         const auto& loadList = root.at(loads);
         for (std::size_t index = 0; index + numbersPerLoad <= loadList.size(); index += numbersPerLoad)
@@ -67,8 +73,8 @@
     for (const auto& [fingerprint, crashes] : digest.suspects)
         suspectList.insert(suspectList.end(), { fingerprint, crashes });
     const json age = digest.configAge ? json(digest.configAge->count()) : json();
-    const json root { formatVersion, digest.instance, digest.incarnation, digest.sequence, digest.leaving, digest.configRevision, age,
-        digest.upstreamRevision, digest.members, std::move(loadList), std::move(partList), std::move(suspectList) };
+    const json root { formatVersion, digest.instance, digest.incarnation, digest.sequence, digest.leaving, digest.storeEra,
+        digest.configPosition.era, digest.configPosition.revision, age, digest.configVersion, digest.upstreamPosition.era, digest.upstreamPosition.revision, digest.members, std::move(loadList), std::move(partList), std::move(suspectList) };
     std::string bytes;
     json::to_cbor(root, bytes);
     return bytes;
--- a/processes/router_process.cpp
+++ b/processes/router_process.cpp
@@ -46,7 +46,7 @@
     // A read of the store whose answer has not arrived completely.
     struct store_call {
         store_kind kind = store_kind::upstreams;
-        int status = 0;
+        http_answer_head head;
         std::string body;
     };
 
@@ -70,7 +70,7 @@
         void refuse(const router::refuse_reply&);
         void startRead(const router::read_store&);
         void finishRead(call_id);
-        void reportRead(call_id, store_kind, int status, const std::string& body, const std::string& failure);
+        void reportFailedRead(call_id, store_kind, const std::string& reason);
         void onDatagram(const std::string& host, const std::string& bytes);
         void detectSuspension();
         http_client::handlers upstreamHandlers();
@@ -121,13 +121,13 @@
     http_client::handlers router_process::storeHandlers()
     {
         return {
-            .onHead = [this](call_id call, const http_answer_head& head) { m_storeCalls[call].status = head.status; },
+            .onHead = [this](call_id call, const http_answer_head& head) { m_storeCalls[call].head = head; },
             .onBody = [this](call_id call, std::string_view bytes) { m_storeCalls[call].body.append(bytes); },
             .onEnd = [this](call_id call) { finishRead(call); },
             .onFailed = [this](call_id call, const http_call_failure& failure) {
                 const auto kind = m_storeCalls[call].kind;
                 m_storeCalls.erase(call);
-                reportRead(call, kind, 0, {}, failure.reason); },
+                reportFailedRead(call, kind, failure.reason); },
             .onConnected = [this] { m_metrics.apply(count_metric { "kumquat_router_connections_total", { { "to", "store" } } }); },
         };
     }
@@ -299,21 +299,19 @@
             return;
         const auto completed = std::move(found->second);
         m_storeCalls.erase(found);
-        reportRead(call, completed.kind, completed.status, completed.body, {});
+        const auto era = platform::decodeEra(completed.head.headers);
+        if (const auto* unreadable = errorOf(era))
+            return reportFailedRead(call, completed.kind, unreadable->message);
+        if (completed.kind == store_kind::upstreams)
+            return post(router::upstreams_read { call, platform::decodeUpstreams(completed.head.status, completed.body), valueOf(era) });
+        post(router::config_read { call, platform::decodeConfigs(completed.head.status, completed.body), valueOf(era) });
     }
 
-    void router_process::reportRead(call_id call, store_kind kind, int status, const std::string& body, const std::string& failure)
+    void router_process::reportFailedRead(call_id call, store_kind kind, const std::string& reason)
     {
-        if (kind == store_kind::upstreams) {
-            router::upstreams_read read { call, store_read_failed { failure } };
-            if (failure.empty())
-                read.outcome = platform::decodeUpstreams(status, body);
-            return post(std::move(read));
-        }
-        router::config_read read { call, store_read_failed { failure } };
-        if (failure.empty())
-            read.outcome = platform::decodeConfigs(status, body);
-        post(std::move(read));
+        if (kind == store_kind::upstreams)
+            return post(router::upstreams_read { call, store_read_failed { reason }, std::nullopt });
+        post(router::config_read { call, store_read_failed { reason }, std::nullopt });
     }
 
     void router_process::execute(router::router_effect& effect)
--- a/servers/router/peer_group.cpp
+++ b/servers/router/peer_group.cpp
@@ -45,11 +45,13 @@
     sender.incarnation = digest.incarnation;
     sender.sequence = digest.sequence;
     sender.lastSeen = now;
-    sender.configRevision = digest.configRevision;
+    sender.storeEra = digest.storeEra;
+    sender.configPosition = digest.configPosition;
+    sender.configVersion = digest.configVersion;
     sender.configConfirmedAt.reset();
     if (digest.configAge)
         sender.configConfirmedAt = now - *digest.configAge - maxTransitTime;
-    sender.upstreamRevision = digest.upstreamRevision;
+    sender.upstreamPosition = digest.upstreamPosition;
     replaceLoads(sender, digest.loads);
     m_candidates.erase(address);
     for (const auto& member : digest.members) {
@@ -124,27 +126,40 @@
     return found == m_totalLoads.end() ? outstanding_load {} : found->second;
 }
 
-std::uint64_t peer_group::newestConfigRevision() const
+store_position peer_group::newestConfigPosition() const
 {
-    std::uint64_t newest = 0;
+    store_position newest;
     for (const auto& [instance, peer] : m_peers)
-        newest = std::max(newest, peer.configRevision);
+        newest = std::max(newest, peer.configPosition);
     return newest;
 }
 
-std::uint64_t peer_group::newestUpstreamRevision() const
+store_position peer_group::newestUpstreamPosition() const
+{
+    store_position newest;
+    for (const auto& [instance, peer] : m_peers)
+        newest = std::max(newest, peer.upstreamPosition);
+    return newest;
+}
+
+std::uint64_t peer_group::newestStoreEra() const
 {
     std::uint64_t newest = 0;
     for (const auto& [instance, peer] : m_peers)
-        newest = std::max(newest, peer.upstreamRevision);
+        newest = std::max(newest, peer.storeEra);
     return newest;
 }
 
-std::optional<instant> peer_group::confirmedAt(std::uint64_t configRevision) const
+bool peer_group::knowsLostConfig(store_position config, std::uint64_t version) const
+{
+    return std::any_of(m_peers.begin(), m_peers.end(), [&](const auto& item) { return item.second.configVersion > version && item.second.configPosition <= config; });
+}
+
+std::optional<instant> peer_group::confirmedAt(store_position config, std::uint64_t version) const
 {
     std::optional<instant> latest;
     for (const auto& [instance, peer] : m_peers) {
-        if (peer.configRevision == configRevision && peer.configConfirmedAt && (!latest || *peer.configConfirmedAt > *latest))
+        if (peer.configPosition == config && peer.configVersion == version && peer.configConfirmedAt && (!latest || *peer.configConfirmedAt > *latest))
             latest = peer.configConfirmedAt;
     }
     return latest;
--- a/servers/router/peer_group.h
+++ b/servers/router/peer_group.h
@@ -37,12 +37,18 @@
 
     // The sum of what the other routers have outstanding at an upstream, which is named by its key.
     outstanding_load loadOf(std::uint32_t upstream) const;
-    // The newest revision of the configuration that another router has read, or 0.
-    std::uint64_t newestConfigRevision() const;
-    // The newest revision of an upstream record that another router has read, or 0.
-    std::uint64_t newestUpstreamRevision() const;
-    // The latest time at which another router confirmed with the store that the revision was the newest one.
-    std::optional<instant> confirmedAt(std::uint64_t configRevision) const;
+    // The newest position at which another router has read the configuration.
+    store_position newestConfigPosition() const;
+    // The newest position of an upstream record that another router has read.
+    store_position newestUpstreamPosition() const;
+    // The newest era in which the store has answered another router.
+    std::uint64_t newestStoreEra() const;
+    // The latest time at which another router confirmed with the store that the configuration at the position, with that
+    // version, was the newest one.
+    std::optional<instant> confirmedAt(store_position config, std::uint64_t version) const;
+    // Another router has a newer version in force, although it has read no newer position: the store has lost that version
+    // in a restore.
+    bool knowsLostConfig(store_position config, std::uint64_t version) const;
     // The number of routers whose instance name sorts before the given one.
     std::size_t countSortedBefore(const std::string& instance) const;
 
@@ -52,9 +58,11 @@
         std::uint64_t incarnation = 0;
         std::uint64_t sequence = 0;
         instant lastSeen;
-        std::uint64_t configRevision = 0;
+        std::uint64_t storeEra = 0;
+        store_position configPosition;
+        std::uint64_t configVersion = 0;
         std::optional<instant> configConfirmedAt;
-        std::uint64_t upstreamRevision = 0;
+        store_position upstreamPosition;
         std::vector<outstanding_load> loads;
     };
 
--- a/servers/router/placement.cpp
+++ b/servers/router/placement.cpp
@@ -15,7 +15,7 @@
         std::vector<shared_upstream> eligible;
         std::vector<shared_upstream> healthy;
         for (const auto& item : request.upstreams) {
-            if (!item->acceptsRequests() || std::find(request.excluded.begin(), request.excluded.end(), item->record.id) != request.excluded.end())
+            if (!item->acceptsRequests(request.now) || std::find(request.excluded.begin(), request.excluded.end(), item->record.id) != request.excluded.end())
                 continue;
             eligible.push_back(item);
             if (item->backoffUntil <= request.now)
--- a/servers/router/router_answering.cpp
+++ b/servers/router/router_answering.cpp
@@ -49,7 +49,7 @@
     const auto& answer = started.answer;
     if (answer.wrongUpstream) {
         attempt.upstream->staleAddress = true;
-        log(log_level::warning, "upstream_misdirected", { { "upstream", attempt.upstream->record.id }, { "address", formatEndpoint(attempt.upstream->record.address) }, { "record", std::to_string(attempt.upstream->revision) } });
+        log(log_level::warning, "upstream_misdirected", { { "upstream", attempt.upstream->record.id }, { "address", formatEndpoint(attempt.upstream->record.address) }, { "record", toString(attempt.upstream->position) } });
     }
     if (answer.notRun || answer.wrongUpstream) {
         const auto number = attempt.number;
--- a/servers/router/router_event.h
+++ b/servers/router/router_event.h
@@ -9,6 +9,7 @@
 #include "core/upstream_record.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 
@@ -63,12 +64,16 @@
 struct upstreams_read {
     std::uint64_t read = 0;
     store_read_outcome<upstream_record> outcome;
+    // The era of the store that answered; absent if there was no answer or it named none.
+    std::optional<std::uint64_t> era;
 };
 
 // A read of the configuration has ended.
 struct config_read {
     std::uint64_t read = 0;
     store_read_outcome<shared_config> outcome;
+    // As in upstreams_read.
+    std::optional<std::uint64_t> era;
 };
 
 // Another router's digest has arrived from this address.
--- a/servers/router/router_peers.cpp
+++ b/servers/router/router_peers.cpp
@@ -26,6 +26,7 @@
         return;
     if (m_peers.count() != previousPeerCount)
         log(log_level::info, received.digest.leaving ? "peer_left" : "peer_heard", { { "peer", received.digest.instance }, { "address", received.address }, { "peers", std::to_string(m_peers.count()) } });
+    checkPeerEra();
     m_crashes.setPeerCounts(received.digest.instance, received.digest.suspects, m_now);
     for (const auto& part : received.digest.cachedParts) {
         if (const auto upstream = m_upstreams.findByKey(part.upstream))
@@ -42,6 +43,7 @@
     m_upstreamWatcher.resetAndRelist();
     m_configWatcher.resetAndRelist();
     m_confirmation = {};
+    m_confirmedBeforeRestore.reset();
 }
 
 std::int64_t router_reducer::engineKvCacheTokens(const std::string& service) const
@@ -80,12 +82,14 @@
     digest.incarnation = m_options.incarnation;
     digest.sequence = ++m_digestSequence;
     digest.leaving = m_terminating && m_requests.empty();
-    digest.configRevision = m_configRevision;
+    digest.storeEra = m_storeEra.value_or(0);
+    digest.configPosition = m_configPosition;
+    digest.configVersion = m_config ? m_config->version : 0;
     // Contains only what this router has confirmed with the store itself. Passing on the confirmations of others would let
     // routers confirm one another for ever.
     if (const auto confirmed = ownConfirmedAt())
         digest.configAge = std::chrono::ceil<std::chrono::milliseconds>(m_now - *confirmed);
-    digest.upstreamRevision = m_newestRecordRevision;
+    digest.upstreamPosition = m_newestRecordPosition;
     digest.members = m_peers.memberAddresses();
     for (const auto& item : m_upstreams.all()) {
         if (item->inFlight > 0)
@@ -100,13 +104,13 @@
 // failed silently.
 void router_reducer::detectStaleWatch()
 {
-    const bool behind = m_peers.newestConfigRevision() > m_configRevision || m_peers.newestUpstreamRevision() > m_newestRecordRevision;
+    const bool behind = m_peers.newestConfigPosition() > m_configPosition || m_peers.newestUpstreamPosition() > m_newestRecordPosition;
     if (!behind)
         m_behindPeersSince.reset();
     else if (!m_behindPeersSince)
         m_behindPeersSince = m_now;
     else if (m_now - *m_behindPeersSince > watchLagTolerance + recordBatchDelay() && m_upstreamsListed && m_config) {
-        log(log_level::warning, "watch_behind_peers", { { "config_revision", std::to_string(m_configRevision) }, { "peers_config", std::to_string(m_peers.newestConfigRevision()) }, { "record", std::to_string(m_newestRecordRevision) }, { "peers_record", std::to_string(m_peers.newestUpstreamRevision()) } });
+        log(log_level::warning, "watch_behind_peers", { { "config_revision", toString(m_configPosition) }, { "peers_config", toString(m_peers.newestConfigPosition()) }, { "record", toString(m_newestRecordPosition) }, { "peers_record", toString(m_peers.newestUpstreamPosition()) } });
         m_behindPeersSince.reset();
         cancelRead(store_kind::upstreams);
         cancelRead(store_kind::configuration);
@@ -121,22 +125,4 @@
     return std::clamp<duration>(batchDelayPerPeer * static_cast<int>(m_peers.count()), minRecordBatchDelay, maxRecordBatchDelay);
 }
 
-std::optional<instant> router_reducer::ownConfirmedAt() const
-{
-    const auto watched = m_configWatcher.confirmedAt();
-    if (!watched || !m_confirmation.confirmedAt)
-        return watched;
-    return std::max(*watched, *m_confirmation.confirmedAt);
-}
-
-std::optional<instant> router_reducer::configConfirmedAt() const
-{
-    const auto ownConfirmation = ownConfirmedAt();
-    const auto peerConfirmation = m_peers.confirmedAt(m_configRevision);
-    // Confirmations by other routers count only once this router has read the configuration itself.
-    if (!ownConfirmation || !peerConfirmation)
-        return ownConfirmation;
-    return std::max(*ownConfirmation, *peerConfirmation);
-}
-
 } // namespace kumquat::router
--- a/servers/router/router_reducer.cpp
+++ b/servers/router/router_reducer.cpp
@@ -98,7 +98,7 @@
 {
     const auto confirmed = configConfirmedAt();
     const auto maxAge = std::chrono::duration_cast<duration>(m_options.settings.revocationDeadline * keyFreshnessShare);
-    return confirmed && now - *confirmed < maxAge;
+    return confirmed && now - *confirmed < maxAge && configIsNewest();
 }
 
 retry_limiter_options router_reducer::retryOptions() const
--- a/servers/router/router_reducer.h
+++ b/servers/router/router_reducer.h
@@ -126,10 +126,22 @@
     // Abandons the read of that kind that is in progress, if there is one.
     void cancelRead(store_kind);
     void confirmConfig();
-    void acceptConfirmation(store_read_outcome<shared_config>&&);
+    void acceptConfirmation(config_read&&);
     std::optional<instant> ownConfirmedAt() const;
     void updateStoreHealth(const std::string& failure, bool wasHealthy);
 
+    // Restores of the store from an older copy.
+    // Follows the era that an answer of the store names. Returns false if the answer can't be used, because it is of another
+    // era than the reads before it.
+    bool followEra(std::optional<std::uint64_t> era);
+    void enterEra(std::uint64_t era);
+    // Reads the store again if another router has seen a newer era.
+    void checkPeerEra();
+    // Adds the era of the store to a revision that it gave out.
+    store_position positionOf(std::uint64_t revision) const { return { m_storeEra.value_or(0), revision }; }
+    // False if the store is known to have lost a configuration that is newer than the one in force.
+    bool configIsNewest() const;
+
     // Exchange of digests with the other routers.
     void exchangeDigests();
     router_digest makeDigest();
@@ -152,8 +164,8 @@
     std::vector<cached_prompt_part> m_recentCachedParts;
     std::uint64_t m_digestSequence = 0;
     instant m_digestSentAt;
-    // The newest revision of an upstream record that was read.
-    std::uint64_t m_newestRecordRevision = 0;
+    // The newest position of an upstream record that was read.
+    store_position m_newestRecordPosition;
     // Since when another router has had a newer configuration or newer records.
     std::optional<instant> m_behindPeersSince;
     // Separate reads of the configuration, which confirm that it is still the newest one.
@@ -166,7 +178,18 @@
     } m_confirmation;
     shared_config m_config;
     urgency_order m_urgencies;
-    std::uint64_t m_configRevision = 0;
+    // The newest position at which the configuration was read, and the version there. After a restore of the store the
+    // version may be older than the one in force.
+    store_position m_configPosition;
+    std::uint64_t m_storedConfigVersion = 0;
+    // The era in which the configuration in force was read.
+    std::uint64_t m_configEra = 0;
+    // The era that the store's answers named, or nothing while none has.
+    std::optional<std::uint64_t> m_storeEra;
+    // The newest era that other routers have reported.
+    std::uint64_t m_reportedEra = 0;
+    // The last confirmation of the configuration before the store was restored.
+    std::optional<instant> m_confirmedBeforeRestore;
     store_watcher<upstream_record> m_upstreamWatcher;
     store_watcher<shared_config> m_configWatcher;
     // The reads that are in progress, or 0.
--- a/servers/router/router_store.cpp
+++ b/servers/router/router_store.cpp
@@ -66,7 +66,7 @@
         log(log_level::warning, "store_lost", { { "reason", failure } });
     if (failure.empty() && !wasHealthy) {
         m_storeHealthySince = m_now;
-        log(log_level::info, "store_regained", { { "records", std::to_string(m_upstreamWatcher.revision()) }, { "config_revision", std::to_string(m_configWatcher.revision()) } });
+        log(log_level::info, "store_regained", { { "records", toString(positionOf(m_upstreamWatcher.revision())) }, { "config_revision", toString(positionOf(m_configWatcher.revision())) } });
     }
 }
 
@@ -76,6 +76,8 @@
         return;
     m_upstreamRead = 0;
     m_timers.cancel({ timer_kind::read_timeout, read.read });
+    if (!followEra(read.era))
+        return;
     const bool wasHealthy = m_upstreamWatcher.healthy();
     auto update = m_upstreamWatcher.onOutcome(std::move(read.outcome), m_now);
     updateStoreHealth(update.failure, wasHealthy);
@@ -85,11 +87,13 @@
 void router_reducer::on(config_read&& read)
 {
     if (read.read == m_confirmation.read && read.read != 0)
-        return acceptConfirmation(std::move(read.outcome));
+        return acceptConfirmation(std::move(read));
     if (read.read != m_configRead)
         return;
     m_configRead = 0;
     m_timers.cancel({ timer_kind::read_timeout, read.read });
+    if (!followEra(read.era))
+        return;
     const bool wasHealthy = m_configWatcher.healthy();
     auto update = m_configWatcher.onOutcome(std::move(read.outcome), m_now);
     updateStoreHealth(update.failure, wasHealthy);
@@ -112,13 +116,15 @@
     setTimer(timer_kind::read_timeout, m_confirmation.read, m_now + readTimeout);
 }
 
-void router_reducer::acceptConfirmation(store_read_outcome<shared_config>&& outcome)
+void router_reducer::acceptConfirmation(config_read&& read)
 {
     m_timers.cancel({ timer_kind::read_timeout, m_confirmation.read });
     m_confirmation.read = 0;
-    auto* page = std::get_if<store_page<shared_config>>(&outcome);
+    if (!followEra(read.era))
+        return;
+    auto* page = std::get_if<store_page<shared_config>>(&read.outcome);
     if (!page) {
-        const auto* failed = std::get_if<store_read_failed>(&outcome);
+        const auto* failed = std::get_if<store_read_failed>(&read.outcome);
         log(log_level::warning, "confirmation_failed", { { "reason", failed ? failed->reason : "the store did not answer with a list" }, { "config", std::to_string(m_config->version) } });
         m_confirmation.notBefore = m_now + confirmationBackoff;
         return;
@@ -132,17 +138,18 @@
     std::unordered_set<std::string> listedIds;
     for (auto& entry : update.entries) {
         listedIds.insert(entry.name);
-        m_newestRecordRevision = std::max(m_newestRecordRevision, entry.revision);
+        const auto position = positionOf(entry.revision);
+        m_newestRecordPosition = std::max(m_newestRecordPosition, position);
         const auto visitor = overloaded {
             [&](const upstream_record& record) {
-                const auto change = m_upstreams.put(record, entry.revision, m_now);
+                const auto change = m_upstreams.put(record, position, m_now);
                 if (change == table_change::none)
                     return;
                 static constexpr const char* changeNames[] = { "none", "added", "restarted", "leaving", "updated" };
-                log(log_level::info, "upstream_changed", { { "upstream", record.id }, { "change", changeNames[static_cast<int>(change)] }, { "service", record.service }, { "address", formatEndpoint(record.address) }, { "leaving", record.leaving ? "true" : "false" }, { "record", std::to_string(entry.revision) } });
+                log(log_level::info, "upstream_changed", { { "upstream", record.id }, { "change", changeNames[static_cast<int>(change)] }, { "service", record.service }, { "address", formatEndpoint(record.address) }, { "leaving", record.leaving ? "true" : "false" }, { "record", toString(position) } });
             },
             [&](const invalid_object& invalid) {
-                log(log_level::warning, "upstream_record_unusable", { { "upstream", entry.name }, { "reason", invalid.reason }, { "record", std::to_string(entry.revision) } });
+                log(log_level::warning, "upstream_record_unusable", { { "upstream", entry.name }, { "reason", invalid.reason }, { "record", toString(position) } });
                 removeUpstream(entry.name, "unusable");
             },
             [&](const removed_object&) { onRecordRemoved(entry.name); },
@@ -183,27 +190,35 @@
 
 void router_reducer::removeUpstream(const std::string& id, const char* cause)
 {
-    const auto removed = m_upstreams.remove(id);
+    const auto removed = m_upstreams.remove(id, m_now);
     if (!removed)
         return;
-    log(log_level::info, "upstream_removed", { { "upstream", id }, { "cause", cause }, { "in_flight", std::to_string(removed->inFlight) }, { "record", std::to_string(removed->revision) } });
+    log(log_level::info, "upstream_removed", { { "upstream", id }, { "cause", cause }, { "in_flight", std::to_string(removed->inFlight) }, { "record", toString(removed->position) } });
     emit(close_upstream_connections { removed->record.address });
 }
 
 void router_reducer::applyConfig(store_update<shared_config>&& update)
 {
     for (auto& entry : update.entries) {
+        const auto position = positionOf(entry.revision);
         if (const auto* invalid = std::get_if<invalid_object>(&entry.content)) {
-            log(log_level::error, "config_unusable", { { "object", entry.name }, { "reason", invalid->reason }, { "revision", std::to_string(entry.revision) } });
+            log(log_level::error, "config_unusable", { { "object", entry.name }, { "reason", invalid->reason }, { "revision", toString(position) } });
             continue;
         }
         auto* config = std::get_if<shared_config>(&entry.content);
-        if (!config || entry.revision <= m_configRevision)
+        if (!config || position <= m_configPosition)
             continue;
-        m_configRevision = entry.revision;
+        m_configPosition = position;
+        m_storedConfigVersion = (*config)->version;
+        // The copy from which a store was restored may be older than the configuration in force.
+        if (m_config && position.era != m_configEra && m_storedConfigVersion < m_config->version) {
+            log(log_level::warning, "config_outdated", { { "config", std::to_string(m_storedConfigVersion) }, { "revision", toString(position) }, { "in_force", std::to_string(m_config->version) } });
+            continue;
+        }
+        m_configEra = position.era;
         m_config = std::move(*config);
         m_urgencies = urgency_order(*m_config);
-        log(log_level::info, "config_adopted", { { "config", std::to_string(m_config->version) }, { "revision", std::to_string(entry.revision) }, { "routes", std::to_string(m_config->routeCount()) }, { "keys", std::to_string(m_config->keys.size()) } });
+        log(log_level::info, "config_adopted", { { "config", std::to_string(m_config->version) }, { "revision", toString(position) }, { "routes", std::to_string(m_config->routeCount()) }, { "keys", std::to_string(m_config->keys.size()) } });
         emit(apply_caller_limits { m_config->limits });
     }
 }
--- a/servers/router/store_watcher.h
+++ b/servers/router/store_watcher.h
@@ -73,6 +73,14 @@
         restartList();
     }
 
+    // Follows a store that was restored from an older copy: its revisions start anew, and the objects are listed again at the
+    // next read.
+    void restart()
+    {
+        resetAndRelist();
+        m_revision = 0;
+    }
+
     // The earliest time of the next read, or nothing while a read is in progress.
     std::optional<instant> nextReadAt() const
     {
@@ -94,7 +102,7 @@
     static constexpr auto maxBackoff = std::chrono::milliseconds(800);
     static constexpr int maxBackoffDoublings = 3;
 
-    store_update<Value> accept(store_page<Value>&& page, instant)
+    store_update<Value> accept(store_page<Value>&& page, instant now)
     {
         recordAnswer();
         std::move(page.entries.begin(), page.entries.end(), std::back_inserter(m_listedEntries));
@@ -108,6 +116,7 @@
         // A list with an older revision comes from a store that lags behind, and is discarded.
         if (page.revision < m_revision) {
             m_listedEntries.clear();
+            m_nextReadAt = now + initialBackoff;
             return {};
         }
         m_revision = page.revision;
--- a/servers/router/upstream_table.cpp
+++ b/servers/router/upstream_table.cpp
@@ -6,40 +6,83 @@
 
 namespace kumquat::router {
 
-table_change upstream_table::put(const upstream_record& record, std::uint64_t revision, instant now)
+namespace {
+
+    // How long a removed upstream is remembered. An upstream that has left may serve for this long after its removal.
+    constexpr auto removalRetention = std::chrono::seconds(30);
+
+    // Whether the record is of the same process at the same address, rather than of a successor.
+    bool isSameProcess(const upstream_record& left, const upstream_record& right)
+    {
+        return left.startedUnixMs == right.startedUnixMs && left.address == right.address && left.service == right.service;
+    }
+
+} // namespace
+
+table_change upstream_table::put(const upstream_record& record, store_position position, instant now)
 {
+    std::erase_if(m_removed, [now](const auto& item) { return now - item.second.removedAt > removalRetention; });
     const auto existing = find(record.id);
-    if (existing) {
-        existing->expiresAt.reset();
-        const bool restarted = existing->record.startedUnixMs != record.startedUnixMs || existing->record.address != record.address;
-        if (!restarted && existing->record.service == record.service) {
-            if (revision < existing->revision)
-                return table_change::none;
-            existing->revision = revision;
-            existing->readAt = now;
-            const bool changed = existing->record != record;
-            const bool startsLeaving = record.leaving && !existing->record.leaving;
-            existing->record = record;
-            if (startsLeaving)
-                return table_change::leaving;
-            return changed ? table_change::updated : table_change::none;
-        }
-        remove(record.id);
+    if (existing && isSameProcess(existing->record, record))
+        return update(*existing, record, position, now);
+    if (existing)
+        remove(record.id, now);
+    if (const auto returned = reinstate(record, position)) {
+        update(*returned, record, position, now);
+        return table_change::added;
     }
     auto added = std::make_shared<upstream_state>();
     added->record = record;
-    added->revision = revision;
+    added->position = position;
     added->readAt = now;
     added->key = static_cast<std::uint32_t>(hashBytes(record.id));
-    m_byId.emplace(record.id, added);
+    if (record.leaving)
+        added->leavingEra = position.era;
+    insert(std::move(added));
+    return existing ? table_change::restarted : table_change::added;
+}
+
+table_change upstream_table::update(upstream_state& existing, const upstream_record& record, store_position position, instant now)
+{
+    existing.expiresAt.reset();
+    if (position < existing.position)
+        return table_change::none;
+    existing.position = position;
+    existing.readAt = now;
+    const auto previous = existing.record;
+    existing.record = record;
+    if (record.leaving)
+        existing.leavingEra = position.era;
+    else if (existing.leavingEra && *existing.leavingEra != position.era)
+        existing.record.leaving = true;
+    if (existing.record.leaving && !previous.leaving)
+        return table_change::leaving;
+    return existing.record != previous ? table_change::updated : table_change::none;
+}
+
+shared_upstream upstream_table::reinstate(const upstream_record& record, store_position position)
+{
+    const auto found = m_removed.find(record.id);
+    if (found == m_removed.end() || !isSameProcess(found->second.upstream->record, record))
+        return nullptr;
+    const auto [upstream, removedAt] = found->second;
+    m_removed.erase(found);
+    if (position.era != upstream->position.era)
+        upstream->blockedUntil = std::max(upstream->blockedUntil, removedAt + removalRetention);
+    insert(upstream);
+    return upstream;
+}
+
+void upstream_table::insert(shared_upstream added)
+{
+    m_byId.emplace(added->record.id, added);
     m_byKey.insert_or_assign(added->key, added);
-    auto& serviceUpstreams = m_byService[record.service];
-    const auto position = std::lower_bound(serviceUpstreams.begin(), serviceUpstreams.end(), record.id, [](const shared_upstream& item, const std::string& id) { return item->record.id < id; });
+    auto& serviceUpstreams = m_byService[added->record.service];
+    const auto position = std::lower_bound(serviceUpstreams.begin(), serviceUpstreams.end(), added->record.id, [](const shared_upstream& item, const std::string& id) { return item->record.id < id; });
     serviceUpstreams.insert(position, std::move(added));
-    return existing ? table_change::restarted : table_change::added;
 }
 
-shared_upstream upstream_table::remove(const std::string& id)
+shared_upstream upstream_table::remove(const std::string& id, instant now)
 {
     const auto removed = find(id);
     if (!removed)
@@ -47,6 +90,7 @@
     m_byId.erase(id);
     m_byKey.erase(removed->key);
     std::erase(m_byService[removed->record.service], removed);
+    m_removed.insert_or_assign(id, removed_upstream { removed, now });
     return removed;
 }
 
--- a/servers/router/upstream_table.h
+++ b/servers/router/upstream_table.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/clock.h"
+#include "core/store_position.h"
 #include "core/upstream_record.h"
 #include "servers/router/prompt_cache_model.h"
 
@@ -18,8 +19,8 @@
     upstream_record record;
     // A hash of the id, by which digests refer to the upstream.
     std::uint32_t key = 0;
-    // The revision of the record in the store, and when this router read it.
-    std::uint64_t revision = 0;
+    // The position of the record in the store, and when this router read it.
+    store_position position;
     instant readAt;
     // This router's attempts there that have not ended.
     int inFlight = 0;
@@ -36,11 +37,16 @@
     instant backoffUntil;
     // Another upstream has answered at this address, so the record is out of date.
     bool staleAddress = false;
+    // The era of the store in which the record was last read as leaving. The record of a restored store may be older than
+    // the leaving, so a ready record counts only if it is of the same era.
+    std::optional<std::uint64_t> leavingEra;
+    // No attempt is started here before this time, even if all other upstreams are unavailable.
+    instant blockedUntil;
     // Set if the record expired during an outage of the store: the upstream is removed at this time unless the record has
     // returned.
     std::optional<instant> expiresAt;
 
-    bool acceptsRequests() const { return !record.leaving && !staleAddress; }
+    bool acceptsRequests(instant now) const { return !record.leaving && !staleAddress && blockedUntil <= now; }
 };
 
 using shared_upstream = std::shared_ptr<upstream_state>;
@@ -56,10 +62,12 @@
 class upstream_table {
 public:
     // Adds or updates an upstream. An upstream that has restarted, or changed its address or service, is replaced by a new
-    // one without load or history.
-    table_change put(const upstream_record&, std::uint64_t revision, instant now);
+    // one without load or history. One that was removed a short time ago and returns continues with its load and history;
+    // if the record comes from a restored store, it may be older than the removal, and the upstream stays blocked for a
+    // time.
+    table_change put(const upstream_record&, store_position, instant now);
     // Removes an upstream and returns it, or null if it is unknown.
-    shared_upstream remove(const std::string& id);
+    shared_upstream remove(const std::string& id, instant now);
     // Returns null if the id is unknown.
     shared_upstream find(const std::string& id) const;
     // Returns null if no id has that hash.
@@ -70,7 +78,18 @@
     std::size_t size() const { return m_byId.size(); }
 
 private:
+    struct removed_upstream {
+        shared_upstream upstream;
+        instant removedAt;
+    };
+
+    table_change update(upstream_state&, const upstream_record&, store_position, instant now);
+    // Adds an upstream again that was removed a short time ago. Returns null if there is none with the same start.
+    shared_upstream reinstate(const upstream_record&, store_position);
+    void insert(shared_upstream);
+
     std::unordered_map<std::string, shared_upstream> m_byId;
+    std::unordered_map<std::string, removed_upstream> m_removed;
     std::unordered_map<std::uint32_t, shared_upstream> m_byKey;
     std::unordered_map<std::string, std::vector<shared_upstream>> m_byService;
 };
--- a/tests/drivers/digest_codec_test.cpp
+++ b/tests/drivers/digest_codec_test.cpp
@@ -10,9 +10,11 @@
     digest.instance = "entry-1";
     digest.incarnation = 0xfedcba9876543210;
     digest.sequence = 7;
-    digest.configRevision = 41;
+    digest.storeEra = 3;
+    digest.configPosition = { 3, 41 };
     digest.configAge = std::chrono::milliseconds(120);
-    digest.upstreamRevision = 40;
+    digest.configVersion = 12;
+    digest.upstreamPosition = { 2, 40 };
     digest.members = { "10.0.0.1", "10.0.0.2" };
     digest.loads = { { 5, 1, 2, 3000 }, { 0xffffffff, 4, 0, 0 } };
     digest.cachedParts = { { 5, 0xabcdef0123456789, 13300 } };
@@ -22,6 +24,10 @@
     const auto& decodedDigest = valueOf(decoded);
     CHECK(decodedDigest.instance == digest.instance);
     CHECK(decodedDigest.incarnation == digest.incarnation);
+    CHECK(decodedDigest.storeEra == digest.storeEra);
+    CHECK(decodedDigest.configPosition == digest.configPosition);
+    CHECK(decodedDigest.configVersion == digest.configVersion);
+    CHECK(decodedDigest.upstreamPosition == digest.upstreamPosition);
     CHECK(decodedDigest.configAge == digest.configAge);
     CHECK(decodedDigest.members == digest.members);
     REQUIRE(decodedDigest.loads.size() == 2);
@@ -39,6 +45,6 @@
     auto bytes = encodeDigest({});
     for (std::size_t length = 0; length < bytes.size(); ++length)
         CHECK(errorOf(decodeDigest(bytes.substr(0, length))) != nullptr);
-    bytes[1] = 2;
+    bytes[1] = 3;
     CHECK(errorOf(decodeDigest(bytes)) != nullptr);
 }
--- a/tests/platform/store_codec_test.cpp
+++ b/tests/platform/store_codec_test.cpp
@@ -81,3 +81,11 @@
     REQUIRE(bad);
     CHECK(bad->reason.find("PathPrefix") != std::string::npos);
 }
+
+TEST_CASE("the store's era is read from its header; a malformed one is an error, a missing one is not", "[platform]")
+{
+    CHECK(valueOf(decodeEra({ { "store-era", "17" } })) == 17U);
+    CHECK_FALSE(valueOf(decodeEra({})).has_value());
+    for (const auto* text : { "", "x", "-1", "3 ", "1.5", "99999999999999999999" })
+        CHECK(errorOf(decodeEra({ { "Store-Era", text } })) != nullptr);
+}
--- a/tests/servers/router/crash_test.cpp
+++ b/tests/servers/router/crash_test.cpp
@@ -11,7 +11,8 @@
     router_digest digest;
     digest.instance = "entry-2";
     digest.sequence = sequence;
-    digest.configRevision = 5;
+    digest.configPosition.revision = 5;
+    digest.configVersion = 1;
     digest.configAge = milliseconds(0);
     return digest;
 }
--- a/tests/servers/router/peer_test.cpp
+++ b/tests/servers/router/peer_test.cpp
@@ -11,7 +11,8 @@
     digest.instance = instance;
     digest.incarnation = 1;
     digest.sequence = sequence;
-    digest.configRevision = 5;
+    digest.configPosition = { 0, 5 };
+    digest.configVersion = 1;
     return digest;
 }
 
@@ -79,7 +80,8 @@
     fixture.request(1, "/pay/x");
     CHECK(fixture.all<start_attempt>().size() == 1);
     auto newer = digestOf("entry-1", ++sequence);
-    newer.configRevision = 6;
+    newer.configPosition = { 0, 6 };
+    newer.configVersion = 2;
     newer.configAge = milliseconds(0);
     fixture.step(digest_received { "10.0.0.1", newer });
     fixture.request(2, "/pay/x");
@@ -91,7 +93,7 @@
     router_fixture fixture(withSeeds());
     fixture.start();
     auto digest = digestOf("entry-1", 1);
-    digest.upstreamRevision = 50;
+    digest.upstreamPosition = { 0, 50 };
     fixture.step(digest_received { "10.0.0.1", digest });
     int lists = 0;
     for (const auto& read : router_fixture::all<read_store>(fixture.advance(milliseconds(700))))
