Stop using an upstream at once when an answer says that it is leaving

Cause: a router learned that an upstream is leaving only from its record in the store, which may come late or never. Change: any answer of an upstream, of whatever status, may state that it is leaving. The mark survives new lists, changed records, removals and a restored store; a successor with another start time is free of it.

--- a/core/router_digest.h
+++ b/core/router_digest.h
@@ -31,6 +31,15 @@
     int tokens = 0;
 };
 
+// An upstream whose answer to a router stated that it is shutting down.
+struct leaving_upstream {
+    std::string id;
+    // As in upstream_record; a successor under the same id is not leaving.
+    std::int64_t startedUnixMs = 0;
+
+    bool operator==(const leaving_upstream&) const = default;
+};
+
 // State that each router sends to the other routers several times a second. The state is advisory, so a lost digest is
 // not sent again.
 struct router_digest {
@@ -56,6 +65,8 @@
     std::vector<outstanding_load> loads;
     // Prompt parts sent to upstreams since the previous digest.
     std::vector<cached_prompt_part> cachedParts;
+    // Upstreams whose answers to the router itself stated a short time ago that they are shutting down.
+    std::vector<leaving_upstream> leavingUpstreams;
     // Fingerprints of requests that were in progress when their upstream crashed, each with its number of crashes.
     std::vector<std::pair<std::uint64_t, int>> suspects;
 };
--- a/core/upstream_answer.h
+++ b/core/upstream_answer.h
@@ -16,6 +16,8 @@
     bool notRun = false;
     // The request reached another upstream than it was addressed to, which refused to run it.
     bool wrongUpstream = false;
+    // The upstream states that it is shutting down and accepts no new requests.
+    bool leaving = false;
 };
 
 } // namespace kumquat
--- a/drivers/cbor/digest_codec.cpp
+++ b/drivers/cbor/digest_codec.cpp
@@ -25,6 +25,7 @@
         loads,
         cached_parts,
         suspects,
+        leaving_upstreams,
         field_count };
 
     constexpr int formatVersion = 2;
@@ -32,6 +33,8 @@
     constexpr std::size_t numbersPerLoad = 4;
     constexpr std::size_t numbersPerPart = 3;
     constexpr std::size_t numbersPerSuspect = 2;
+    // A leaving upstream is encoded as its id and its start time.
+    constexpr std::size_t valuesPerLeavingUpstream = 2;
 
     router_digest decode(const json& root)
     {
@@ -56,6 +59,9 @@
         const auto& suspectList = root.at(suspects);
         for (std::size_t index = 0; index + numbersPerSuspect <= suspectList.size(); index += numbersPerSuspect)
             digest.suspects.emplace_back(suspectList[index].get<std::uint64_t>(), suspectList[index + 1].get<int>());
+        const auto& leavingList = root.at(leaving_upstreams);
+        for (std::size_t index = 0; index + valuesPerLeavingUpstream <= leavingList.size(); index += valuesPerLeavingUpstream)
+            digest.leavingUpstreams.push_back({ leavingList[index].get<std::string>(), leavingList[index + 1].get<std::int64_t>() });
         return digest;
     }
 
@@ -72,9 +78,12 @@
     json suspectList = json::array();
     for (const auto& [fingerprint, crashes] : digest.suspects)
         suspectList.insert(suspectList.end(), { fingerprint, crashes });
+    json leavingList = json::array();
+    for (const auto& upstream : digest.leavingUpstreams)
+        leavingList.insert(leavingList.end(), { upstream.id, upstream.startedUnixMs });
     const json age = digest.configAge ? json(digest.configAge->count()) : json();
     const json root { formatVersion, digest.instance, digest.incarnation, digest.sequence, digest.leaving, digest.storeEra,
-        digest.configPosition.era, digest.configPosition.revision, age, digest.configVersion, digest.upstreamPosition.era, digest.upstreamPosition.revision, digest.members, std::move(loadList), std::move(partList), std::move(suspectList) };
+        digest.configPosition.era, digest.configPosition.revision, age, digest.configVersion, digest.upstreamPosition.era, digest.upstreamPosition.revision, digest.members, std::move(loadList), std::move(partList), std::move(suspectList), std::move(leavingList) };
     std::string bytes;
     json::to_cbor(root, bytes);
     return bytes;
--- a/servers/router/router_peers.cpp
+++ b/servers/router/router_peers.cpp
@@ -28,6 +28,11 @@
         log(log_level::info, received.digest.leaving ? "peer_left" : "peer_heard", { { "peer", received.digest.instance }, { "address", received.address }, { "peers", std::to_string(m_peers.count()) } });
     checkPeerEra();
     m_crashes.setPeerCounts(received.digest.instance, received.digest.suspects, m_now);
+    for (const auto& leaving : received.digest.leavingUpstreams) {
+        const auto upstream = m_upstreams.find(leaving.id);
+        if (upstream && upstream->record.startedUnixMs == leaving.startedUnixMs && !upstream->announcedLeaving)
+            markLeaving(*upstream, received.digest.instance);
+    }
     for (const auto& part : received.digest.cachedParts) {
         if (const auto upstream = m_upstreams.findByKey(part.upstream))
             upstream->promptCache.recordPart({ part.part, part.tokens }, engineKvCacheTokens(upstream->record.service));
@@ -96,6 +101,7 @@
             digest.loads.push_back({ item->key, item->inFlight, item->streams, static_cast<int>(item->uncachedPromptTokens) });
     }
     digest.suspects = m_crashes.ownCounts(m_now);
+    digest.leavingUpstreams = recentLeavingUpstreams();
     digest.cachedParts = std::exchange(m_recentCachedParts, {});
     return digest;
 }
--- a/servers/router/router_reducer.h
+++ b/servers/router/router_reducer.h
@@ -105,6 +105,11 @@
     void cancelAttempts(request_progress&);
     request_progress* findByAttempt(attempt_number);
 
+    // What upstreams state about themselves in their answers.
+    void acceptStatements(upstream_state&, const upstream_answer&);
+    void markLeaving(upstream_state&, const std::string& statedTo);
+    std::vector<leaving_upstream> recentLeavingUpstreams();
+
     // Answers to callers.
     void onStreamHead(request_progress&, active_attempt&);
     void onCompleteAnswer(request_progress&, attempt_number);
@@ -162,6 +167,8 @@
     crash_tracker m_crashes;
     // Prompt parts that were sent to upstreams since the last digest.
     std::vector<cached_prompt_part> m_recentCachedParts;
+    // Upstreams that have stated to this router that they are leaving, with the time until which digests tell so.
+    std::vector<std::pair<leaving_upstream, instant>> m_leavingUpstreams;
     std::uint64_t m_digestSequence = 0;
     instant m_digestSentAt;
     // The newest position of an upstream record that was read.
--- a/servers/router/upstream_table.cpp
+++ b/servers/router/upstream_table.cpp
@@ -38,6 +38,7 @@
     added->key = static_cast<std::uint32_t>(hashBytes(record.id));
     if (record.leaving)
         added->leavingEra = position.era;
+    inheritStatements(*added);
     insert(std::move(added));
     return existing ? table_change::restarted : table_change::added;
 }
@@ -73,6 +74,16 @@
     return upstream;
 }
 
+void upstream_table::inheritStatements(upstream_state& added) const
+{
+    const auto found = m_removed.find(added.record.id);
+    if (found == m_removed.end())
+        return;
+    const auto& predecessor = *found->second.upstream;
+    const bool hasSameStart = added.record.startedUnixMs != 0 && added.record.startedUnixMs == predecessor.record.startedUnixMs;
+    added.announcedLeaving = hasSameStart && predecessor.announcedLeaving;
+}
+
 void upstream_table::insert(shared_upstream added)
 {
     m_byId.emplace(added->record.id, added);
--- a/servers/router/upstream_table.h
+++ b/servers/router/upstream_table.h
@@ -33,6 +33,9 @@
     std::vector<std::pair<std::uint64_t, instant>> recentFailures;
     // Consecutive attempts that failed without an answer.
     int consecutiveFailures = 0;
+    // The upstream has stated in an answer, to this or another router, that it is shutting down. Only a successor with another
+    // start time accepts requests again.
+    bool announcedLeaving = false;
     // No attempt is started here before this time, unless all upstreams of the service are in back-off.
     instant backoffUntil;
     // Another upstream has answered at this address, so the record is out of date.
@@ -46,7 +49,7 @@
     // returned.
     std::optional<instant> expiresAt;
 
-    bool acceptsRequests(instant now) const { return !record.leaving && !staleAddress && blockedUntil <= now; }
+    bool acceptsRequests(instant now) const { return !record.leaving && !announcedLeaving && !staleAddress && blockedUntil <= now; }
 };
 
 using shared_upstream = std::shared_ptr<upstream_state>;
@@ -86,6 +89,8 @@
     table_change update(upstream_state&, const upstream_record&, store_position, instant now);
     // Adds an upstream again that was removed a short time ago. Returns null if there is none with the same start.
     shared_upstream reinstate(const upstream_record&, store_position);
+    // Passes on what an upstream has stated to its new entry, if that has another address or service but the same start.
+    void inheritStatements(upstream_state&) const;
     void insert(shared_upstream);
 
     std::unordered_map<std::string, shared_upstream> m_byId;
--- a/tests/drivers/digest_codec_test.cpp
+++ b/tests/drivers/digest_codec_test.cpp
@@ -19,6 +19,7 @@
     digest.loads = { { 5, 1, 2, 3000 }, { 0xffffffff, 4, 0, 0 } };
     digest.cachedParts = { { 5, 0xabcdef0123456789, 13300 } };
     digest.suspects = { { 99, 2 } };
+    digest.leavingUpstreams = { { "llm-1", 1765000000000 } };
     const auto decoded = decodeDigest(encodeDigest(digest));
     REQUIRE(errorOf(decoded) == nullptr);
     const auto& decodedDigest = valueOf(decoded);
@@ -36,6 +37,7 @@
     REQUIRE(decodedDigest.cachedParts.size() == 1);
     CHECK(decodedDigest.cachedParts[0].part == 0xabcdef0123456789);
     CHECK(decodedDigest.suspects == digest.suspects);
+    CHECK(decodedDigest.leavingUpstreams == digest.leavingUpstreams);
 }
 
 TEST_CASE("garbage, truncated digests and other versions do not decode", "[peers]")
--- a/tests/platform/wire_names_test.cpp
+++ b/tests/platform/wire_names_test.cpp
@@ -30,7 +30,7 @@
 // Names of the platform's interface that mean nothing else, so that an occurrence is a use of the interface.
 constexpr const char* wireNames[] = { "X-Attempt-Id", "X-Deadline-Ms", "X-Prompt-Prefix", "X-Response-Seal", "X-Tenant-Id", "X-Expect-Instance", "X-Not-Executed",
     "X-Token-Usage", "X-Request-Priority", "KUMQUATSPRING_SETTINGS", "PathPrefix", "TimeoutMs", "SloMs", "MaxAttempts", "ApiKeys", "ColdLeftMs", "HeartbeatMs",
-    "RevokeMs", "RetrySlack", "InternalPorts", "NodeName", "KvCapacity", "HasMore", "DeletionPending", "/objects/servers", "non_idempotent" };
+    "RevokeMs", "RetrySlack", "InternalPorts", "NodeName", "KvCapacity", "HasMore", "DeletionPending", "/objects/servers", "non_idempotent", "Store-Era", "Server-Leaving" };
 
 constexpr const char* productFolders[] = { "core", "servers", "drivers", "processes", "main" };
 
