Restore the soak's store from older copies, and let its workers announce leaving and pauses

Cause: the soak's store never went back, its workers never said that they leave or want a pause. Change: every fifth seed from 3 on restores the store from copies two to five seconds old, with the rewriting up to 1.3 s later; a worker states only in its answers that it is leaving; workers ask for pauses. Checked in those seeds: no request of a router reaches a leaving worker three seconds after its first such answer, at most two reach a paused one. Found by it and mended, each with a case in store_restore_test: a restored copy that has the record of an upstream's predecessor replaced the successor, and forgot its pause; a leaving that was taken back returned with the next era.

--- a/servers/router/upstream_table.cpp
+++ b/servers/router/upstream_table.cpp
@@ -17,6 +17,12 @@
         return left.startedUnixMs == right.startedUnixMs && left.address == right.address && left.service == right.service;
     }
 
+    // Whether the record is of an earlier process than the known one and comes from the older copy of a restored store.
+    bool isOutdatedByRestore(const upstream_record& record, store_position position, const upstream_state& known)
+    {
+        return position.era != known.position.era && record.startedUnixMs < known.record.startedUnixMs;
+    }
+
 } // namespace
 
 table_change upstream_table::put(const upstream_record& record, store_position position, instant now)
@@ -25,6 +31,10 @@
     const auto existing = find(record.id);
     if (existing && isSameProcess(existing->record, record))
         return update(*existing, record, position, now);
+    if (existing && isOutdatedByRestore(record, position, *existing)) {
+        existing->expiresAt.reset();
+        return table_change::none;
+    }
     if (existing)
         remove(record.id, now);
     if (const auto returned = reinstate(record, position)) {
@@ -38,7 +48,7 @@
     added->key = static_cast<std::uint32_t>(hashBytes(record.id));
     if (record.leaving)
         added->leavingEra = position.era;
-    inheritStatements(*added);
+    inheritFromRemoved(*added);
     insert(std::move(added));
     return existing ? table_change::restarted : table_change::added;
 }
@@ -54,7 +64,9 @@
     existing.record = record;
     if (record.leaving)
         existing.leavingEra = position.era;
-    else if (existing.leavingEra && *existing.leavingEra != position.era)
+    else if (existing.leavingEra == position.era)
+        existing.leavingEra.reset();
+    else if (existing.leavingEra)
         existing.record.leaving = true;
     if (existing.record.leaving && !previous.leaving)
         return table_change::leaving;
@@ -74,12 +86,14 @@
     return upstream;
 }
 
-void upstream_table::inheritStatements(upstream_state& added) const
+void upstream_table::inheritFromRemoved(upstream_state& added) const
 {
     const auto found = m_removed.find(added.record.id);
     if (found == m_removed.end())
         return;
     const auto& predecessor = *found->second.upstream;
+    if (isOutdatedByRestore(added.record, added.position, predecessor))
+        added.blockedUntil = found->second.removedAt + removalRetention;
     const bool hasSameStart = added.record.startedUnixMs != 0 && added.record.startedUnixMs == predecessor.record.startedUnixMs;
     if (!hasSameStart)
         return;
--- a/servers/router/upstream_table.h
+++ b/servers/router/upstream_table.h
@@ -90,8 +90,9 @@
     table_change update(upstream_state&, const upstream_record&, store_position, instant now);
     // Adds an upstream again that was removed a short time ago. Returns null if there is none with the same start.
     shared_upstream reinstate(const upstream_record&, store_position);
-    // Passes on what an upstream has stated to its new entry, if that has another address or service but the same start.
-    void inheritStatements(upstream_state&) const;
+    // Passes on to a new entry what the one that was removed under its id has stated, if that has another address or service
+    // but the same start. Blocks the new entry if it is older than the removed one.
+    void inheritFromRemoved(upstream_state&) const;
     void insert(shared_upstream);
 
     std::unordered_map<std::string, shared_upstream> m_byId;
--- a/tests/process/router_soak_test.sh
+++ b/tests/process/router_soak_test.sh
@@ -2,7 +2,9 @@
 # A randomized fault soak of real routers. Determined by a seed, signals kill, terminate, suspend and reload them, a proxy
 # delays, blocks, resets and refuses their connections to the store and to workers, and store, workers and configuration
 # change, while callers and workers check that no guarantee is violated. Every fifth seed has planned work only: routers are
-# terminated and reloaded, no fault is injected, and no request may be cut off.
+# terminated and reloaded, no fault is injected, and no request may be cut off. In every fifth seed from 3 on, routers are only
+# suspended and reloaded and links are sound, while the store is restored from older copies and workers state in their answers that
+# they are leaving or busy.
 # SOAK_SEEDS lists the seeds, SOAK_SECONDS is the duration of each, SOAK_KEEP a folder for the logs of seeds that failed.
 cd "$(dirname "$0")/../.." || exit 1
 . tests/process/lib.sh
@@ -25,12 +27,13 @@
 
 start_router() { start "router-$1" "$bin/kumquat-router" --settings "$work/router-$1.json"; }
 
-# inject_fault KIND: sends a random signal to a random router, and restarts the routers that have exited. KIND is all, or
-# planned for signals that an operator sends.
+# inject_fault KIND: sends a random signal to a random router, and restarts the routers that have exited. KIND is all, planned
+# for signals that an operator sends, or restores for signals that no router exits on.
 inject_fault() {
     local router=$((RANDOM % routers)) pid signal=$((RANDOM % 5))
     pid=$(pid_of "router-$router")
     [ "$1" = planned ] && signal=$((signal % 2 * 3 + 1))
+    [ "$1" = restores ] && signal=$((signal % 2 + 3))
     case $signal in
     0) kill -KILL "$pid" 2>/dev/null ;;
     1 | 2) kill -TERM "$pid" 2>/dev/null ;;
@@ -57,6 +60,9 @@
     if [ $(($1 % 5)) -eq 0 ]; then
         kind=planned
         proxy_seed=0
+    elif [ $(($1 % 5)) -eq 3 ]; then
+        kind=restores
+        proxy_seed=0
     fi
     for number in $(seq 0 $((routers - 1))); do
         write_settings "$number"
@@ -87,7 +93,7 @@
 }
 
 # Seeds 15, 25, 30 and 35 have shown a fault: a router with a grace time of 3 s accepted requests that it then cut off.
-for seed in ${SOAK_SEEDS:-1 2 15}; do
+for seed in ${SOAK_SEEDS:-1 2 3 15}; do
     check "soak with seed $seed violates no guarantee" run_soak "$seed"
 done
 summary
--- a/tests/servers/router/store_restore_test.cpp
+++ b/tests/servers/router/store_restore_test.cpp
@@ -201,6 +201,46 @@
     CHECK(acceptsApp(fixture, 2, "key-a"));
 }
 
+TEST_CASE("the record of a predecessor in a restored store does not replace its successor", "[restore]")
+{
+    router_fixture fixture;
+    restorable_store store { fixture };
+    auto successor = app("app-1");
+    successor.startedUnixMs = 2;
+    store.listConfig(1, 100);
+    store.listUpstreams({ successor }, 100);
+    const auto known = fixture.reducer.upstreams().find("app-1");
+    store.restore();
+    store.listConfig(1, 80);
+    store.listUpstreams({ app("app-1") }, 80);
+    CHECK(fixture.reducer.upstreams().find("app-1") == known);
+    store.changeUpstream(successor, 81);
+    CHECK(fixture.reducer.upstreams().find("app-1") == known);
+
+    fixture.advance(seconds(3));
+    store.removeUpstream("app-1", 82);
+    fixture.advance(milliseconds(100));
+    store.restore();
+    store.listConfig(1, 80);
+    store.listUpstreams({ app("app-1") }, 80);
+    CHECK_FALSE(acceptsApp(fixture, 1, "key-a"));
+}
+
+TEST_CASE("an upstream that took back its leaving before a restore is used after it", "[restore]")
+{
+    router_fixture fixture;
+    restorable_store store { fixture };
+    store.listConfig(1, 100);
+    store.listUpstreams({ app("app-1", true) }, 100);
+    store.changeUpstream(app("app-1"), 101);
+    CHECK(acceptsApp(fixture, 1, "key-a"));
+    fixture.advance(milliseconds(100));
+    store.restore();
+    store.listConfig(1, 80);
+    store.listUpstreams({ app("app-1") }, 80);
+    CHECK(acceptsApp(fixture, 2, "key-a"));
+}
+
 TEST_CASE("an upstream that was removed before a restore is not used when the restored store still lists it", "[restore]")
 {
     router_fixture fixture;
--- a/tests/soak/router_world_main.cpp
+++ b/tests/soak/router_world_main.cpp
@@ -22,6 +22,8 @@
 constexpr auto revocationDeadline = milliseconds(5000);
 constexpr auto configDeadline = milliseconds(2000);
 constexpr auto drainDeadline = milliseconds(2000);
+// A router that is suspended when a worker states that it is leaving learns of it this much later.
+constexpr auto maxSuspension = milliseconds(1000);
 // No injected fault separates a router from the store for longer.
 constexpr auto maxStaleness = milliseconds(12000);
 
@@ -33,6 +35,9 @@
     seconds duration { 0 };
     // Routers are only terminated and reloaded, as an operator does, and no fault is injected. No request may then be cut off.
     bool plannedWorkOnly = false;
+    // The store is restored from older copies, and workers state only in their answers that they are leaving. Routers run on,
+    // so that each one keeps what it knows.
+    bool restoresStore = false;
     std::vector<int> routers;
 };
 
@@ -85,6 +90,7 @@
         auto& client = m_clients[port];
         if (!client || m_random() % 8 == 0)
             client = connect(port);
+        m_record.recordRouter(id, port);
         const auto path = "/" + kind + "/x";
         const auto headers = requestHeaders(id, "key");
         checkResult(kind, id, kind == "once" ? client->Post(path, headers, id, "text/plain") : client->Get(path, headers));
@@ -144,6 +150,8 @@
                 m_store.injectFaults();
             if (action == 2)
                 toggleDraining();
+            if (m_options.restoresStore)
+                restoreStore(action == 3);
             for (const int router : m_options.routers)
                 probeRouter(router);
             std::this_thread::sleep_for(milliseconds(100 + m_random() % 200));
@@ -151,9 +159,27 @@
     }
 
 private:
+    // Restores the store if requested, unless the last restore has not been followed by the rewriting yet.
+    void restoreStore(bool isRequested)
+    {
+        if (m_rewriteAt && steady::now() >= *m_rewriteAt) {
+            m_store.rewrite();
+            m_rewriteAt.reset();
+        } else if (isRequested && !m_rewriteAt && m_store.restore()) {
+            m_rewriteAt = steady::now() + milliseconds(300 + m_random() % 1000);
+        }
+    }
+
     void toggleDraining()
     {
         m_isDraining = !m_isDraining;
+        if (m_options.restoresStore) {
+            m_drainingWorker.setLeaving(m_isDraining, drainDeadline + maxSuspension);
+            // The worker returns as its own successor, without its record having told of the leaving.
+            if (!m_isDraining)
+                m_store.restart(0);
+            return;
+        }
         m_store.setDraining(0, m_isDraining);
         const bool mustStopRequests = m_isDraining && m_options.plannedWorkOnly;
         m_drainingWorker.expectNoRequestsAfter(mustStopRequests ? std::optional(steady::now() + drainDeadline) : std::nullopt);
@@ -210,6 +236,8 @@
     std::mt19937 m_random;
     int m_probeCount = 0;
     bool m_isDraining = false;
+    // When the operator and the workers write again what the last restore has lost.
+    std::optional<steady::time_point> m_rewriteAt;
     std::map<int, int> m_newestSeenVersion;
     std::map<int, std::unique_ptr<httplib::Client>> m_clients;
 };
@@ -231,7 +259,7 @@
     std::vector<std::unique_ptr<soak_worker>> workers;
     workers.reserve(workerCount);
     for (int number = 0; number < workerCount; ++number)
-        workers.push_back(std::make_unique<soak_worker>(soak_worker::options { .number = number, .port = options.workerPort + number, .seed = options.seed + 1000 + static_cast<unsigned>(number), .injectsFaults = !options.plannedWorkOnly }, record));
+        workers.push_back(std::make_unique<soak_worker>(soak_worker::options { .number = number, .port = options.workerPort + number, .seed = options.seed + 1000 + static_cast<unsigned>(number), .injectsFaults = !options.plannedWorkOnly, .checksPauses = options.restoresStore }, record));
     std::this_thread::sleep_for(seconds(1));
     std::vector<std::thread> threads;
     threads.reserve(callerCount + 2);
@@ -256,11 +284,11 @@
 } // namespace
 
 // Arguments: store port, first worker port, first worker port in the worker records, seed, seconds,
-// all or planned (kinds of faults), router ports.
+// all, planned or restores (kinds of faults), router ports.
 int main(int argumentCount, char** arguments)
 {
     if (argumentCount < 8) {
-        std::cerr << "usage: soak-router-world STORE_PORT WORKER_PORT ADVERTISED_WORKER_PORT SEED SECONDS all|planned ROUTER_PORT...\n";
+        std::cerr << "usage: soak-router-world STORE_PORT WORKER_PORT ADVERTISED_WORKER_PORT SEED SECONDS all|planned|restores ROUTER_PORT...\n";
         return 2;
     }
     soak_options options;
@@ -270,6 +298,7 @@
     options.seed = static_cast<unsigned>(std::atoi(arguments[4]));
     options.duration = seconds(std::atoi(arguments[5]));
     options.plannedWorkOnly = std::string(arguments[6]) == "planned";
+    options.restoresStore = std::string(arguments[6]) == "restores";
     for (int index = 7; index < argumentCount; ++index)
         options.routers.push_back(std::atoi(arguments[index]));
     return runSoak(options);
--- a/tests/soak/soak_record.h
+++ b/tests/soak/soak_record.h
@@ -24,6 +24,21 @@
         return found == m_executions.end() ? 0 : found->second;
     }
 
+    // Records through which router a caller sent a request.
+    void recordRouter(const std::string& id, int router)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_routers[id] = router;
+    }
+
+    // Returns 0 if no caller has sent the request.
+    int routerOf(const std::string& id)
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto found = m_routers.find(id);
+        return found == m_routers.end() ? 0 : found->second;
+    }
+
     // Records an answer which guarantees that the request was not executed and will not be.
     void recordRefusal(const std::string& id)
     {
@@ -56,6 +71,7 @@
 private:
     std::mutex m_mutex;
     std::map<std::string, int> m_executions;
+    std::map<std::string, int> m_routers;
     std::vector<std::string> m_refusedIds;
     std::atomic<int> m_violationCount { 0 };
 };
--- a/tests/soak/soak_store.h
+++ b/tests/soak/soak_store.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 #include <condition_variable>
 #include <cstdlib>
@@ -16,7 +17,8 @@
 
 // Stands in for the platform's store: it contains the worker records and a configuration that is published in successive
 // versions. Version N has the route /vN/ and the keys key-N and key-(N-1), so that answers show which version a router has in
-// force. With injectsFaults it delays or refuses reads or discards its watch history, determined by the seed.
+// force. With injectsFaults it delays or refuses reads or discards its watch history, determined by the seed. It can be
+// restored from an older copy of itself.
 class soak_store {
 public:
     using clock = std::chrono::steady_clock;
@@ -36,7 +38,7 @@
         , m_random(storeOptions.seed)
     {
         for (int number = 0; number < storeOptions.workers; ++number)
-            put("servers", "w" + std::to_string(number), workerSpec(number, false));
+            setDraining(number, false);
         publish();
         m_server.new_task_queue = [] { return new httplib::ThreadPool(serverThreads); };
         m_server.Get(R"(/objects/(\w+))", [this](const httplib::Request& request, httplib::Response& response) { serve(request, response); });
@@ -83,7 +85,49 @@
         return found == m_publishedAt.end() ? clock::duration {} : clock::now() - found->second;
     }
 
-    void setDraining(int worker, bool isDraining) { put("servers", "w" + std::to_string(worker), workerSpec(worker, isDraining)); }
+    // Writes a worker's record. A worker that is ready again after it was draining has restarted.
+    void setDraining(int worker, bool isDraining)
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_workers[worker].isDraining && !isDraining)
+            ++m_workers[worker].starts;
+        m_workers[worker].isDraining = isDraining;
+        putLocked("servers", "w" + std::to_string(worker), workerSpec(worker));
+    }
+
+    // Writes the record of a worker that has restarted.
+    void restart(int worker)
+    {
+        const std::lock_guard lock(m_mutex);
+        ++m_workers[worker].starts;
+        putLocked("servers", "w" + std::to_string(worker), workerSpec(worker));
+    }
+
+    // Replaces the state by the newest copy that is older than minCopyAge. Returns false if there is none yet.
+    bool restore()
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto isOldEnough = [](const copy& item) { return clock::now() - item.madeAt > minCopyAge; };
+        const auto newest = std::find_if(m_copies.rbegin(), m_copies.rend(), isOldEnough);
+        if (newest == m_copies.rend())
+            return false;
+        m_objects = newest->objects;
+        m_revision = newest->revision;
+        ++m_era;
+        m_history.clear();
+        m_historyStart = m_revision;
+        m_changed.notify_all();
+        return true;
+    }
+
+    // The operator and the workers write again what a restore may have lost.
+    void rewrite()
+    {
+        const std::lock_guard lock(m_mutex);
+        putLocked("config", "main", configSpec(m_version));
+        for (int number = 0; number < m_options.workers; ++number)
+            putLocked("servers", "w" + std::to_string(number), workerSpec(number));
+    }
 
     // Randomly selects whether the store refuses and delays reads until the next call, and whether it discards its history.
     void injectFaults()
@@ -103,15 +147,30 @@
     static constexpr int serverThreads = 64;
     static constexpr auto maxWatchDuration = std::chrono::milliseconds(500);
 
+    static constexpr auto minCopyAge = std::chrono::seconds(2);
+    static constexpr auto maxCopyAge = std::chrono::seconds(5);
+
+    struct worker_state {
+        bool isDraining = false;
+        int starts = 1;
+    };
+
+    struct copy {
+        clock::time_point madeAt;
+        int revision = 0;
+        std::map<std::string, std::map<std::string, json>> objects;
+    };
+
     struct change {
         std::string kind;
         int revision = 0;
         json object;
     };
 
-    json workerSpec(int number, bool isDraining) const
+    json workerSpec(int number)
     {
-        return { { "Service", "app" }, { "Address", "127.0.0.1:" + std::to_string(m_options.workerPort + number) }, { "Zone", "z" }, { "Slots", 16 }, { "State", isDraining ? "draining" : "ready" }, { "born", 1 } };
+        const auto [isDraining, starts] = m_workers[number];
+        return { { "Service", "app" }, { "Address", "127.0.0.1:" + std::to_string(m_options.workerPort + number) }, { "Zone", "z" }, { "Slots", 16 }, { "State", isDraining ? "draining" : "ready" }, { "born", starts } };
     }
 
     json configSpec(int version) const
@@ -124,12 +183,6 @@
         return { { "Version", version }, { "Routes", routes }, { "Services", json::array({ { { "Name", "app" }, { "MaxConns", 100 } } }) }, { "Tenants", tenants } };
     }
 
-    void put(const std::string& kind, const std::string& name, const json& spec)
-    {
-        const std::lock_guard lock(m_mutex);
-        putLocked(kind, name, spec);
-    }
-
     void putLocked(const std::string& kind, const std::string& name, const json& spec)
     {
         ++m_revision;
@@ -138,6 +191,9 @@
         if (m_history.empty())
             m_historyStart = m_revision - 1;
         m_history.push_back({ kind, m_revision, object });
+        const auto now = clock::now();
+        m_copies.push_back({ now, m_revision, m_objects });
+        std::erase_if(m_copies, [now](const copy& item) { return now - item.madeAt > maxCopyAge; });
         m_changed.notify_all();
     }
 
@@ -145,6 +201,7 @@
     {
         std::unique_lock lock(m_mutex);
         const auto responseDelay = m_maxResponseDelay.count() == 0 ? m_maxResponseDelay : std::chrono::milliseconds(m_random() % static_cast<unsigned>(m_maxResponseDelay.count()));
+        response.set_header("Store-Era", std::to_string(m_era));
         read(request, response, lock);
         lock.unlock();
         // The delay follows the read, so that answers are out of date when they arrive and may arrive out of order.
@@ -169,6 +226,8 @@
     void watch(const std::string& kind, int afterRevision, std::unique_lock<std::mutex>& lock, httplib::Response& response)
     {
         json events = json::array();
+        const int eraAtStart = m_era;
+        const auto isLost = [&] { return m_era != eraAtStart || afterRevision < m_historyStart || afterRevision > m_revision || (m_history.empty() && afterRevision < m_revision); };
         const auto collect = [&] {
             for (const auto& item : m_history) {
                 if (item.kind == kind && item.revision > afterRevision)
@@ -176,8 +235,8 @@
             }
             return !events.empty();
         };
-        m_changed.wait_for(lock, maxWatchDuration, [&] { return afterRevision < m_historyStart || (m_history.empty() && afterRevision < m_revision) || collect(); });
-        if (afterRevision < m_historyStart || (m_history.empty() && afterRevision < m_revision)) {
+        m_changed.wait_for(lock, maxWatchDuration, [&] { return isLost() || collect(); });
+        if (isLost()) {
             response.status = 410;
             return;
         }
@@ -193,6 +252,10 @@
     // The history contains every change after this revision.
     int m_historyStart = 0;
     int m_revision = 0;
+    // Rises with each restore.
+    int m_era = 1;
+    std::vector<copy> m_copies;
+    std::map<int, worker_state> m_workers;
     int m_version = 0;
     std::map<int, clock::time_point> m_publishedAt;
     bool m_refusesReads = false;
--- a/tests/soak/soak_worker.h
+++ b/tests/soak/soak_worker.h
@@ -5,6 +5,7 @@
 #include <atomic>
 #include <chrono>
 #include <httplib.h>
+#include <map>
 #include <mutex>
 #include <optional>
 #include <random>
@@ -34,11 +35,14 @@
         int port = 0;
         unsigned seed = 0;
         bool injectsFaults = false;
+        // Whether routers that send requests during a pause that the worker asked for violate a guarantee.
+        bool checksPauses = false;
     };
 
     soak_worker(const options& workerOptions, soak_record& record)
         : m_id("w" + std::to_string(workerOptions.number))
         , m_injectsFaults(workerOptions.injectsFaults)
+        , m_checksPauses(workerOptions.checksPauses)
         , m_record(record)
         , m_random(workerOptions.seed)
     {
@@ -46,7 +50,17 @@
         const auto handler = [this](const httplib::Request& request, httplib::Response& response) { serve(request, response); };
         m_server.Get(".*", handler);
         m_server.Post(".*", handler);
-        m_thread = std::thread([this, port = workerOptions.port] { m_server.listen("127.0.0.1", port); });
+        int listener = -1;
+        m_server.set_socket_options([&listener](socket_t socket) {
+            listener = socket;
+            const int reuse = 1;
+            ::setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof(reuse));
+        });
+        m_server.bind_to_port("127.0.0.1", workerOptions.port);
+        // The library's backlog of 5 overflows in a burst of connections, and the kernel then repeats an opening after a second: a
+        // request that was sent before a pause would arrive during it.
+        ::listen(listener, listenBacklog);
+        m_thread = std::thread([this] { m_server.listen_after_bind(); });
     }
 
     ~soak_worker()
@@ -62,7 +76,62 @@
         m_noRequestsAfter = time;
     }
 
+    // While set, each answer states that the worker is leaving. A request that arrives later than the grace time after the
+    // first such answer is recorded as a violation. Once it is no longer leaving, the worker stands for its own successor, which
+    // has asked for no pause.
+    void setLeaving(bool isLeaving, std::chrono::milliseconds grace)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_isLeaving = isLeaving;
+        m_leavingGrace = grace;
+        m_noRequestsAfter.reset();
+        m_pauses.clear();
+    }
+
 private:
+    struct requested_pause {
+        std::chrono::steady_clock::time_point from;
+        std::chrono::steady_clock::time_point until;
+        int requests = 0;
+    };
+
+    // A router may need this long to act on a pause, and may send this many requests during the rest of it.
+    static constexpr auto pauseReactionTime = std::chrono::milliseconds(500);
+    static constexpr int maxRequestsInPause = 2;
+    static constexpr int listenBacklog = 128;
+
+    void stateLeaving(httplib::Response& response)
+    {
+        const std::lock_guard lock(m_mutex);
+        if (!m_isLeaving)
+            return;
+        response.set_header("Server-Leaving", "1");
+        if (!m_noRequestsAfter)
+            m_noRequestsAfter = std::chrono::steady_clock::now() + m_leavingGrace;
+    }
+
+    void checkPause(const std::string& id)
+    {
+        const int router = m_record.routerOf(id);
+        const std::lock_guard lock(m_mutex);
+        auto& pause = m_pauses[router];
+        const auto now = std::chrono::steady_clock::now();
+        const bool isPaused = now > pause.from && now < pause.until;
+        if (m_checksPauses && router != 0 && isPaused && ++pause.requests > maxRequestsInPause)
+            m_record.recordViolation("a paused upstream received", id);
+    }
+
+    // Asks the router that sent the request for a pause.
+    void requestPause(const std::string& id, httplib::Response& response)
+    {
+        const int milliseconds = 600 + randomBelow(1400);
+        response.set_header("Retry-After", std::to_string(milliseconds / 1000) + "." + std::to_string(milliseconds % 1000 / 100));
+        const int router = m_record.routerOf(id);
+        const std::lock_guard lock(m_mutex);
+        const auto now = std::chrono::steady_clock::now();
+        m_pauses[router] = { now + pauseReactionTime, now + std::chrono::milliseconds(milliseconds / 100 * 100), 0 };
+    }
+
     int randomBelow(int bound)
     {
         const std::lock_guard lock(m_mutex);
@@ -87,9 +156,13 @@
         }
         if (isRequestUnexpected())
             m_record.recordViolation("a draining upstream received", id);
+        stateLeaving(response);
+        checkPause(id);
         if (shouldFail(10)) {
             response.status = 503;
             response.set_header("X-Not-Executed", "1");
+            if (randomBelow(4) == 0)
+                requestPause(id, response);
             return;
         }
         m_record.recordExecution(id);
@@ -126,6 +199,11 @@
 
     std::string m_id;
     bool m_injectsFaults;
+    bool m_checksPauses;
+    bool m_isLeaving = false;
+    std::chrono::milliseconds m_leavingGrace { 0 };
+    // By the port of the router.
+    std::map<int, requested_pause> m_pauses;
     soak_record& m_record;
     std::mutex m_mutex;
     std::mt19937 m_random;
