Resume a list of the store at the page that failed, and serve from its first page on

Cause: when all routers start at once, each one lists every upstream record, page by page. Change: a failed page is read again, the pages before it stay; a read fails when nothing arrives for 0.9 s, not when it takes long; pauses are random; the watch starts at the revision of the first page; upstreams are used as their page arrives, and removed only when the list is complete. Result: five new cases in store_watcher_test, of which each failed or did not compile before; a case of store_restore_test now allows the records of a page before a restore the usual two seconds to return.

--- a/processes/router_process.cpp
+++ b/processes/router_process.cpp
@@ -122,7 +122,9 @@
     {
         return {
             .onHead = [this](call_id call, const http_answer_head& head) { m_storeCalls[call].head = head; },
-            .onBody = [this](call_id call, std::string_view bytes) { m_storeCalls[call].body.append(bytes); },
+            .onBody = [this](call_id call, std::string_view bytes) {
+                m_storeCalls[call].body.append(bytes);
+                post(router::store_read_progressed { call }); },
             .onEnd = [this](call_id call) { finishRead(call); },
             .onFailed = [this](call_id call, const http_call_failure& failure) {
                 const auto kind = m_storeCalls[call].kind;
--- a/servers/router/router_event.h
+++ b/servers/router/router_event.h
@@ -76,6 +76,11 @@
     std::optional<std::uint64_t> era;
 };
 
+// A part of the answer to a read of the store has arrived.
+struct store_read_progressed {
+    std::uint64_t read = 0;
+};
+
 // Another router's digest has arrived from this address.
 struct digest_received {
     std::string address;
@@ -98,6 +103,6 @@
 struct router_timer_due { };
 
 using router_event = std::variant<request_arrived, caller_left, caller_ready, answer_started, answer_continued, answer_ended, attempt_aborted,
-    upstreams_read, config_read, digest_received, clock_jumped, settings_changed, termination_requested, router_timer_due>;
+    upstreams_read, config_read, store_read_progressed, digest_received, clock_jumped, settings_changed, termination_requested, router_timer_due>;
 
 } // namespace kumquat::router
--- a/servers/router/router_reducer.cpp
+++ b/servers/router/router_reducer.cpp
@@ -62,6 +62,8 @@
 router_reducer::router_reducer(router_options options)
     : m_options(std::move(options))
     , m_retryLimiter({})
+    , m_upstreamWatcher(m_options.incarnation)
+    , m_configWatcher(m_options.incarnation)
 {
     m_retryLimiter.setOptions(retryOptions());
     m_peers.setAddresses(m_options.settings.address, m_options.settings.seeds);
@@ -91,7 +93,13 @@
 
 bool router_reducer::ready(instant now) const
 {
-    return !m_terminating && m_config && m_upstreamsListed && keysAreFresh(now);
+    return !m_terminating && canServe() && keysAreFresh(now);
+}
+
+// Upstreams are used before the list of them is complete: a large list takes long when all routers start at once.
+bool router_reducer::canServe() const
+{
+    return m_config && (m_upstreamsListed || m_upstreams.size() > 0);
 }
 
 bool router_reducer::keysAreFresh(instant now) const
@@ -143,7 +151,7 @@
 
 bool router_reducer::awaitsFirstRead() const
 {
-    return !(m_config && m_upstreamsListed) && !m_terminating && m_now < *m_startedAt + firstReadTimeout;
+    return !canServe() && !m_terminating && m_now < *m_startedAt + firstReadTimeout;
 }
 
 void router_reducer::queueUntilFirstRead(request_progress&& progress)
@@ -168,7 +176,7 @@
 std::optional<caller_error> router_reducer::classify(request_progress& progress) const
 {
     const auto& request = *progress.request;
-    if (!m_config || !m_upstreamsListed)
+    if (!canServe())
         return caller_error { error_code::not_configured, "the configuration has not been read yet", ran_state::no, retryAfterStartup };
     const auto* matchedRoute = m_config->match(request.host, request.path);
     if (!matchedRoute)
--- a/servers/router/router_reducer.h
+++ b/servers/router/router_reducer.h
@@ -68,6 +68,7 @@
     void on(attempt_aborted&&);
     void on(upstreams_read&&);
     void on(config_read&&);
+    void on(store_read_progressed&&);
     void on(digest_received&&);
     void on(clock_jumped&&);
     void on(settings_changed&&);
@@ -83,6 +84,7 @@
     // Finds the route, organisation, service and deadline of a request, or returns why it is refused.
     std::optional<caller_error> classify(request_progress&) const;
     bool deadlineExceedsShutdown(const request_progress&) const;
+    bool canServe() const;
     bool keysAreFresh(instant now) const;
     void refuse(caller_id, const std::string& requestId, const caller_error&);
 
--- a/servers/router/router_store.cpp
+++ b/servers/router/router_store.cpp
@@ -2,8 +2,6 @@
 
 #include "core/overloaded.h"
 
-#include <unordered_set>
-
 namespace kumquat::router {
 
 namespace {
@@ -12,8 +10,8 @@
     constexpr auto watchTimeoutAlone = std::chrono::milliseconds(6000);
     // The same for a router with peers, whose digests reveal changes that a failed watch misses.
     constexpr auto watchTimeoutWithPeers = std::chrono::milliseconds(20000);
-    // A list fails if it is not answered within this time of its start. A watch fails if it is not answered within this time
-    // of the end of its watch timeout.
+    // A read fails if nothing arrives for this time: from its start for a page of a list, from the end of its watch timeout for
+    // a watch, and from the last part that arrived for both.
     constexpr auto readTimeout = std::chrono::milliseconds(900);
     // One of the routers reads the configuration this often, to confirm that no key was revoked.
     constexpr auto confirmationInterval = std::chrono::milliseconds(750);
@@ -60,6 +58,14 @@
     read = 0;
 }
 
+// A slow answer is worth waiting for: giving it up and asking again would only add to the load of the store.
+void router_reducer::on(store_read_progressed&& progressed)
+{
+    const auto read = progressed.read;
+    if (read != 0 && (read == m_upstreamRead || read == m_configRead || read == m_confirmation.read))
+        setTimer(timer_kind::read_timeout, read, m_now + readTimeout);
+}
+
 void router_reducer::updateStoreHealth(const std::string& failure, bool wasHealthy)
 {
     if (!failure.empty() && wasHealthy)
@@ -130,14 +136,12 @@
         return;
     }
     m_confirmation.confirmedAt = m_confirmation.startedAt;
-    applyConfig({ false, std::move(page->entries), {} });
+    applyConfig({ std::move(page->entries), std::nullopt, {} });
 }
 
 void router_reducer::applyUpstreams(store_update<upstream_record>&& update)
 {
-    std::unordered_set<std::string> listedIds;
     for (auto& entry : update.entries) {
-        listedIds.insert(entry.name);
         const auto position = positionOf(entry.revision);
         m_newestRecordPosition = std::max(m_newestRecordPosition, position);
         const auto visitor = overloaded {
@@ -156,11 +160,11 @@
         };
         std::visit(visitor, entry.content);
     }
-    if (!update.snapshot)
+    if (!update.listedNames)
         return;
     m_upstreamsListed = true;
     for (const auto& upstream : m_upstreams.all()) {
-        if (!listedIds.contains(upstream->record.id))
+        if (!update.listedNames->contains(upstream->record.id))
             onRecordRemoved(upstream->record.id);
     }
 }
--- a/servers/router/store_watcher.h
+++ b/servers/router/store_watcher.h
@@ -1,12 +1,14 @@
 #pragma once
 
 #include "core/clock.h"
+#include "core/hash.h"
 #include "core/store_object.h"
 
 #include <algorithm>
 #include <chrono>
 #include <optional>
 #include <string>
+#include <unordered_set>
 #include <utility>
 #include <vector>
 
@@ -23,18 +25,26 @@
 // What one read of the store changes for one kind of object.
 template <typename Value>
 struct store_update {
-    // The entries are the complete list and replace all earlier ones.
-    bool snapshot = false;
     std::vector<store_entry<Value>> entries;
+    // Present once a list is complete: the names of all its objects. An object without one of these names does not exist.
+    std::optional<std::unordered_set<std::string>> listedNames;
     // Why the read failed; empty if it succeeded.
     std::string failure;
 };
 
-// Follows the objects of one kind in the store: lists them, then watches for changes since the revision of the list. It
-// lists them again after a failed read, and when the store no longer has the history of changes since that revision.
+// Follows the objects of one kind in the store: lists them, then watches for changes since the start of the list. The pages of
+// a list are returned as they arrive. A page that can't be read is read again, after a random pause that grows with the
+// failures, so that many routers that start at once don't repeat their reads together. A watch that fails, or whose history
+// of changes the store no longer has, leads to a new list.
 template <typename Value>
 class store_watcher {
 public:
+    // The seed differs between routers, so that their pauses differ.
+    explicit store_watcher(std::uint64_t seed)
+        : m_seed(seed)
+    {
+    }
+
     // Returns the read to start now, or nothing while a read is in progress or the time of the next read has not come.
     std::optional<store_read_request> nextRead(instant now)
     {
@@ -98,31 +108,36 @@
 private:
     // The answer to a watch may lack changes that were made up to this long before it.
     static constexpr auto watchDetectionDelay = std::chrono::seconds(1);
+    static constexpr auto minBackoff = std::chrono::milliseconds(20);
     static constexpr auto initialBackoff = std::chrono::milliseconds(100);
-    static constexpr auto maxBackoff = std::chrono::milliseconds(800);
     static constexpr int maxBackoffDoublings = 3;
 
     store_update<Value> accept(store_page<Value>&& page, instant now)
     {
         recordAnswer();
-        std::move(page.entries.begin(), page.entries.end(), std::back_inserter(m_listedEntries));
-        if (m_listAfter.empty())
+        const bool isFirstPage = m_listAfter.empty();
+        if (isFirstPage) {
             m_listStartedAt = m_readStartedAt;
-        if (page.more && !m_listedEntries.empty()) {
-            m_listAfter = m_listedEntries.back().name;
-            return {};
+            m_listRevision = page.revision;
         }
-        m_listAfter.clear();
-        // A list with an older revision comes from a store that lags behind, and is discarded.
-        if (page.revision < m_revision) {
-            m_listedEntries.clear();
+        // A page with an older revision comes from a store that lags behind, and is discarded.
+        if (page.revision < std::max(m_revision, m_listRevision)) {
+            restartList();
             m_nextReadAt = now + initialBackoff;
             return {};
         }
-        m_revision = page.revision;
+        for (const auto& entry : page.entries)
+            m_listedNames.insert(entry.name);
+        if (page.more && !page.entries.empty()) {
+            m_listAfter = page.entries.back().name;
+            return { std::move(page.entries), std::nullopt, {} };
+        }
+        m_listAfter.clear();
+        // Objects of the first pages may have changed while later ones were read, so the watch starts where the list did.
+        m_revision = m_listRevision;
         m_watching = true;
         m_confirmedAt = m_listStartedAt;
-        return { true, std::exchange(m_listedEntries, {}), {} };
+        return { std::move(page.entries), std::exchange(m_listedNames, {}), {} };
     }
 
     store_update<Value> accept(store_changes<Value>&& changes, instant now)
@@ -133,23 +148,31 @@
             m_confirmedAt = std::max(*m_confirmedAt, now - watchDetectionDelay);
         if (!changes.entries.empty())
             m_nextReadAt = now + m_batchDelay;
-        return { false, std::move(changes.entries), {} };
+        return { std::move(changes.entries), std::nullopt, {} };
     }
 
     store_update<Value> accept(store_history_lost&&, instant)
     {
         restartList();
-        return { false, {}, "the store no longer has the history of changes" };
+        return { {}, std::nullopt, "the store no longer has the history of changes" };
     }
 
     store_update<Value> accept(store_read_failed&& failed, instant now)
     {
-        const auto backoff = initialBackoff * (1 << std::min(m_consecutiveFailures, maxBackoffDoublings));
-        m_nextReadAt = now + std::min<duration>(backoff, maxBackoff);
+        m_nextReadAt = now + randomBackoff();
         ++m_consecutiveFailures;
         m_healthy = false;
-        restartList();
-        return { false, {}, std::move(failed.reason) };
+        // A failed watch may have missed changes, while the pages of a list that were read stay valid.
+        if (m_watching)
+            restartList();
+        return { {}, std::nullopt, std::move(failed.reason) };
+    }
+
+    duration randomBackoff() const
+    {
+        const duration longest = initialBackoff * (1 << std::min(m_consecutiveFailures, maxBackoffDoublings));
+        const auto draw = hashBytes(std::to_string(m_consecutiveFailures), m_seed) % static_cast<std::uint64_t>(longest.count());
+        return std::max<duration>(duration(draw), minBackoff);
     }
 
     void recordAnswer()
@@ -162,13 +185,16 @@
     {
         m_watching = false;
         m_listAfter.clear();
-        m_listedEntries.clear();
+        m_listedNames.clear();
     }
 
+    std::uint64_t m_seed;
     bool m_readInProgress = false;
     bool m_watching = false;
+    // The list that is in progress: the name after which it continues, the names so far, and the revision of its first page.
     std::string m_listAfter;
-    std::vector<store_entry<Value>> m_listedEntries;
+    std::unordered_set<std::string> m_listedNames;
+    std::uint64_t m_listRevision = 0;
     std::uint64_t m_revision = 0;
     int m_consecutiveFailures = 0;
     instant m_readStartedAt;
--- a/tests/servers/router/store_restore_test.cpp
+++ b/tests/servers/router/store_restore_test.cpp
@@ -269,6 +269,9 @@
     REQUIRE_FALSE(reads.empty());
     CHECK(reads[0].after.empty());
     store.listUpstreams({ app("app-2") }, 80);
+    CHECK(fixture.reducer.upstreams().find("app-2"));
+    // What the first page listed before the restore has the usual time to return.
+    fixture.advance(milliseconds(2100));
     CHECK_FALSE(fixture.reducer.upstreams().find("app-1"));
     CHECK(fixture.reducer.upstreams().find("app-2"));
 }
--- a/tests/servers/router/store_watcher_test.cpp
+++ b/tests/servers/router/store_watcher_test.cpp
@@ -1,5 +1,7 @@
 #include "tests/support/router_fixture.h"
 
+#include <set>
+
 using namespace kumquat;
 using namespace kumquat::router;
 
@@ -190,3 +192,97 @@
     fixtureWithoutStore.request(3, "/pay/x");
     CHECK(fixtureWithoutStore.replyStatus() == 503);
 }
+
+namespace {
+
+store_page<upstream_record> page(const std::vector<std::string>& ids, bool more, std::uint64_t revision)
+{
+    store_page<upstream_record> result { {}, more, revision };
+    for (const auto& id : ids)
+        result.entries.push_back({ id, revision, router_fixture::makeUpstream(id, "app", 1003) });
+    return result;
+}
+
+std::vector<read_store> upstreamReads(const router_effects& effects)
+{
+    auto reads = router_fixture::all<read_store>(effects);
+    std::erase_if(reads, [](const read_store& read) { return read.kind != store_kind::upstreams; });
+    return reads;
+}
+
+} // namespace
+
+TEST_CASE("a list continues at the page that failed", "[router]")
+{
+    router_fixture fixture;
+    fixture.step(upstreams_read { fixture.upstreamRead, page({ "app-1", "app-2" }, true, 10) });
+    CHECK(fixture.only<read_store>().after == "app-2");
+    fixture.step(upstreams_read { fixture.upstreamRead, store_read_failed { "429" } });
+    const auto reads = upstreamReads(fixture.advance(milliseconds(200)));
+    REQUIRE(reads.size() == 1);
+    CHECK(reads[0].after == "app-2");
+    fixture.step(upstreams_read { fixture.upstreamRead, page({ "app-3" }, false, 12) });
+    CHECK(fixture.reducer.upstreams().size() == 3);
+}
+
+TEST_CASE("changes that were made while a list was read are watched from its first page on", "[router]")
+{
+    router_fixture fixture;
+    fixture.step(upstreams_read { fixture.upstreamRead, page({ "app-1" }, true, 10) });
+    fixture.step(upstreams_read { fixture.upstreamRead, page({ "app-2" }, false, 14) });
+    const auto watch = fixture.only<read_store>();
+    REQUIRE(watch.sinceRevision.has_value());
+    CHECK(*watch.sinceRevision == 10);
+}
+
+TEST_CASE("a router serves with the upstreams of the first page, and removes missing ones only when the list is complete", "[router]")
+{
+    router_fixture fixture;
+    fixture.answerConfigList(router_fixture::sampleConfig(), 5);
+    fixture.step(upstreams_read { fixture.upstreamRead, page({ "app-1" }, true, 10) });
+    CHECK(fixture.reducer.ready(fixture.now));
+    fixture.request(1, "/pay/x");
+    CHECK(fixture.only<start_attempt>().upstreamId == "app-1");
+    fixture.step(upstreams_read { fixture.upstreamRead, page({ "app-2" }, false, 10) });
+    fixture.advance(seconds(3));
+    fixture.step(upstreams_read { fixture.upstreamRead, store_history_lost {} });
+    fixture.step(upstreams_read { fixture.upstreamRead, page({ "app-2" }, true, 20) });
+    CHECK(fixture.reducer.upstreams().find("app-1"));
+    fixture.step(upstreams_read { fixture.upstreamRead, page({ "app-3" }, false, 20) });
+    CHECK_FALSE(fixture.reducer.upstreams().find("app-1"));
+    CHECK(fixture.reducer.upstreams().size() == 2);
+}
+
+TEST_CASE("a read of the store goes on as long as parts of its answer arrive", "[router]")
+{
+    router_fixture fixture;
+    const auto read = fixture.upstreamRead;
+    for (int part = 0; part < 10; ++part) {
+        fixture.advance(milliseconds(500));
+        fixture.step(store_read_progressed { read });
+    }
+    fixture.step(upstreams_read { read, page({ "app-1" }, false, 10) });
+    CHECK(fixture.reducer.upstreams().size() == 1);
+
+    router_fixture silent;
+    const auto abandoned = silent.upstreamRead;
+    silent.advance(milliseconds(1000));
+    silent.step(upstreams_read { abandoned, page({ "app-1" }, false, 10) });
+    CHECK(silent.reducer.upstreams().size() == 0);
+}
+
+TEST_CASE("routers that fail together read the store again at different times", "[router]")
+{
+    std::set<std::int64_t> pauses;
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        store_watcher<upstream_record> watcher(seed);
+        const auto now = instant() + seconds(10);
+        watcher.nextRead(now);
+        watcher.onOutcome(store_read_failed { "429" }, now);
+        const auto pause = *watcher.nextReadAt() - now;
+        CHECK(pause >= milliseconds(20));
+        CHECK(pause <= milliseconds(100));
+        pauses.insert(std::chrono::duration_cast<milliseconds>(pause).count());
+    }
+    CHECK(pauses.size() > 10);
+}
