--- a/tests/soak/router_world_main.cpp
+++ b/tests/soak/router_world_main.cpp
@@ -24,6 +24,8 @@
 constexpr auto drainDeadline = milliseconds(2000);
 // A router that is suspended when a worker states that it is leaving learns of it this much later.
 constexpr auto maxSuspension = milliseconds(1000);
+// After a restore of the store, the operator and the workers write again within this time.
+constexpr auto maxRewriteDelay = milliseconds(1300);
 // No injected fault separates a router from the store for longer.
 constexpr auto maxStaleness = milliseconds(12000);
 
@@ -166,7 +168,7 @@
             m_store.rewrite();
             m_rewriteAt.reset();
         } else if (isRequested && !m_rewriteAt && m_store.restore()) {
-            m_rewriteAt = steady::now() + milliseconds(300 + m_random() % 1000);
+            m_rewriteAt = steady::now() + milliseconds(300 + m_random() % (maxRewriteDelay.count() - 300));
         }
     }
 
@@ -185,13 +187,14 @@
         m_drainingWorker.expectNoRequestsAfter(mustStopRequests ? std::optional(steady::now() + drainDeadline) : std::nullopt);
     }
 
-    // Sends a request to the routes of the newest three versions and one with each key that was revoked longer ago than the
+    // Sends a request to the routes of the newest versions and one with each key that was revoked longer ago than the
     // deadline. A router must not return to an older version, nor accept such a key.
     void probeRouter(int router)
     {
         const int newest = m_store.version();
         auto& newestSeen = m_newestSeenVersion[router];
-        for (int version = std::max(1, newest - 2); version <= newest; ++version) {
+        const int probedVersions = m_options.restoresStore ? 8 : 2;
+        for (int version = std::max(1, newest - probedVersions); version <= newest; ++version) {
             const auto supersededFor = m_store.timeSincePublication(version + 1);
             const int previouslySeen = newestSeen;
             const auto [status, id] = sendProbe(router, "/v" + std::to_string(version) + "/x", "key");
@@ -202,6 +205,8 @@
                 m_record.recordViolation("the configuration reverted from version " + std::to_string(previouslySeen) + " to " + std::to_string(version), id);
             if (m_options.plannedWorkOnly && executed && supersededFor > configDeadline)
                 m_record.recordViolation("an old configuration is still in force for", id);
+            if (m_options.restoresStore && executed && supersededFor > configDeadline + maxRewriteDelay + maxSuspension)
+                m_record.recordViolation("an old configuration is still in force for", id);
         }
         // Key N is revoked by version N + 2. A router that cannot reach the store may still have the key in its configuration, but
         // must not accept it after revocationDeadline. No fault lasts longer than maxStaleness, so keys that were revoked earlier
@@ -255,7 +260,7 @@
 int runSoak(const soak_options& options)
 {
     soak_record record;
-    soak_store store({ .port = options.storePort, .workerPort = options.advertisedWorkerPort, .workers = workerCount, .requestDeadlineMs = requestDeadlineMs, .seed = options.seed, .injectsFaults = !options.plannedWorkOnly });
+    soak_store store({ .port = options.storePort, .workerPort = options.advertisedWorkerPort, .workers = workerCount, .requestDeadlineMs = requestDeadlineMs, .seed = options.seed, .injectsFaults = !options.plannedWorkOnly && !options.restoresStore });
     std::vector<std::unique_ptr<soak_worker>> workers;
     workers.reserve(workerCount);
     for (int number = 0; number < workerCount; ++number)
--- a/tests/soak/soak_store.h
+++ b/tests/soak/soak_store.h
@@ -147,8 +147,8 @@
     static constexpr int serverThreads = 64;
     static constexpr auto maxWatchDuration = std::chrono::milliseconds(500);
 
-    static constexpr auto minCopyAge = std::chrono::seconds(2);
-    static constexpr auto maxCopyAge = std::chrono::seconds(5);
+    static constexpr auto minCopyAge = std::chrono::seconds(5);
+    static constexpr auto maxCopyAge = std::chrono::seconds(9);
 
     struct worker_state {
         bool isDraining = false;
@@ -183,8 +183,12 @@
         return { { "Version", version }, { "Routes", routes }, { "Services", json::array({ { { "Name", "app" }, { "MaxConns", 100 } } }) }, { "Tenants", tenants } };
     }
 
+    // A write that changes nothing gives out no revision.
     void putLocked(const std::string& kind, const std::string& name, const json& spec)
     {
+        const auto found = m_objects[kind].find(name);
+        if (found != m_objects[kind].end() && found->second["Spec"] == spec)
+            return;
         ++m_revision;
         const json object { { "Metadata", { { "Name", name }, { "Revision", m_revision } } }, { "Spec", spec } };
         m_objects[kind][name] = object;
