Tell the fleet in two levels: routers of a data centre directly, data centres by sums

Cause: every router sent its digest, with the addresses of all members, to every other one, at least each 0.4 s. Change: digests go to the routers of the own data centre. One of them, the carrier by hash, sums up the data centre and sends the sum to one router of each other data centre, which passes it on. Loads go in slices, addresses in samples, so that a datagram stays under 1,400 bytes. Confirmations get older with each hop, and a sum has only those of its own data centre.

--- a/core/router_digest.h
+++ b/core/router_digest.h
@@ -40,10 +40,40 @@
     bool operator==(const leaving_upstream&) const = default;
 };
 
-// State that each router sends to the other routers several times a second. The state is advisory, so a lost digest is
-// not sent again.
+// Where a router can be reached.
+struct router_contact {
+    std::string address;
+    std::string dataCentre;
+
+    bool operator==(const router_contact&) const = default;
+};
+
+// For whom a digest speaks.
+enum class digest_scope {
+    // The router that sends it, to the other routers of its data centre.
+    router,
+    // All routers of the sender's data centre, to the other data centres.
+    data_centre
+};
+
+// A digest has the loads of those upstreams whose key modulo `count` is `index`, so that it fits in one datagram.
+struct load_slice {
+    std::uint32_t index = 0;
+    std::uint32_t count = 1;
+
+    bool operator==(const load_slice&) const = default;
+};
+
+// State that routers send to each other several times a second. The state is advisory, so a lost digest is not sent again.
 struct router_digest {
+    digest_scope scope = digest_scope::router;
+    // The router that sends the digest, or that has summed it up.
     std::string instance;
+    std::string dataCentre;
+    // The number of routers for which it speaks.
+    int routers = 1;
+    // Of a data centre's digest: it was passed on by a router of the receiver's data centre, and is not passed on again.
+    bool relayed = false;
     // Distinguishes a router from its successor on the same instance.
     std::uint64_t incarnation = 0;
     std::uint64_t sequence = 0;
@@ -60,12 +90,13 @@
     std::uint64_t configVersion = 0;
     // The newest position of an upstream record that the router has read.
     store_position upstreamPosition;
-    // Addresses of the routers from which it receives digests.
-    std::vector<std::string> members;
+    // Some of the routers that the sender knows, others in each digest.
+    std::vector<router_contact> members;
+    load_slice slice;
     std::vector<outstanding_load> loads;
     // Prompt parts sent to upstreams since the previous digest.
     std::vector<cached_prompt_part> cachedParts;
-    // Upstreams whose answers to the router itself stated a short time ago that they are shutting down.
+    // Upstreams whose answers to the routers for which the digest speaks stated a short time ago that they are shutting down.
     std::vector<leaving_upstream> leavingUpstreams;
     // Fingerprints of requests that were in progress when their upstream crashed, each with its number of crashes.
     std::vector<std::pair<std::uint64_t, int>> suspects;
--- a/drivers/cbor/digest_codec.cpp
+++ b/drivers/cbor/digest_codec.cpp
@@ -1,5 +1,6 @@
 #include "drivers/cbor/digest_codec.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace kumquat {
@@ -10,7 +11,11 @@
 
     // A digest is encoded as a CBOR array without field names, to keep the datagram small. These are the array's indices.
     enum field { version,
+        scope,
         instance,
+        data_centre,
+        routers,
+        relayed,
         incarnation,
         sequence,
         leaving,
@@ -22,6 +27,8 @@
         upstream_era,
         upstream_revision,
         members,
+        slice_index,
+        slice_count,
         loads,
         cached_parts,
         suspects,
@@ -33,13 +40,19 @@
     constexpr std::size_t numbersPerLoad = 4;
     constexpr std::size_t numbersPerPart = 3;
     constexpr std::size_t numbersPerSuspect = 2;
+    // A member is encoded as its address and its data centre.
+    constexpr std::size_t valuesPerMember = 2;
     // A leaving upstream is encoded as its id and its start time.
     constexpr std::size_t valuesPerLeavingUpstream = 2;
 
     router_digest decode(const json& root)
     {
         router_digest digest;
+        digest.scope = root.at(scope).get<bool>() ? digest_scope::data_centre : digest_scope::router;
         digest.instance = root.at(instance).get<std::string>();
+        digest.dataCentre = root.at(data_centre).get<std::string>();
+        digest.routers = root.at(routers).get<int>();
+        digest.relayed = root.at(relayed).get<bool>();
         digest.incarnation = root.at(incarnation).get<std::uint64_t>();
         digest.sequence = root.at(sequence).get<std::uint64_t>();
         digest.leaving = root.at(leaving).get<bool>();
@@ -49,7 +62,10 @@
             digest.configAge = std::chrono::milliseconds(root.at(config_age).get<std::int64_t>());
         digest.configVersion = root.at(config_version).get<std::uint64_t>();
         digest.upstreamPosition = { root.at(upstream_era).get<std::uint64_t>(), root.at(upstream_revision).get<std::uint64_t>() };
-        digest.members = root.at(members).get<std::vector<std::string>>();
+        const auto& memberList = root.at(members);
+        for (std::size_t index = 0; index + valuesPerMember <= memberList.size(); index += valuesPerMember)
+            digest.members.push_back({ memberList[index].get<std::string>(), memberList[index + 1].get<std::string>() });
+        digest.slice = { root.at(slice_index).get<std::uint32_t>(), std::max(1U, root.at(slice_count).get<std::uint32_t>()) };
         const auto& loadList = root.at(loads);
         for (std::size_t index = 0; index + numbersPerLoad <= loadList.size(); index += numbersPerLoad)
             digest.loads.push_back({ loadList[index].get<std::uint32_t>(), loadList[index + 1].get<int>(), loadList[index + 2].get<int>(), loadList[index + 3].get<int>() });
@@ -69,6 +85,9 @@
 
 std::string encodeDigest(const router_digest& digest)
 {
+    json memberList = json::array();
+    for (const auto& member : digest.members)
+        memberList.insert(memberList.end(), { member.address, member.dataCentre });
     json loadList = json::array();
     for (const auto& load : digest.loads)
         loadList.insert(loadList.end(), { load.upstream, load.inFlight, load.streams, load.uncachedPromptTokens });
@@ -82,8 +101,8 @@
     for (const auto& upstream : digest.leavingUpstreams)
         leavingList.insert(leavingList.end(), { upstream.id, upstream.startedUnixMs });
     const json age = digest.configAge ? json(digest.configAge->count()) : json();
-    const json root { formatVersion, digest.instance, digest.incarnation, digest.sequence, digest.leaving, digest.storeEra,
-        digest.configPosition.era, digest.configPosition.revision, age, digest.configVersion, digest.upstreamPosition.era, digest.upstreamPosition.revision, digest.members, std::move(loadList), std::move(partList), std::move(suspectList), std::move(leavingList) };
+    const json root { formatVersion, digest.scope == digest_scope::data_centre, digest.instance, digest.dataCentre, digest.routers, digest.relayed, digest.incarnation, digest.sequence, digest.leaving, digest.storeEra,
+        digest.configPosition.era, digest.configPosition.revision, age, digest.configVersion, digest.upstreamPosition.era, digest.upstreamPosition.revision, std::move(memberList), digest.slice.index, digest.slice.count, std::move(loadList), std::move(partList), std::move(suspectList), std::move(leavingList) };
     std::string bytes;
     json::to_cbor(root, bytes);
     return bytes;
--- a/servers/router/crash_tracker.cpp
+++ b/servers/router/crash_tracker.cpp
@@ -1,5 +1,7 @@
 #include "servers/router/crash_tracker.h"
 
+#include <algorithm>
+
 namespace kumquat::router {
 
 namespace {
@@ -59,6 +61,23 @@
     return reported;
 }
 
+crash_tracker::crash_counts crash_tracker::sumOf(const std::vector<std::string>& instances, instant now)
+{
+    std::unordered_map<std::uint64_t, int> sums;
+    for (const auto& [fingerprint, crashes] : ownCounts(now))
+        sums[fingerprint] += crashes;
+    for (const auto& instance : instances) {
+        const auto found = m_peerCounts.find(instance);
+        if (found == m_peerCounts.end())
+            continue;
+        for (const auto& [fingerprint, crashes] : found->second.reported)
+            sums[fingerprint] += crashes;
+    }
+    crash_counts reported(sums.begin(), sums.end());
+    reported.resize(std::min(reported.size(), maxReportedCounts));
+    return reported;
+}
+
 void crash_tracker::evictExpired(instant now)
 {
     std::erase_if(m_ownRecords, [now](const auto& item) { return now - item.second.lastCrashAt > retentionTime; });
--- a/servers/router/router_peers.cpp
+++ b/servers/router/router_peers.cpp
@@ -8,6 +8,8 @@
 
     // An idle router sends a digest at least this often, so that the others do not remove it.
     constexpr auto heartbeatInterval = std::chrono::milliseconds(400);
+    // The first digests without load follow at the usual interval, since one alone may be lost.
+    constexpr int repeatedIdleDigests = 3;
     // If other routers have known of a change for longer than this, this router's watch is assumed to have failed silently.
     constexpr auto watchLagTolerance = std::chrono::milliseconds(400);
     // Each answer to a watch is a load on the store, so each router waits longer between watches the more routers there are.
@@ -15,34 +17,65 @@
     constexpr auto minRecordBatchDelay = std::chrono::milliseconds(50);
     constexpr auto maxRecordBatchDelay = std::chrono::milliseconds(500);
 
+    // So many loads, and so many prompt parts, fit in a datagram beside each other.
+    constexpr std::size_t maxLoadsPerDigest = 60;
+    constexpr std::ptrdiff_t maxPartsPerSummary = 40;
+
 } // namespace
 
 void router_reducer::on(digest_received&& received)
 {
-    if (received.digest.instance == m_options.settings.instance)
+    const auto& digest = received.digest;
+    const bool isOwnDataCentre = digest.dataCentre == m_options.settings.dataCentre;
+    if (digest.instance == m_options.settings.instance)
         return;
-    const auto previousPeerCount = m_peers.count();
-    if (!m_peers.accept(received.address, received.digest, m_now))
+    if (digest.scope == digest_scope::router && !isOwnDataCentre)
+        return introduce(received);
+    if (digest.scope == digest_scope::data_centre && isOwnDataCentre)
         return;
-    if (m_peers.count() != previousPeerCount)
-        log(log_level::info, received.digest.leaving ? "peer_left" : "peer_heard", { { "peer", received.digest.instance }, { "address", received.address }, { "peers", std::to_string(m_peers.count()) } });
+    const auto previousPeerCount = m_peers.neighbourCount();
+    if (!m_peers.accept(received.address, digest, m_now))
+        return;
+    if (m_peers.neighbourCount() != previousPeerCount)
+        log(log_level::info, digest.leaving ? "peer_left" : "peer_heard", { { "peer", digest.instance }, { "address", received.address }, { "peers", std::to_string(m_peers.count()) } });
+    learnFromDigest(digest);
+    if (digest.scope == digest_scope::data_centre && !digest.relayed) {
+        auto relayed = std::move(received.digest);
+        relayed.relayed = true;
+        emit(send_digest { m_peers.neighbourAddresses(), std::move(relayed) });
+    }
+}
+
+void router_reducer::learnFromDigest(const router_digest& digest)
+{
     checkPeerEra();
-    m_crashes.setPeerCounts(received.digest.instance, received.digest.suspects, m_now);
-    for (const auto& leaving : received.digest.leavingUpstreams) {
+    m_crashes.setPeerCounts(digest.scope == digest_scope::router ? digest.instance : summaryName(digest.dataCentre), digest.suspects, m_now);
+    for (const auto& leaving : digest.leavingUpstreams) {
         const auto upstream = m_upstreams.find(leaving.id);
         if (upstream && upstream->record.startedUnixMs == leaving.startedUnixMs && !upstream->announcedLeaving)
-            markLeaving(*upstream, received.digest.instance);
+            markLeaving(*upstream, digest.instance);
     }
-    for (const auto& part : received.digest.cachedParts) {
+    for (const auto& part : digest.cachedParts) {
         if (const auto upstream = m_upstreams.findByKey(part.upstream))
             upstream->promptCache.recordPart({ part.part, part.tokens }, engineKvCacheTokens(upstream->record.service));
     }
+    if (digest.scope == digest_scope::router)
+        m_summaryCachedParts.insert(m_summaryCachedParts.end(), digest.cachedParts.begin(), digest.cachedParts.end());
+}
+
+void router_reducer::introduce(const digest_received& received)
+{
+    auto answer = makeSummary();
+    answer.members = m_peers.contactsWithin(received.digest.dataCentre);
+    m_peers.addContact({ received.address, received.digest.dataCentre }, m_now);
+    emit(send_digest { { received.address }, std::move(answer) });
 }
 
 void router_reducer::on(clock_jumped&& jumped)
 {
     log(log_level::warning, "clock_jumped", { { "gap_ms", formatMilliseconds(jumped.gap) } });
     m_peers.discardConfirmations();
+    m_peers.suspendCarrier(m_now);
     cancelRead(store_kind::upstreams);
     cancelRead(store_kind::configuration);
     m_upstreamWatcher.resetAndRelist();
@@ -71,7 +104,8 @@
     confirmConfig();
     setTimer(timer_kind::digest, 0, m_now + m_peers.digestInterval());
     const bool idle = m_requests.empty() && m_recentCachedParts.empty() && !m_terminating;
-    if (idle && m_now - m_digestSentAt < heartbeatInterval)
+    m_idleDigests = idle ? m_idleDigests + 1 : 0;
+    if (m_idleDigests > repeatedIdleDigests && m_now - m_digestSentAt < heartbeatInterval)
         return;
     m_digestSentAt = m_now;
     auto addresses = m_peers.digestTargets(m_now);
@@ -83,29 +117,88 @@
 router_digest router_reducer::makeDigest()
 {
     router_digest digest;
-    digest.instance = m_options.settings.instance;
     digest.incarnation = m_options.incarnation;
     digest.sequence = ++m_digestSequence;
     digest.leaving = m_terminating && m_requests.empty();
-    digest.storeEra = m_storeEra.value_or(0);
-    digest.configPosition = m_configPosition;
-    digest.configVersion = m_config ? m_config->version : 0;
+    addStoreState(digest);
     // Contains only what this router has confirmed with the store itself. Passing on the confirmations of others would let
     // routers confirm one another for ever.
     if (const auto confirmed = ownConfirmedAt())
         digest.configAge = std::chrono::ceil<std::chrono::milliseconds>(m_now - *confirmed);
-    digest.upstreamPosition = m_newestRecordPosition;
-    digest.members = m_peers.memberAddresses();
-    for (const auto& item : m_upstreams.all()) {
-        if (item->inFlight > 0)
-            digest.loads.push_back({ item->key, item->inFlight, item->streams, static_cast<int>(item->uncachedPromptTokens) });
-    }
+    digest.members = m_peers.sampleContacts();
+    digest.loads = ownLoads();
     digest.suspects = m_crashes.ownCounts(m_now);
     digest.leavingUpstreams = recentLeavingUpstreams();
+    m_summaryCachedParts.insert(m_summaryCachedParts.end(), m_recentCachedParts.begin(), m_recentCachedParts.end());
     digest.cachedParts = std::exchange(m_recentCachedParts, {});
     return digest;
 }
 
+void router_reducer::addStoreState(router_digest& digest) const
+{
+    digest.instance = m_options.settings.instance;
+    digest.dataCentre = m_options.settings.dataCentre;
+    digest.storeEra = m_storeEra.value_or(0);
+    digest.configPosition = m_configPosition;
+    digest.configVersion = m_config ? m_config->version : 0;
+    digest.upstreamPosition = m_newestRecordPosition;
+}
+
+std::vector<outstanding_load> router_reducer::ownLoads() const
+{
+    std::vector<outstanding_load> loads;
+    for (const auto& item : m_upstreams.all()) {
+        if (item->inFlight > 0)
+            loads.push_back({ item->key, item->inFlight, item->streams, static_cast<int>(item->uncachedPromptTokens) });
+    }
+    return loads;
+}
+
+void router_reducer::sendSummary()
+{
+    setTimer(timer_kind::summary, 0, m_now + m_peers.summaryInterval());
+    const auto recentParts = std::exchange(m_summaryCachedParts, {});
+    if (!m_peers.isCarrier(m_now) || (m_terminating && m_requests.empty()))
+        return;
+    auto summary = makeSummary();
+    // The newest parts are the ones that the engines still have cached.
+    const auto firstPart = std::max<std::ptrdiff_t>(0, std::ssize(recentParts) - maxPartsPerSummary);
+    summary.cachedParts.assign(recentParts.begin() + firstPart, recentParts.end());
+    const bool idle = summary.loads.empty() && summary.slice.count == 1 && summary.cachedParts.empty();
+    m_idleSummaries = idle ? m_idleSummaries + 1 : 0;
+    if (m_idleSummaries > repeatedIdleDigests && m_now - m_summarySentAt < heartbeatInterval)
+        return;
+    m_summarySentAt = m_now;
+    auto addresses = m_peers.summaryTargets(m_now);
+    if (!addresses.empty())
+        emit(send_digest { std::move(addresses), std::move(summary) });
+}
+
+router_digest router_reducer::makeSummary()
+{
+    router_digest summary;
+    summary.scope = digest_scope::data_centre;
+    summary.incarnation = m_options.incarnation;
+    summary.sequence = ++m_digestSequence;
+    summary.routers = static_cast<int>(m_peers.neighbourCount()) + 1;
+    addStoreState(summary);
+    // Only confirmations of this data centre: those of others must not return to them.
+    const auto confirmed = m_config ? std::max(ownConfirmedAt(), m_peers.confirmedInDataCentre(m_configPosition, m_config->version)) : std::nullopt;
+    if (confirmed)
+        summary.configAge = std::chrono::ceil<std::chrono::milliseconds>(m_now - *confirmed);
+    summary.members = m_peers.sampleContacts();
+    auto loads = m_peers.sumOfDataCentre(ownLoads());
+    summary.slice.count = 1 + static_cast<std::uint32_t>(loads.size() / maxLoadsPerDigest);
+    summary.slice.index = m_summarySlice++ % summary.slice.count;
+    std::erase_if(loads, [&summary](const outstanding_load& load) { return load.upstream % summary.slice.count != summary.slice.index; });
+    summary.loads = std::move(loads);
+    summary.suspects = m_crashes.sumOf(m_peers.neighbourNames(), m_now);
+    summary.leavingUpstreams = recentLeavingUpstreams();
+    const auto others = m_peers.leavingInDataCentre();
+    summary.leavingUpstreams.insert(summary.leavingUpstreams.end(), others.begin(), others.end());
+    return summary;
+}
+
 // Lists everything again if the other routers have read newer revisions for so long that this router's watch must have
 // failed silently.
 void router_reducer::detectStaleWatch()
--- a/servers/router/router_reducer.cpp
+++ b/servers/router/router_reducer.cpp
@@ -66,7 +66,7 @@
     , m_configWatcher(m_options.incarnation)
 {
     m_retryLimiter.setOptions(retryOptions());
-    m_peers.setAddresses(m_options.settings.address, m_options.settings.seeds);
+    setPeerGroup();
 }
 
 void router_reducer::step(router_event&& event, instant now, router_effects& effects)
@@ -81,11 +81,21 @@
     if (!m_pendingRequests.empty() && !awaitsFirstRead())
         admitPending();
     // The first exchange; the digest timer triggers all later ones.
-    if (m_digestSentAt == instant {})
+    if (m_digestSentAt == instant {}) {
         exchangeDigests();
+        // A router that has just started does not know yet which routers of its data centre live.
+        m_peers.suspendCarrier(m_now);
+        sendSummary();
+    }
     m_effects = nullptr;
 }
 
+void router_reducer::setPeerGroup()
+{
+    const auto& settings = m_options.settings;
+    m_peers.setSelf(settings.instance, { settings.address, settings.dataCentre }, settings.seeds);
+}
+
 std::optional<instant> router_reducer::nextDeadline() const
 {
     return m_timers.nextDeadline();
@@ -237,7 +247,7 @@
 {
     m_options.settings = std::move(changed.settings);
     m_retryLimiter.setOptions(retryOptions());
-    m_peers.setAddresses(m_options.settings.address, m_options.settings.seeds);
+    setPeerGroup();
     log(log_level::info, "settings_changed", { { "instance", m_options.settings.instance }, { "store", formatEndpoint(m_options.settings.store) } });
 }
 
@@ -289,6 +299,8 @@
         return removeExpiredUpstreams();
     case timer_kind::digest:
         return exchangeDigests();
+    case timer_kind::summary:
+        return sendSummary();
     case timer_kind::close_idle:
         emit(close_idle_callers {});
         if (m_requests.empty())
--- a/servers/router/router_reducer.h
+++ b/servers/router/router_reducer.h
@@ -40,6 +40,7 @@
     std::size_t requestCount() const { return m_requests.size(); }
     const upstream_table& upstreams() const { return m_upstreams; }
     const shared_config& config() const { return m_config; }
+    const peer_group& peers() const { return m_peers; }
 
 private:
     enum class timer_kind { deadline,
@@ -50,6 +51,7 @@
         read_timeout,
         record_expiry,
         digest,
+        summary,
         close_idle,
         stop };
     using timer_key = std::pair<timer_kind, std::uint64_t>;
@@ -154,8 +156,17 @@
     bool configIsNewest() const;
 
     // Exchange of digests with the other routers.
+    void setPeerGroup();
     void exchangeDigests();
     router_digest makeDigest();
+    // Sends the sum of this data centre to the others, if this router is its carrier.
+    void sendSummary();
+    router_digest makeSummary();
+    void addStoreState(router_digest&) const;
+    std::vector<outstanding_load> ownLoads() const;
+    void learnFromDigest(const router_digest&);
+    // Answers a router of another data centre that looks for others, and keeps its address.
+    void introduce(const digest_received&);
     void detectStaleWatch();
     duration recordBatchDelay() const;
     retry_limiter_options retryOptions() const;
@@ -173,6 +184,13 @@
     crash_tracker m_crashes;
     // Prompt parts that were sent to upstreams since the last digest.
     std::vector<cached_prompt_part> m_recentCachedParts;
+    // Prompt parts of all routers of this data centre since the last sum, if this router is the carrier.
+    std::vector<cached_prompt_part> m_summaryCachedParts;
+    std::uint32_t m_summarySlice = 0;
+    instant m_summarySentAt;
+    // Consecutive digests and sums without load.
+    int m_idleDigests = 0;
+    int m_idleSummaries = 0;
     // Upstreams that have stated to this router that they are leaving, with the time until which digests tell so.
     std::vector<std::pair<leaving_upstream, instant>> m_leavingUpstreams;
     std::uint64_t m_digestSequence = 0;
--- a/servers/router/router_store.cpp
+++ b/servers/router/router_store.cpp
@@ -18,7 +18,9 @@
     // Each router whose instance name sorts earlier delays this router's confirmation by this much, so that as a rule only
     // the first one reads the store.
     constexpr auto confirmationDelayPerPeer = std::chrono::milliseconds(150);
-    constexpr auto maxConfirmationDelay = std::chrono::milliseconds(1500);
+    // The same for each other data centre whose name sorts earlier. It is longer, since a confirmation takes longer from there.
+    constexpr auto confirmationDelayPerDataCentre = std::chrono::milliseconds(800);
+    constexpr auto maxConfirmationDelay = std::chrono::milliseconds(2500);
     constexpr auto confirmationBackoff = std::chrono::milliseconds(1000);
 
 } // namespace
@@ -111,7 +113,7 @@
 {
     if (!m_config || m_confirmation.read != 0 || m_now < m_confirmation.notBefore)
         return;
-    const auto delay = confirmationDelayPerPeer * static_cast<int>(m_peers.countSortedBefore(m_options.settings.instance));
+    const auto delay = confirmationDelayPerPeer * static_cast<int>(m_peers.neighboursSortedBefore()) + confirmationDelayPerDataCentre * static_cast<int>(m_peers.dataCentresSortedBefore());
     const auto maxAge = std::min<duration>(confirmationInterval + delay, maxConfirmationDelay);
     const auto confirmed = configConfirmedAt();
     if (confirmed && m_now - *confirmed < maxAge)
--- a/tests/drivers/digest_codec_test.cpp
+++ b/tests/drivers/digest_codec_test.cpp
@@ -15,7 +15,12 @@
     digest.configAge = std::chrono::milliseconds(120);
     digest.configVersion = 12;
     digest.upstreamPosition = { 2, 40 };
-    digest.members = { "10.0.0.1", "10.0.0.2" };
+    digest.scope = digest_scope::data_centre;
+    digest.dataCentre = "dc-a";
+    digest.routers = 31;
+    digest.relayed = true;
+    digest.slice = { 1, 3 };
+    digest.members = { { "10.0.0.1", "dc-a" }, { "10.0.0.2", "dc-b" } };
     digest.loads = { { 5, 1, 2, 3000 }, { 0xffffffff, 4, 0, 0 } };
     digest.cachedParts = { { 5, 0xabcdef0123456789, 13300 } };
     digest.suspects = { { 99, 2 } };
@@ -30,6 +35,11 @@
     CHECK(decodedDigest.configVersion == digest.configVersion);
     CHECK(decodedDigest.upstreamPosition == digest.upstreamPosition);
     CHECK(decodedDigest.configAge == digest.configAge);
+    CHECK(decodedDigest.scope == digest.scope);
+    CHECK(decodedDigest.dataCentre == digest.dataCentre);
+    CHECK(decodedDigest.routers == digest.routers);
+    CHECK(decodedDigest.relayed);
+    CHECK(decodedDigest.slice == digest.slice);
     CHECK(decodedDigest.members == digest.members);
     REQUIRE(decodedDigest.loads.size() == 2);
     CHECK(decodedDigest.loads[1].upstream == 0xffffffff);
--- a/tests/servers/router/crash_test.cpp
+++ b/tests/servers/router/crash_test.cpp
@@ -9,6 +9,7 @@
 router_digest confirmation(std::uint64_t sequence)
 {
     router_digest digest;
+    digest.dataCentre = "dc-a";
     digest.instance = "entry-2";
     digest.sequence = sequence;
     digest.configPosition.revision = 5;
--- a/tests/servers/router/peer_test.cpp
+++ b/tests/servers/router/peer_test.cpp
@@ -9,6 +9,7 @@
 {
     router_digest digest;
     digest.instance = instance;
+    digest.dataCentre = "dc-a";
     digest.incarnation = 1;
     digest.sequence = sequence;
     digest.configPosition = { 0, 5 };
@@ -31,10 +32,10 @@
 {
     peer_group peers;
     const auto now = instant() + seconds(100);
-    peers.setAddresses("10.0.0.2", { "10.0.0.1", "10.0.0.2" });
+    peers.setSelf("entry-2", { "10.0.0.2", "dc-a" }, { "10.0.0.1", "10.0.0.2" });
     CHECK(peers.digestTargets(now) == std::vector<std::string> { "10.0.0.1" });
     auto digest = digestOf("entry-1", 1);
-    digest.members = { "10.0.0.2", "10.0.0.3" };
+    digest.members = { { "10.0.0.2", "dc-a" }, { "10.0.0.3", "dc-a" } };
     CHECK(peers.accept("10.0.0.1", digest, now));
     auto addresses = peers.digestTargets(now);
     std::sort(addresses.begin(), addresses.end());
--- a/tests/servers/router/store_restore_test.cpp
+++ b/tests/servers/router/store_restore_test.cpp
@@ -78,6 +78,7 @@
 router_digest peerDigest(std::uint64_t sequence, std::uint64_t era)
 {
     router_digest digest;
+    digest.dataCentre = "dc-a";
     digest.instance = "entry-0";
     digest.incarnation = 1;
     digest.sequence = sequence;
--- a/tests/servers/router/store_watcher_test.cpp
+++ b/tests/servers/router/store_watcher_test.cpp
@@ -155,6 +155,7 @@
     fixture.start();
     for (int peer = 0; peer < 30; ++peer) {
         router_digest digest;
+        digest.dataCentre = "dc-a";
         digest.instance = "entry-" + std::to_string(100 + peer);
         digest.incarnation = 1;
         digest.sequence = 1;
--- a/tests/servers/router/upstream_statement_test.cpp
+++ b/tests/servers/router/upstream_statement_test.cpp
@@ -108,6 +108,7 @@
     startWithLeaving(fixture, { app("app-1") });
     router_digest peer;
     peer.instance = "entry-2";
+    peer.dataCentre = "dc-a";
     peer.sequence = 1;
     fixture.step(digest_received { "10.0.0.2", peer });
     const auto digests = router_fixture::all<send_digest>(fixture.advance(milliseconds(1000)));
@@ -128,6 +129,7 @@
     fixture.answerUpstreamList({ app("app-1") }, 5);
     router_digest peer;
     peer.instance = "entry-2";
+    peer.dataCentre = "dc-a";
     peer.sequence = 1;
     peer.leavingUpstreams = { { "app-1", 7 }, { "unknown", 1 } };
     fixture.step(digest_received { "10.0.0.2", peer });
--- /dev/null
+++ b/tests/support/fleet_fixture.h
@@ -0,0 +1,189 @@
+#pragma once
+
+#include "tests/support/router_fixture.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+
+namespace kumquat::router {
+
+// Several routers in virtual time that exchange digests over a network which may lose, delay and duplicate them. Each
+// router reads the same store at its start.
+class fleet_fixture {
+public:
+    struct network {
+        double lossShare = 0;
+        duration maxDelay = milliseconds(5);
+        // Returns true if a datagram from the first to the second address is lost.
+        std::function<bool(const std::string&, const std::string&)> isCut = [](const std::string&, const std::string&) { return false; };
+    };
+
+    explicit fleet_fixture(unsigned seed)
+        : m_random(seed)
+    {
+    }
+
+    // Adds a router. Its seeds are the first routers of the fleet.
+    void add(const std::string& dataCentre)
+    {
+        const auto number = m_nodes.size() + 1;
+        router_options options;
+        options.settings.instance = "entry-" + std::to_string(number);
+        options.settings.dataCentre = dataCentre;
+        options.settings.address = "10.0.0." + std::to_string(number);
+        options.settings.seeds = { "10.0.0.1", "10.0.0.2", "10.0.0.3" };
+        options.incarnation = 100 + number;
+        m_nodes.push_back(std::make_unique<node>(node { options.settings.address, dataCentre, router_reducer(options), true }));
+        step(*m_nodes.back(), router_timer_due {});
+    }
+
+    std::size_t size() const { return m_nodes.size(); }
+    const std::string& address(std::size_t number) const { return m_nodes[number]->address; }
+    const std::string& dataCentre(std::size_t number) const { return m_nodes[number]->dataCentre; }
+    const peer_group& peers(std::size_t number) const { return m_nodes[number]->reducer.peers(); }
+    instant now() const { return m_now; }
+
+    bool isAlive(std::size_t number) const { return m_nodes[number]->alive; }
+    // Stops a router as a power failure does.
+    void kill(std::size_t number) { m_nodes[number]->alive = false; }
+    // Suspends a router: its timers don't run, and datagrams wait.
+    void setSuspended(std::size_t number, bool suspended) { m_nodes[number]->suspended = suspended; }
+    void post(std::size_t number, router_event event) { step(*m_nodes[number], std::move(event)); }
+
+    // Sends a request for a path to a router, which stays in progress.
+    void request(std::size_t number, const std::string& path)
+    {
+        proxied_request item;
+        item.requestId = "request-" + std::to_string(++m_lastCaller);
+        item.method = "POST";
+        item.target = path;
+        item.path = path;
+        item.host = "host";
+        item.apiKey = "key-a";
+        item.callerTimeout = seconds(10);
+        step(*m_nodes[number], request_arrived { m_lastCaller, std::make_shared<const proxied_request>(std::move(item)) });
+    }
+
+    // What one router has in flight at an upstream.
+    int inFlight(std::size_t number, const std::string& upstream) const { return m_nodes[number]->reducer.upstreams().find(upstream)->inFlight; }
+
+    void run(duration elapsed)
+    {
+        const auto end = m_now + elapsed;
+        while (const auto next = nextTime(end)) {
+            m_now = std::max(m_now, *next);
+            deliverDue();
+            fireTimers();
+        }
+        m_now = end;
+    }
+
+    network net;
+    // Every datagram that a router has sent, with its sender and receiver.
+    struct sent_datagram {
+        std::string from;
+        std::string to;
+        router_digest digest;
+        instant sentAt;
+    };
+    std::vector<sent_datagram> sent;
+    // The upstreams that the store lists.
+    std::vector<upstream_record> records { router_fixture::makeUpstream("app-1", "app", 1003) };
+
+private:
+    struct node {
+        std::string address;
+        std::string dataCentre;
+        router_reducer reducer;
+        bool alive = true;
+        bool suspended = false;
+    };
+
+    std::optional<instant> nextTime(instant end) const
+    {
+        std::optional<instant> next;
+        const auto consider = [&](instant time) {
+            if (time <= end && (!next || time < *next))
+                next = time;
+        };
+        for (const auto& [time, datagram] : m_inTransit)
+            consider(time);
+        for (const auto& item : m_nodes) {
+            if (item->alive && !item->suspended && item->reducer.nextDeadline())
+                consider(*item->reducer.nextDeadline());
+        }
+        return next;
+    }
+
+    void deliverDue()
+    {
+        while (!m_inTransit.empty() && m_inTransit.begin()->first <= m_now) {
+            auto datagram = std::move(m_inTransit.begin()->second);
+            m_inTransit.erase(m_inTransit.begin());
+            for (const auto& item : m_nodes) {
+                if (item->address != datagram.to || !item->alive)
+                    continue;
+                if (item->suspended)
+                    m_inTransit.emplace(m_now + milliseconds(10), datagram);
+                else
+                    step(*item, digest_received { datagram.from, datagram.digest });
+            }
+        }
+    }
+
+    void fireTimers()
+    {
+        for (const auto& item : m_nodes) {
+            if (item->alive && !item->suspended && item->reducer.nextDeadline() && *item->reducer.nextDeadline() <= m_now)
+                step(*item, router_timer_due {});
+        }
+    }
+
+    void step(node& target, router_event event)
+    {
+        router_effects effects;
+        target.reducer.step(std::move(event), m_now, effects);
+        for (auto& effect : effects) {
+            if (auto* message = std::get_if<send_digest>(&effect))
+                send(target.address, *message);
+            if (const auto* read = std::get_if<read_store>(&effect))
+                answer(target, *read);
+        }
+    }
+
+    void send(const std::string& from, const send_digest& message)
+    {
+        for (const auto& to : message.addresses) {
+            sent.push_back({ from, to, message.digest, m_now });
+            const bool isLost = std::uniform_real_distribution<>(0, 1)(m_random) < net.lossShare;
+            if (isLost || net.isCut(from, to))
+                continue;
+            const auto delay = duration(m_random() % static_cast<std::uint64_t>(net.maxDelay.count()));
+            m_inTransit.emplace(m_now + delay, sent_datagram { from, to, message.digest, m_now });
+        }
+    }
+
+    // Lists are answered at once, watches never.
+    void answer(node& target, const read_store& read)
+    {
+        if (read.sinceRevision)
+            return;
+        if (read.kind == store_kind::configuration)
+            return step(target, config_read { read.read, store_page<shared_config> { { { "main", 5, std::make_shared<const routing_config>(router_fixture::sampleConfig()) } }, false, 5 } });
+        store_page<upstream_record> page;
+        page.revision = 5;
+        for (const auto& record : records)
+            page.entries.push_back({ record.id, 5, record });
+        step(target, upstreams_read { read.read, std::move(page) });
+    }
+
+    std::mt19937_64 m_random;
+    instant m_now = instant() + std::chrono::hours(1);
+    std::vector<std::unique_ptr<node>> m_nodes;
+    std::multimap<instant, sent_datagram> m_inTransit;
+    caller_id m_lastCaller = 0;
+};
+
+} // namespace kumquat::router
