Trust no confirmation that may have waited in a socket while the process was stopped

Cause: a process that was stopped for seconds, while its clock went on, read digests and the answer to its watch from its sockets and took their ages as of that moment, so that a key that was revoked meanwhile could be used for up to the stop's length beyond the bound. Suspensions that the clock leaves out were noticed already. Change: a process that has processed no event for a second, although its housekeeping is due each half second, reports a stall. The router then discards the confirmations of others, ignores those of the next half second, and lists the configuration afresh instead of using the answer to its watch. A list confirms the time of its request, which a stall does not change. Result: two cases in peer_test; without either rule one of them fails.

--- a/processes/router_process.cpp
+++ b/processes/router_process.cpp
@@ -32,6 +32,8 @@
 
     // A suspension of the instance that is shorter than this is ignored.
     constexpr auto minSuspension = std::chrono::milliseconds(250);
+    // A process that has processed no event for this long was not run: its housekeeping is due more often.
+    constexpr auto minStall = 2 * housekeepingInterval;
 
     // The total time for which the instance has been suspended since it started, which the monotonic clock leaves out.
     duration measureSuspendedTime()
@@ -73,6 +75,7 @@
         void reportFailedRead(call_id, store_kind, const std::string& reason);
         void onDatagram(const std::string& host, const std::string& bytes);
         void detectSuspension();
+        void detectStall();
         http_client::handlers upstreamHandlers();
         http_client::handlers storeHandlers();
 
@@ -88,6 +91,7 @@
         std::unique_ptr<http_server> m_admin;
         std::unique_ptr<datagram_port> m_peers;
         duration m_suspendedTime = measureSuspendedTime();
+        instant m_lastEventAt = std::chrono::steady_clock::now();
         std::unordered_map<call_id, store_call> m_storeCalls;
         // Events that arrived while m_stepping was set.
         std::deque<router::router_event> m_queuedEvents;
@@ -181,6 +185,16 @@
         step(router::clock_jumped { gap });
     }
 
+    // Runs before each event, for stops that the clock goes on in: a paused process, or an instance without processor time.
+    void router_process::detectStall()
+    {
+        const auto now = std::chrono::steady_clock::now();
+        const auto gap = now - m_lastEventAt;
+        m_lastEventAt = now;
+        if (gap >= minStall)
+            step(router::process_stalled { gap });
+    }
+
     void router_process::onCallerRequest(connection_id id, http_request&& received)
     {
         auto decoded = platform::decodeRequest(std::move(received));
@@ -212,6 +226,7 @@
             return;
         }
         detectSuspension();
+        detectStall();
         step(std::move(event));
         while (!m_queuedEvents.empty()) {
             auto next = std::move(m_queuedEvents.front());
--- a/servers/router/peer_group.cpp
+++ b/servers/router/peer_group.cpp
@@ -81,7 +81,7 @@
     sender.configPosition = digest.configPosition;
     sender.configVersion = digest.configVersion;
     sender.configConfirmedAt.reset();
-    if (digest.configAge)
+    if (digest.configAge && now >= m_confirmationsNotBefore)
         sender.configConfirmedAt = now - *digest.configAge - maxTransitTime * (digest.relayed ? 2 : 1);
     sender.upstreamPosition = digest.upstreamPosition;
     sender.leavingUpstreams = digest.leavingUpstreams;
@@ -159,6 +159,12 @@
         peer.configConfirmedAt.reset();
 }
 
+void peer_group::distrustConfirmations(instant until)
+{
+    discardConfirmations();
+    m_confirmationsNotBefore = until;
+}
+
 std::vector<std::string> peer_group::digestTargets(instant now)
 {
     auto targets = neighbourAddresses();
--- a/servers/router/peer_group.h
+++ b/servers/router/peer_group.h
@@ -30,6 +30,8 @@
     void expire(instant now);
     // Discards the times at which the other routers confirmed their configuration.
     void discardConfirmations();
+    // Discards them, and ignores those of digests that are read before the given time.
+    void distrustConfirmations(instant until);
 
     // The addresses to which this router's next digest is sent: the known routers of its data centre, addresses that these
     // named, and the seeds from time to time.
@@ -124,6 +126,7 @@
     std::unordered_map<std::uint32_t, outstanding_load> m_totalLoads;
     instant m_seedsContactedAt;
     instant m_carrierNotBefore;
+    instant m_confirmationsNotBefore;
     std::size_t m_sampleRotation = 0;
     std::size_t m_summaryRound = 0;
 };
--- a/servers/router/router_event.h
+++ b/servers/router/router_event.h
@@ -92,6 +92,11 @@
     duration gap {};
 };
 
+// The process did not run for this long, while the clock went on. Messages that are read now may have waited as long.
+struct process_stalled {
+    duration gap {};
+};
+
 struct settings_changed {
     router_settings settings;
 };
@@ -103,6 +108,6 @@
 struct router_timer_due { };
 
 using router_event = std::variant<request_arrived, caller_left, caller_ready, answer_started, answer_continued, answer_ended, attempt_aborted,
-    upstreams_read, config_read, store_read_progressed, digest_received, clock_jumped, settings_changed, termination_requested, router_timer_due>;
+    upstreams_read, config_read, store_read_progressed, digest_received, clock_jumped, process_stalled, settings_changed, termination_requested, router_timer_due>;
 
 } // namespace kumquat::router
--- a/servers/router/router_peers.cpp
+++ b/servers/router/router_peers.cpp
@@ -17,6 +17,8 @@
     constexpr auto minRecordBatchDelay = std::chrono::milliseconds(50);
     constexpr auto maxRecordBatchDelay = std::chrono::milliseconds(500);
 
+    // After a stall, messages that waited in the sockets are read within this time.
+    constexpr auto waitingMessagesTime = std::chrono::milliseconds(500);
     // So many loads, and so many prompt parts, fit in a datagram beside each other.
     constexpr std::size_t maxLoadsPerDigest = 60;
     constexpr std::ptrdiff_t maxPartsPerSummary = 40;
@@ -84,6 +86,17 @@
     m_confirmedBeforeRestore.reset();
 }
 
+// Digests and the answer to a watch may have waited in the socket, so what they confirm may be older than they say. The
+// answer to a list is not affected, because it confirms the time at which the list was requested.
+void router_reducer::on(process_stalled&& stalled)
+{
+    log(log_level::warning, "process_stalled", { { "gap_ms", formatMilliseconds(stalled.gap) } });
+    m_peers.distrustConfirmations(m_now + waitingMessagesTime);
+    m_peers.suspendCarrier(m_now);
+    cancelRead(store_kind::configuration);
+    m_configWatcher.relist();
+}
+
 std::int64_t router_reducer::engineKvCacheTokens(const std::string& service) const
 {
     if (!m_config)
--- a/servers/router/router_reducer.h
+++ b/servers/router/router_reducer.h
@@ -73,6 +73,7 @@
     void on(store_read_progressed&&);
     void on(digest_received&&);
     void on(clock_jumped&&);
+    void on(process_stalled&&);
     void on(settings_changed&&);
     void on(termination_requested&&);
     void on(router_timer_due&&);
--- a/tests/servers/router/peer_test.cpp
+++ b/tests/servers/router/peer_test.cpp
@@ -134,3 +134,39 @@
     REQUIRE(digest.cachedParts.size() == 1);
     CHECK(digest.cachedParts[0].part == 7);
 }
+
+TEST_CASE("a process that was stalled trusts no confirmation that may have waited in a socket", "[peers]")
+{
+    router_fixture fixture(withSeeds());
+    fixture.start();
+    auto digest = digestOf("entry-1", 1);
+    digest.configAge = milliseconds(0);
+    fixture.step(digest_received { "10.0.0.1", digest });
+    // The process does not run for five seconds, in which a configuration without the key may have been published.
+    fixture.now += seconds(5);
+    fixture.step(process_stalled { seconds(5) });
+    ++digest.sequence;
+    fixture.step(digest_received { "10.0.0.1", digest });
+    fixture.request(1, "/pay/x");
+    CHECK(fixture.replyStatus() == 503);
+    fixture.answerConfigList(router_fixture::sampleConfig(), 5);
+    fixture.request(2, "/pay/x");
+    CHECK(fixture.all<start_attempt>().size() == 1);
+    fixture.advance(milliseconds(4700));
+    ++digest.sequence;
+    fixture.step(digest_received { "10.0.0.1", digest });
+    fixture.request(3, "/pay/x");
+    CHECK(fixture.all<start_attempt>().size() == 1);
+}
+
+TEST_CASE("the answer to a watch that was read after a stall confirms nothing", "[peers]")
+{
+    router_fixture fixture;
+    fixture.start();
+    const auto watch = fixture.configRead;
+    fixture.now += seconds(5);
+    fixture.step(process_stalled { seconds(5) });
+    fixture.step(config_read { watch, store_changes<shared_config> { {}, 5 } });
+    fixture.request(1, "/pay/x");
+    CHECK(fixture.replyStatus() == 503);
+}
