Bound each digest to one datagram, with loads, prompt parts and suspects

Cause: the case on datagram sizes had requests without prompts, so that a sum with as many prompt parts and suspects as allowed would have passed 1,400 bytes; a router's own digest was not bounded at all. Change: both kinds of digests take a slice of the loads and at most 36 loads, 24 prompt parts and 12 suspects; one seed is asked each 5 s. The case has prompts, 800 engines, 48 routers in six data centres and 4,000 requests. Result: dissemination_test passes; largest datagram between 900 and 1,400 bytes.

--- a/servers/router/peer_group.cpp
+++ b/servers/router/peer_group.cpp
@@ -12,8 +12,8 @@
     constexpr auto peerTimeout = std::chrono::milliseconds(1500);
     constexpr auto dataCentreTimeout = std::chrono::seconds(3);
     constexpr auto candidateTimeout = std::chrono::seconds(3);
-    // Seeds are contacted this often while no other router is known, and then rarely, so that groups of routers that have not
-    // found each other meet.
+    // All seeds are contacted this often while no other router is known, and then one of them now and then, so that groups of
+    // routers that have not found each other meet.
     constexpr auto lonelySeedInterval = std::chrono::milliseconds(500);
     constexpr auto seedInterval = std::chrono::seconds(5);
     constexpr auto digestIntervalPerPeer = std::chrono::milliseconds(6);
@@ -174,8 +174,12 @@
     if (now - m_seedsContactedAt < interval)
         return targets;
     m_seedsContactedAt = now;
-    for (const auto& seed : m_seeds) {
-        if (seed != m_self.address && std::find(targets.begin(), targets.end(), seed) == targets.end())
+    const bool lonely = m_peers.empty();
+    ++m_seedRotation;
+    for (std::size_t number = 0; number < m_seeds.size(); ++number) {
+        const auto& seed = m_seeds[number];
+        const bool isDue = lonely || number == m_seedRotation % m_seeds.size();
+        if (isDue && seed != m_self.address && std::find(targets.begin(), targets.end(), seed) == targets.end())
             targets.push_back(seed);
     }
     return targets;
--- a/servers/router/peer_group.h
+++ b/servers/router/peer_group.h
@@ -128,6 +128,7 @@
     instant m_carrierNotBefore;
     instant m_confirmationsNotBefore;
     std::size_t m_sampleRotation = 0;
+    std::size_t m_seedRotation = 0;
     std::size_t m_summaryRound = 0;
 };
 
--- a/servers/router/router_peers.cpp
+++ b/servers/router/router_peers.cpp
@@ -19,9 +19,34 @@
 
     // After a stall, messages that waited in the sockets are read within this time.
     constexpr auto waitingMessagesTime = std::chrono::milliseconds(500);
-    // So many loads, and so many prompt parts, fit in a datagram beside each other.
-    constexpr std::size_t maxLoadsPerDigest = 60;
-    constexpr std::ptrdiff_t maxPartsPerSummary = 40;
+    // So many loads, prompt parts and suspects fit in a datagram beside each other.
+    constexpr std::size_t maxLoadsPerDigest = 36;
+    constexpr std::size_t maxPartsPerDigest = 24;
+    constexpr std::size_t maxSuspectsPerDigest = 12;
+
+    // Adds one slice of the loads to a digest, another one for each rotation.
+    void addLoads(router_digest& digest, std::vector<outstanding_load> loads, std::uint32_t rotation)
+    {
+        digest.slice.count = 1 + static_cast<std::uint32_t>(loads.size() / maxLoadsPerDigest);
+        digest.slice.index = rotation % digest.slice.count;
+        std::erase_if(loads, [&digest](const outstanding_load& load) { return load.upstream % digest.slice.count != digest.slice.index; });
+        // Keys are hashes, so a slice is rarely much larger than the others; what exceeds the datagram is left out.
+        loads.resize(std::min(loads.size(), maxLoadsPerDigest));
+        digest.loads = std::move(loads);
+    }
+
+    // Adds the newest prompt parts to a digest: they are the ones that the engines still have cached.
+    void addCachedParts(router_digest& digest, const std::vector<cached_prompt_part>& parts)
+    {
+        const auto count = std::min(parts.size(), maxPartsPerDigest);
+        digest.cachedParts.assign(parts.end() - static_cast<std::ptrdiff_t>(count), parts.end());
+    }
+
+    void addSuspects(router_digest& digest, crash_tracker::crash_counts suspects)
+    {
+        suspects.resize(std::min(suspects.size(), maxSuspectsPerDigest));
+        digest.suspects = std::move(suspects);
+    }
 
 } // namespace
 
@@ -139,11 +164,11 @@
     if (const auto confirmed = ownConfirmedAt())
         digest.configAge = std::chrono::ceil<std::chrono::milliseconds>(m_now - *confirmed);
     digest.members = m_peers.sampleContacts();
-    digest.loads = ownLoads();
-    digest.suspects = m_crashes.ownCounts(m_now);
+    addLoads(digest, ownLoads(), m_digestSlice++);
+    addSuspects(digest, m_crashes.ownCounts(m_now));
     digest.leavingUpstreams = recentLeavingUpstreams();
     m_summaryCachedParts.insert(m_summaryCachedParts.end(), m_recentCachedParts.begin(), m_recentCachedParts.end());
-    digest.cachedParts = std::exchange(m_recentCachedParts, {});
+    addCachedParts(digest, std::exchange(m_recentCachedParts, {}));
     return digest;
 }
 
@@ -174,9 +199,7 @@
     if (!m_peers.isCarrier(m_now) || (m_terminating && m_requests.empty()))
         return;
     auto summary = makeSummary();
-    // The newest parts are the ones that the engines still have cached.
-    const auto firstPart = std::max<std::ptrdiff_t>(0, std::ssize(recentParts) - maxPartsPerSummary);
-    summary.cachedParts.assign(recentParts.begin() + firstPart, recentParts.end());
+    addCachedParts(summary, recentParts);
     const bool idle = summary.loads.empty() && summary.slice.count == 1 && summary.cachedParts.empty();
     m_idleSummaries = idle ? m_idleSummaries + 1 : 0;
     if (m_idleSummaries > repeatedIdleDigests && m_now - m_summarySentAt < heartbeatInterval)
@@ -200,12 +223,8 @@
     if (confirmed)
         summary.configAge = std::chrono::ceil<std::chrono::milliseconds>(m_now - *confirmed);
     summary.members = m_peers.sampleContacts();
-    auto loads = m_peers.sumOfDataCentre(ownLoads());
-    summary.slice.count = 1 + static_cast<std::uint32_t>(loads.size() / maxLoadsPerDigest);
-    summary.slice.index = m_summarySlice++ % summary.slice.count;
-    std::erase_if(loads, [&summary](const outstanding_load& load) { return load.upstream % summary.slice.count != summary.slice.index; });
-    summary.loads = std::move(loads);
-    summary.suspects = m_crashes.sumOf(m_peers.neighbourNames(), m_now);
+    addLoads(summary, m_peers.sumOfDataCentre(ownLoads()), m_summarySlice++);
+    addSuspects(summary, m_crashes.sumOf(m_peers.neighbourNames(), m_now));
     summary.leavingUpstreams = recentLeavingUpstreams();
     const auto others = m_peers.leavingInDataCentre();
     summary.leavingUpstreams.insert(summary.leavingUpstreams.end(), others.begin(), others.end());
--- a/servers/router/router_reducer.h
+++ b/servers/router/router_reducer.h
@@ -187,6 +187,8 @@
     std::vector<cached_prompt_part> m_recentCachedParts;
     // Prompt parts of all routers of this data centre since the last sum, if this router is the carrier.
     std::vector<cached_prompt_part> m_summaryCachedParts;
+    // Select the slices of the next digest and the next sum.
+    std::uint32_t m_digestSlice = 0;
     std::uint32_t m_summarySlice = 0;
     instant m_summarySentAt;
     // Consecutive digests and sums without load.
--- a/tests/servers/router/dissemination_test.cpp
+++ b/tests/servers/router/dissemination_test.cpp
@@ -317,15 +317,15 @@
     fleet_fixture fleet(10);
     fleet.records.clear();
     for (int number = 0; number < 800; ++number)
-        fleet.records.push_back(router_fixture::makeUpstream("app-" + std::to_string(number), "app", 1003));
-    startFleet(fleet, 4, 10);
-    for (int number = 0; number < 1000; ++number)
-        fleet.request(static_cast<std::size_t>(number) % fleet.size(), "/look/x");
+        fleet.records.push_back(router_fixture::makeUpstream("llm-" + std::to_string(number), "llm", 1003));
+    startFleet(fleet, 6, 8);
+    for (int number = 0; number < 4000; ++number)
+        fleet.request(static_cast<std::size_t>(number) % fleet.size(), "/stream/x");
     fleet.sent.clear();
     fleet.run(milliseconds(800));
     std::size_t largest = 0;
     for (const auto& datagram : fleet.sent)
         largest = std::max(largest, encodeDigest(datagram.digest).size());
-    CHECK(largest > 300);
+    CHECK(largest > 900);
     CHECK(largest <= maxDatagramBytes);
 }
--- a/tests/support/fleet_fixture.h
+++ b/tests/support/fleet_fixture.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/hash.h"
 #include "tests/support/router_fixture.h"
 
 #include <functional>
@@ -63,6 +64,8 @@
         item.host = "host";
         item.apiKey = "key-a";
         item.callerTimeout = seconds(10);
+        item.prompt.parts = { { hashBytes(std::to_string(m_lastCaller)), 13300 }, { hashBytes("own", m_lastCaller), 3720 } };
+        item.prompt.inputTokens = 17020;
         step(*m_nodes[number], request_arrived { m_lastCaller, std::make_shared<const proxied_request>(std::move(item)) });
     }
 
