Split the router's reducer and its peer group by job

Change: router_admission, router_shutdown and peer_group_targets hold the functions that they are named for, unchanged; the pause between two closings of idle connections became a constant.

--- a/servers/router/peer_group.h
+++ b/servers/router/peer_group.h
@@ -108,6 +108,11 @@
         std::vector<leaving_upstream> leavingUpstreams;
     };
 
+    // A router whose last digest is older than this is removed.
+    static constexpr auto peerTimeout = std::chrono::milliseconds(1500);
+    // A sum that is younger than this comes from a carrier that can be reached.
+    static constexpr auto freshSummaryAge = std::chrono::milliseconds(1000);
+
     bool isNeighbour(const peer_state& peer) const { return peer.scope == digest_scope::router; }
     bool isSuperseded(const peer_state& known, const router_digest&, instant now) const;
     void removePeer(const std::string& name);
--- a/servers/router/router_reducer.cpp
+++ b/servers/router/router_reducer.cpp
@@ -1,61 +1,13 @@
 #include "servers/router/router_reducer.h"
 
-#include "core/hash.h"
-
-#include <algorithm>
-
 namespace kumquat::router {
 
 namespace {
 
-    // Requests with a key are refused once the last confirmation of the configuration is older than this share of the
-    // revocation deadline, the time after which a revoked key must be refused.
-    constexpr double keyFreshnessShare = 0.9;
     // The share of the configured retry limit that all routers together use.
     constexpr double retryLimitShare = 0.9;
     // The number of routers that is assumed while no digest has arrived.
     constexpr std::size_t assumedRouterCount = 8;
-    // The platform takes this long to stop directing new callers to a router that reports that it is not ready.
-    constexpr auto deregistrationDelay = std::chrono::milliseconds(3500);
-    // Once it has been terminating for this long, a router accepts only requests whose deadline is before its own end.
-    constexpr auto maxAcceptanceTime = std::chrono::milliseconds(2500);
-    // Upper bounds on the two times above as shares of the shutdown grace, for platforms that allow little time to stop.
-    constexpr double acceptanceShare = 0.3;
-    constexpr double deregistrationShare = 0.5;
-    // The caller's next connection reaches another router, so it may retry almost at once.
-    constexpr auto retryAtOtherRouter = std::chrono::milliseconds(20);
-    // A router stops this long before the platform would kill it.
-    constexpr auto shutdownMargin = std::chrono::milliseconds(300);
-    // A request that has crashed this many upstreams is refused.
-    constexpr int maxCrashes = 3;
-    constexpr auto retryAfterStartup = std::chrono::milliseconds(500);
-    // If the store is healthy, a router has read the configuration and the upstream records within this time of its start.
-    // Requests that arrive earlier wait, since callers that lost their connection to the predecessor reconnect at once.
-    constexpr auto firstReadTimeout = std::chrono::milliseconds(150);
-
-    // The maximum, or the given share of the shutdown grace if that is shorter.
-    duration limitByGrace(duration maximum, duration grace, double share)
-    {
-        return std::min(maximum, std::chrono::duration_cast<duration>(grace * share));
-    }
-
-    // Selects a service by weight. The choice depends only on the request id, so that each router makes the same one.
-    const std::string& chooseService(const route& matchedRoute, const std::string& requestId)
-    {
-        std::uint64_t totalWeight = 0;
-        for (const auto& candidate : matchedRoute.services)
-            totalWeight += static_cast<std::uint64_t>(std::max(candidate.weight, 0));
-        if (totalWeight == 0)
-            return matchedRoute.services.front().service;
-        auto point = hashBytes(requestId) % totalWeight;
-        for (const auto& candidate : matchedRoute.services) {
-            const auto weight = static_cast<std::uint64_t>(std::max(candidate.weight, 0));
-            if (point < weight)
-                return candidate.service;
-            point -= weight;
-        }
-        return matchedRoute.services.back().service;
-    }
 
 } // namespace
 
@@ -106,19 +58,6 @@
     return !m_terminating && canServe() && keysAreFresh(now);
 }
 
-// Upstreams are used before the list of them is complete: a large list takes long when all routers start at once.
-bool router_reducer::canServe() const
-{
-    return m_config && (m_upstreamsListed || m_upstreams.size() > 0);
-}
-
-bool router_reducer::keysAreFresh(instant now) const
-{
-    const auto confirmed = configConfirmedAt();
-    const auto maxAge = std::chrono::duration_cast<duration>(m_options.settings.revocationDeadline * keyFreshnessShare);
-    return confirmed && now - *confirmed < maxAge && configIsNewest();
-}
-
 retry_limiter_options router_reducer::retryOptions() const
 {
     const auto& settings = m_options.settings;
@@ -132,86 +71,6 @@
     emit(log_event { level, name, std::move(fields) });
 }
 
-void router_reducer::on(request_arrived&& arrived)
-{
-    request_progress progress;
-    progress.caller = arrived.caller;
-    progress.request = std::move(arrived.request);
-    progress.arrivedAt = m_now;
-    if (awaitsFirstRead())
-        return queueUntilFirstRead(std::move(progress));
-    admit(std::move(progress));
-}
-
-void router_reducer::admit(request_progress&& progress)
-{
-    if (const auto refusal = classify(progress))
-        return refuse(progress.caller, progress.request->requestId, *refusal);
-    if (!m_crashes.empty() && m_crashes.crashCount(fingerprint(progress), m_now) >= maxCrashes)
-        return refuse(progress.caller, progress.request->requestId, { error_code::no_upstream, "the request has crashed " + std::to_string(maxCrashes) + " upstreams", ran_state::no, retryAfterStartup });
-    if (deadlineExceedsShutdown(progress))
-        return refuse(progress.caller, progress.request->requestId, { error_code::draining, "this router stops before the deadline of the request", ran_state::no, retryAtOtherRouter });
-    const auto caller = progress.caller;
-    auto& activeRequest = m_requests.insert_or_assign(caller, std::move(progress)).first->second;
-    setTimer(timer_kind::deadline, caller, activeRequest.deadline);
-    m_retryLimiter.recordRequest(activeRequest.service, m_now);
-    if (!dispatch(activeRequest, "first"))
-        answerWithFailure(activeRequest);
-}
-
-bool router_reducer::awaitsFirstRead() const
-{
-    return !canServe() && !m_terminating && m_now < *m_startedAt + firstReadTimeout;
-}
-
-void router_reducer::queueUntilFirstRead(request_progress&& progress)
-{
-    log(log_level::info, "request_held", { { "request", progress.request->requestId }, { "config", m_config ? std::to_string(m_config->version) : "none" }, { "records", m_upstreamsListed ? "read" : "none" } });
-    setTimer(timer_kind::first_read, 0, *m_startedAt + firstReadTimeout);
-    m_pendingRequests.push_back(std::move(progress));
-}
-
-void router_reducer::admitPending()
-{
-    for (auto& progress : std::exchange(m_pendingRequests, {}))
-        admit(std::move(progress));
-}
-
-bool router_reducer::deadlineExceedsShutdown(const request_progress& progress) const
-{
-    const auto grace = m_options.settings.shutdownGrace;
-    return m_terminating && m_now - m_terminatingSince > limitByGrace(maxAcceptanceTime, grace, acceptanceShare) && progress.deadline > m_terminatingSince + grace - shutdownMargin;
-}
-
-std::optional<caller_error> router_reducer::classify(request_progress& progress) const
-{
-    const auto& request = *progress.request;
-    if (!canServe())
-        return caller_error { error_code::not_configured, "the configuration has not been read yet", ran_state::no, retryAfterStartup };
-    const auto* matchedRoute = m_config->match(request.host, request.path);
-    if (!matchedRoute)
-        return caller_error { error_code::unknown_service, "no route for '" + request.host + request.path + "'", ran_state::no, std::nullopt };
-    progress.config = m_config;
-    progress.matchedRoute = matchedRoute;
-    std::optional<int> organisationRank;
-    if (m_config->requiresKeys && !matchedRoute->anonymous) {
-        const auto key = m_config->keys.find(request.apiKey);
-        // A router that can't reach the store does not know which keys have been revoked.
-        if (!keysAreFresh(m_now))
-            return caller_error { error_code::not_configured, "keys can't be checked while the store is out of reach", ran_state::no, retryAfterStartup };
-        if (key == m_config->keys.end())
-            return caller_error { error_code::unauthenticated, "the API key is not in the configuration", ran_state::no, std::nullopt };
-        progress.organisation = key->second.name;
-        organisationRank = key->second.rank;
-    }
-    progress.urgency = m_urgencies.urgencyOf(*matchedRoute, organisationRank);
-    progress.service = chooseService(*matchedRoute, request.requestId);
-    const auto service = m_config->services.find(progress.service);
-    progress.targetsEngine = service != m_config->services.end() && service->second.engine.has_value();
-    progress.deadline = progress.arrivedAt + std::min(matchedRoute->timeout, request.callerTimeout.value_or(matchedRoute->timeout));
-    return std::nullopt;
-}
-
 void router_reducer::refuse(caller_id caller, const std::string& requestId, const caller_error& refusal)
 {
     const auto status = httpStatus(refusal.code);
@@ -251,19 +110,6 @@
     log(log_level::info, "settings_changed", { { "instance", m_options.settings.instance }, { "store", formatEndpoint(m_options.settings.store) } });
 }
 
-void router_reducer::on(termination_requested&&)
-{
-    if (m_terminating)
-        return;
-    m_terminating = true;
-    m_terminatingSince = m_now;
-    log(log_level::info, "router_terminating", { { "requests", std::to_string(m_requests.size()) }, { "grace_ms", formatMilliseconds(m_options.settings.shutdownGrace) } });
-    emit(close_callers_after_answers {});
-    exchangeDigests();
-    setTimer(timer_kind::close_idle, 0, m_now + limitByGrace(deregistrationDelay, m_options.settings.shutdownGrace, deregistrationShare));
-    setTimer(timer_kind::stop, 0, m_now + m_options.settings.shutdownGrace - shutdownMargin);
-}
-
 void router_reducer::on(router_timer_due&&)
 {
     while (const auto due = m_timers.popDue(m_now))
@@ -302,12 +148,7 @@
     case timer_kind::summary:
         return sendSummary();
     case timer_kind::close_idle:
-        emit(close_idle_callers {});
-        if (m_requests.empty())
-            emit(stop_router {});
-        else
-            setTimer(timer_kind::close_idle, 0, m_now + std::chrono::milliseconds(100));
-        return;
+        return closeIdle();
     case timer_kind::stop:
         log(log_level::warning, "router_stopped_with_requests", { { "requests", std::to_string(m_requests.size()) } });
         emit(stop_router {});
--- a/servers/router/router_reducer.h
+++ b/servers/router/router_reducer.h
@@ -87,6 +87,8 @@
     // Finds the route, organisation, service and deadline of a request, or returns why it is refused.
     std::optional<caller_error> classify(request_progress&) const;
     bool deadlineExceedsShutdown(const request_progress&) const;
+    // Closes the connections without a request, and stops the router once there is none in progress.
+    void closeIdle();
     bool canServe() const;
     bool keysAreFresh(instant now) const;
     void refuse(caller_id, const std::string& requestId, const caller_error&);
