--- a/core/router_digest.h
+++ b/core/router_digest.h
@@ -67,7 +67,7 @@
 // State that routers send to each other several times a second. The state is advisory, so a lost digest is not sent again.
 struct router_digest {
     digest_scope scope = digest_scope::router;
-    // The router that sends the digest, or that has summed it up.
+    // The router that sends the digest, or that has aggregated it.
     std::string instance;
     std::string dataCentre;
     // The number of routers for which it speaks.
--- a/servers/router/crash_tracker.h
+++ b/servers/router/crash_tracker.h
@@ -26,7 +26,7 @@
     // The crashes that all routers together have recorded for a request. Returns 0 if the request has succeeded at this
     // router within the retention time, even if it has crashed an upstream since.
     int crashCount(std::uint64_t fingerprint, instant now);
-    // The crashes that this router and the given others have observed, for the sum of their data centre.
+    // The crashes that this router and the given others have observed, for the summary of their data centre.
     crash_counts sumOf(const std::vector<std::string>& instances, instant now);
     // The crashes that this router observed itself, for its digest to the others.
     crash_counts ownCounts(instant now);
--- a/servers/router/peer_group.cpp
+++ b/servers/router/peer_group.cpp
@@ -6,10 +6,10 @@
 
 namespace {
 
-    // A data centre whose last sum is older than this is removed.
+    // A data centre whose last summary is older than this is removed.
     constexpr auto dataCentreTimeout = std::chrono::seconds(3);
     constexpr auto candidateTimeout = std::chrono::seconds(3);
-    // A sum of fewer than this share of the routers of the last one is ignored while that one is fresh: its sender has just
+    // A summary of fewer than this share of the routers of the last one is ignored while that one is fresh: its sender has just
     // started or is partly cut off.
     constexpr double minSummaryShare = 0.5;
     // The longest transit time of a digest that is allowed for, on each of its hops, so that a confirmation is never taken for
@@ -55,7 +55,7 @@
     auto& sender = m_peers[name];
     sender.scope = digest.scope;
     sender.dataCentre = digest.dataCentre;
-    // A sum that was passed on arrives from a neighbour; its carrier's address is not known.
+    // A summary that was passed on arrives from a neighbour; its aggregator's address is not known.
     if (!digest.relayed)
         sender.address = address;
     sender.routers = digest.routers;
--- a/servers/router/peer_group.h
+++ b/servers/router/peer_group.h
@@ -14,17 +14,17 @@
 
 // What the digests of the other routers have reported. It is advisory, and discarded when its sender leaves or falls silent.
 //
-// Routers of one data centre send their digests to each other. One of them, the carrier, sums up what it knows of its data
-// centre and sends the sum to one router of each other data centre, which passes it on to its neighbours. The carrier is the
-// living router whose name has the lowest hash; nobody elects it. Two carriers at once do no harm, since a sum replaces the
-// one before it, and without a carrier the other data centres keep the last sum for a time.
+// Routers of one data centre send their digests to each other. One of them, the aggregator, aggregates what it knows of its data
+// centre and sends the summary to one router of each other data centre, which passes it on to its neighbours. The aggregator is the
+// living router whose name has the lowest hash; nobody elects it. Two aggregators at once do no harm, since a summary replaces the
+// one before it, and without an aggregator the other data centres keep the last summary for a time.
 class peer_group {
 public:
     // Sets who this router is, and the seed addresses at which others may be found.
     void setSelf(const std::string& instance, const router_contact& self, const std::vector<std::string>& seeds);
 
-    // Stores the content of a digest. Returns false if it is not used: it is not newer than the last one of its sender, or sums
-    // up far fewer routers of a data centre than another sum that has just arrived.
+    // Stores the content of a digest. Returns false if it is not used: it is not newer than the last one of its sender, or summarizes
+    // far fewer routers of a data centre than another summary that has just arrived.
     bool accept(const std::string& address, const router_digest&, instant now);
     // Removes the senders whose last digest is too old.
     void expire(instant now);
@@ -36,7 +36,7 @@
     // The addresses to which this router's next digest is sent: the known routers of its data centre, addresses that these
     // named, and the seeds from time to time.
     std::vector<std::string> digestTargets(instant now);
-    // The addresses to which the carrier sends the next sum: in each other data centre the router that sent its last sum, and
+    // The addresses to which the aggregator sends the next summary: in each other data centre the router that sent its last summary, and
     // another one now and then or if there is none.
     std::vector<std::string> summaryTargets(instant now);
     // The addresses of the routers of this data centre whose digests arrive here.
@@ -47,10 +47,10 @@
     // Contacts in the data centre of a router that has asked this one as its seed.
     std::vector<router_contact> contactsWithin(const std::string& dataCentre) const { return m_contacts.within(dataCentre); }
 
-    // Whether this router sums up its data centre.
-    bool isCarrier(instant now) const;
-    // Keeps this router from being the carrier for a time, since it may have missed which routers live.
-    void suspendCarrier(instant now);
+    // Whether this router aggregates its data centre.
+    bool isAggregator(instant now) const;
+    // Keeps this router from being the aggregator for a time, since it may have missed which routers live.
+    void suspendAggregator(instant now);
 
     // The number of the other routers, in all data centres.
     std::size_t count() const;
@@ -59,7 +59,7 @@
     // The time between two digests. It grows with the number of routers in the data centre, so that the total traffic grows
     // no faster than that number.
     duration digestInterval() const;
-    // The time between two sums of a data centre.
+    // The time between two summaries of a data centre.
     duration summaryInterval() const;
 
     // The sum of what the other routers have outstanding at an upstream, which is named by its key.
@@ -110,7 +110,7 @@
 
     // A router whose last digest is older than this is removed.
     static constexpr auto peerTimeout = std::chrono::milliseconds(1500);
-    // A sum that is younger than this comes from a carrier that can be reached.
+    // A summary that is younger than this comes from an aggregator that can be reached.
     static constexpr auto freshSummaryAge = std::chrono::milliseconds(1000);
 
     bool isNeighbour(const peer_state& peer) const { return peer.scope == digest_scope::router; }
@@ -122,7 +122,7 @@
     std::string m_instance;
     router_contact m_self;
     std::vector<std::string> m_seeds;
-    // By instance name, or by name of the data centre for its sum. Ordered, so that all routers draw the same samples.
+    // By instance name, or by name of the data centre for its summary. Ordered, so that all routers draw the same samples.
     std::map<std::string, peer_state> m_peers;
     contact_book m_contacts;
     // Addresses in this data centre that other routers named but that have sent nothing here, with the time of their expiry.
@@ -130,14 +130,14 @@
     // The sum over all senders, by the upstream's key.
     std::unordered_map<std::uint32_t, outstanding_load> m_totalLoads;
     instant m_seedsContactedAt;
-    instant m_carrierNotBefore;
+    instant m_aggregatorNotBefore;
     instant m_confirmationsNotBefore;
     std::size_t m_sampleRotation = 0;
     std::size_t m_seedRotation = 0;
     std::size_t m_summaryRound = 0;
 };
 
-// The name under which the sum of a data centre is known.
+// The name under which the summary of a data centre is known.
 std::string summaryName(const std::string& dataCentre);
 
 } // namespace kumquat::router
--- a/servers/router/peer_group_targets.cpp
+++ b/servers/router/peer_group_targets.cpp
@@ -12,13 +12,13 @@
 
     // All seeds are contacted this often while no other router is known, and then one of them now and then, so that groups of
     // routers that have not found each other meet.
-    constexpr auto lonelySeedInterval = std::chrono::milliseconds(500);
+    constexpr auto seedIntervalWithoutPeers = std::chrono::milliseconds(500);
     constexpr auto seedInterval = std::chrono::seconds(5);
     constexpr auto digestIntervalPerPeer = std::chrono::milliseconds(6);
     constexpr auto minDigestInterval = std::chrono::milliseconds(50);
     constexpr auto maxDigestInterval = std::chrono::milliseconds(400);
     constexpr auto maxSummaryInterval = std::chrono::milliseconds(200);
-    // Every few rounds the sum goes to a further router of each data centre, in case the first one can't be reached.
+    // Every few rounds the summary goes to a further router of each data centre, in case the first one can't be reached.
     constexpr std::size_t roundsPerFurtherTarget = 5;
     constexpr std::size_t sampledNeighbours = 4;
 
@@ -29,15 +29,15 @@
     auto targets = neighbourAddresses();
     for (const auto& [address, expiresAt] : m_candidates)
         targets.push_back(address);
-    const duration interval = m_peers.empty() ? duration(lonelySeedInterval) : duration(seedInterval);
+    const duration interval = m_peers.empty() ? duration(seedIntervalWithoutPeers) : duration(seedInterval);
     if (now - m_seedsContactedAt < interval)
         return targets;
     m_seedsContactedAt = now;
-    const bool lonely = m_peers.empty();
+    const bool hasNoPeers = m_peers.empty();
     ++m_seedRotation;
     for (std::size_t number = 0; number < m_seeds.size(); ++number) {
         const auto& seed = m_seeds[number];
-        const bool isDue = lonely || number == m_seedRotation % m_seeds.size();
+        const bool isDue = hasNoPeers || number == m_seedRotation % m_seeds.size();
         if (isDue && seed != m_self.address && std::find(targets.begin(), targets.end(), seed) == targets.end())
             targets.push_back(seed);
     }
@@ -50,10 +50,10 @@
     const bool addsFurther = ++m_summaryRound % roundsPerFurtherTarget == 0;
     for (const auto& contact : m_contacts.rotateOutside(m_self.dataCentre)) {
         const auto found = m_peers.find(summaryName(contact.dataCentre));
-        const bool hasCarrier = found != m_peers.end() && !found->second.address.empty() && now - found->second.lastSeen < freshSummaryAge;
-        if (hasCarrier)
+        const bool hasAggregator = found != m_peers.end() && !found->second.address.empty() && now - found->second.lastSeen < freshSummaryAge;
+        if (hasAggregator)
             targets.push_back(found->second.address);
-        if (!hasCarrier || (addsFurther && contact.address != found->second.address))
+        if (!hasAggregator || (addsFurther && contact.address != found->second.address))
             targets.push_back(contact.address);
     }
     return targets;
@@ -88,17 +88,17 @@
     return sample;
 }
 
-bool peer_group::isCarrier(instant now) const
+bool peer_group::isAggregator(instant now) const
 {
-    if (now < m_carrierNotBefore)
+    if (now < m_aggregatorNotBefore)
         return false;
     const auto ownHash = hashBytes(m_instance);
     return std::none_of(m_peers.begin(), m_peers.end(), [&](const auto& item) { return isNeighbour(item.second) && hashBytes(item.first) < ownHash; });
 }
 
-void peer_group::suspendCarrier(instant now)
+void peer_group::suspendAggregator(instant now)
 {
-    m_carrierNotBefore = now + peerTimeout;
+    m_aggregatorNotBefore = now + peerTimeout;
 }
 
 std::size_t peer_group::count() const
--- a/servers/router/router_peers.cpp
+++ b/servers/router/router_peers.cpp
@@ -102,7 +102,7 @@
 {
     log(log_level::warning, "clock_jumped", { { "gap_ms", formatMilliseconds(jumped.gap) } });
     m_peers.discardConfirmations();
-    m_peers.suspendCarrier(m_now);
+    m_peers.suspendAggregator(m_now);
     cancelRead(store_kind::upstreams);
     cancelRead(store_kind::configuration);
     m_upstreamWatcher.resetAndRelist();
@@ -117,7 +117,7 @@
 {
     log(log_level::warning, "process_stalled", { { "gap_ms", formatMilliseconds(stalled.gap) } });
     m_peers.distrustConfirmations(m_now + waitingMessagesTime);
-    m_peers.suspendCarrier(m_now);
+    m_peers.suspendAggregator(m_now);
     cancelRead(store_kind::configuration);
     m_configWatcher.relist();
 }
@@ -196,7 +196,7 @@
 {
     setTimer(timer_kind::summary, 0, m_now + m_peers.summaryInterval());
     const auto recentParts = std::exchange(m_summaryCachedParts, {});
-    if (!m_peers.isCarrier(m_now) || (m_terminating && m_requests.empty()))
+    if (!m_peers.isAggregator(m_now) || (m_terminating && m_requests.empty()))
         return;
     auto summary = makeSummary();
     addCachedParts(summary, recentParts);
--- a/servers/router/router_reducer.cpp
+++ b/servers/router/router_reducer.cpp
@@ -36,7 +36,7 @@
     if (m_digestSentAt == instant {}) {
         exchangeDigests();
         // A router that has just started does not know yet which routers of its data centre live.
-        m_peers.suspendCarrier(m_now);
+        m_peers.suspendAggregator(m_now);
         sendSummary();
     }
     m_effects = nullptr;
--- a/servers/router/router_reducer.h
+++ b/servers/router/router_reducer.h
@@ -162,7 +162,7 @@
     void setPeerGroup();
     void exchangeDigests();
     router_digest makeDigest();
-    // Sends the sum of this data centre to the others, if this router is its carrier.
+    // Sends the summary of this data centre to the others, if this router is its aggregator.
     void sendSummary();
     router_digest makeSummary();
     void addStoreState(router_digest&) const;
@@ -187,13 +187,13 @@
     crash_tracker m_crashes;
     // Prompt parts that were sent to upstreams since the last digest.
     std::vector<cached_prompt_part> m_recentCachedParts;
-    // Prompt parts of all routers of this data centre since the last sum, if this router is the carrier.
+    // Prompt parts of all routers of this data centre since the last summary, if this router is the aggregator.
     std::vector<cached_prompt_part> m_summaryCachedParts;
-    // Select the slices of the next digest and the next sum.
+    // Select the slices of the next digest and the next summary.
     std::uint32_t m_digestSlice = 0;
     std::uint32_t m_summarySlice = 0;
     instant m_summarySentAt;
-    // Consecutive digests and sums without load.
+    // Consecutive digests and summaries without load.
     int m_idleDigests = 0;
     int m_idleSummaries = 0;
     // Upstreams that have stated to this router that they are leaving, with the time until which digests tell so.
--- a/tests/servers/router/dissemination_test.cpp
+++ b/tests/servers/router/dissemination_test.cpp
@@ -38,13 +38,13 @@
     return fleet.peers(number).loadOf(static_cast<std::uint32_t>(hashBytes("app-1"))).inFlight;
 }
 
-std::size_t carrierOf(const fleet_fixture& fleet, const std::string& dataCentre)
+std::size_t aggregatorOf(const fleet_fixture& fleet, const std::string& dataCentre)
 {
     for (std::size_t number = 0; number < fleet.size(); ++number) {
-        if (fleet.isAlive(number) && fleet.dataCentre(number) == dataCentre && fleet.peers(number).isCarrier(fleet.now()))
+        if (fleet.isAlive(number) && fleet.dataCentre(number) == dataCentre && fleet.peers(number).isAggregator(fleet.now()))
             return number;
     }
-    FAIL("no carrier in " << dataCentre);
+    FAIL("no aggregator in " << dataCentre);
     return 0;
 }
 
@@ -52,7 +52,7 @@
 {
     router_digest sum;
     sum.scope = digest_scope::data_centre;
-    sum.instance = "carrier-" + std::to_string(incarnation);
+    sum.instance = "aggregator-" + std::to_string(incarnation);
     sum.dataCentre = dataCentre;
     sum.incarnation = incarnation;
     sum.sequence = sequence;
@@ -84,21 +84,21 @@
         CHECK(knownLoad(fleet, number) == loadOfOthers(fleet, number));
 }
 
-TEST_CASE("each data centre has one carrier, and only carriers send sums beyond it", "[dissemination]")
+TEST_CASE("each data centre has one aggregator, and only aggregators send summaries beyond it", "[dissemination]")
 {
     fleet_fixture fleet(2);
     startFleet(fleet, 3, 5);
-    std::set<std::string> carriers;
+    std::set<std::string> aggregators;
     for (const auto* place : { "dc-0", "dc-1", "dc-2" })
-        carriers.insert(fleet.address(carrierOf(fleet, place)));
-    CHECK(carriers.size() == 3);
+        aggregators.insert(fleet.address(aggregatorOf(fleet, place)));
+    CHECK(aggregators.size() == 3);
     fleet.sent.clear();
     for (std::size_t number = 0; number < fleet.size(); ++number)
         fleet.request(number, "/look/x");
     fleet.run(seconds(1));
     for (const auto& datagram : fleet.sent) {
         if (datagram.digest.scope == digest_scope::data_centre && !datagram.digest.relayed)
-            CHECK(carriers.contains(datagram.from));
+            CHECK(aggregators.contains(datagram.from));
     }
 }
 
@@ -111,8 +111,8 @@
         for (std::size_t number = 0; number < fleet.size(); ++number)
             fleet.request(number, "/look/x");
         fleet.run(seconds(1));
-        const auto carrier = fleet.address(carrierOf(fleet, "dc-0"));
-        return std::count_if(fleet.sent.begin(), fleet.sent.end(), [&](const auto& datagram) { return datagram.from != carrier && datagram.digest.scope == digest_scope::router; }) / static_cast<double>(fleet.size());
+        const auto aggregator = fleet.address(aggregatorOf(fleet, "dc-0"));
+        return std::count_if(fleet.sent.begin(), fleet.sent.end(), [&](const auto& datagram) { return datagram.from != aggregator && datagram.digest.scope == digest_scope::router; }) / static_cast<double>(fleet.size());
     };
     CHECK(datagramsOfRouter(6) < 1.3 * datagramsOfRouter(2));
 }
@@ -138,14 +138,14 @@
     }
 }
 
-TEST_CASE("when the carrier dies, another router of its data centre takes over", "[dissemination]")
+TEST_CASE("when the aggregator dies, another router of its data centre takes over", "[dissemination]")
 {
     fleet_fixture fleet(5);
     startFleet(fleet, 3, 4);
-    const auto first = carrierOf(fleet, "dc-1");
+    const auto first = aggregatorOf(fleet, "dc-1");
     fleet.kill(first);
     fleet.run(convergenceTime);
-    CHECK(carrierOf(fleet, "dc-1") != first);
+    CHECK(aggregatorOf(fleet, "dc-1") != first);
     for (std::size_t number = 0; number < fleet.size(); ++number) {
         if (number != first)
             fleet.request(number, "/look/x");
@@ -157,19 +157,19 @@
     }
 }
 
-TEST_CASE("a carrier that was suspended sends no sum before it knows again which routers live", "[dissemination]")
+TEST_CASE("an aggregator that was suspended sends no summary before it knows again which routers live", "[dissemination]")
 {
     fleet_fixture fleet(6);
     startFleet(fleet, 2, 4);
-    const auto carrier = carrierOf(fleet, "dc-0");
-    fleet.setSuspended(carrier, true);
+    const auto aggregator = aggregatorOf(fleet, "dc-0");
+    fleet.setSuspended(aggregator, true);
     fleet.run(seconds(3));
-    fleet.setSuspended(carrier, false);
+    fleet.setSuspended(aggregator, false);
     fleet.sent.clear();
-    fleet.post(carrier, clock_jumped { seconds(3) });
+    fleet.post(aggregator, clock_jumped { seconds(3) });
     fleet.run(seconds(1));
     for (const auto& datagram : fleet.sent)
-        CHECK_FALSE((datagram.from == fleet.address(carrier) && datagram.digest.scope == digest_scope::data_centre && !datagram.digest.relayed));
+        CHECK_FALSE((datagram.from == fleet.address(aggregator) && datagram.digest.scope == digest_scope::data_centre && !datagram.digest.relayed));
 }
 
 TEST_CASE("the load of a data centre that is cut off is forgotten", "[dissemination]")
@@ -197,19 +197,19 @@
         CHECK(fleet.peers(number).count() == fleet.size() - 1);
 }
 
-TEST_CASE("a link that is cut in one direction does not keep a data centre from hearing sums", "[dissemination]")
+TEST_CASE("a link that is cut in one direction does not keep a data centre from hearing summaries", "[dissemination]")
 {
     fleet_fixture fleet(8);
     startFleet(fleet, 2, 4);
-    const auto from = fleet.address(carrierOf(fleet, "dc-0"));
-    const auto to = fleet.address(carrierOf(fleet, "dc-1"));
+    const auto from = fleet.address(aggregatorOf(fleet, "dc-0"));
+    const auto to = fleet.address(aggregatorOf(fleet, "dc-1"));
     fleet.net.isCut = [&](const std::string& sender, const std::string& receiver) { return sender == from && receiver == to; };
     fleet.run(seconds(5));
     for (std::size_t number = 0; number < fleet.size(); ++number)
         CHECK(fleet.peers(number).count() == fleet.size() - 1);
 }
 
-TEST_CASE("a sum replaces the one before it and is not counted twice", "[dissemination]")
+TEST_CASE("a summary replaces the one before it and is not counted twice", "[dissemination]")
 {
     auto peers = groupOf("entry-1");
     auto sum = sumOf("dc-b", 1);
@@ -223,7 +223,7 @@
     sum.loads = { { 7, 4, 1, 900 } };
     CHECK(peers.accept("10.0.0.2", sum, now));
     CHECK(peers.loadOf(7).inFlight == 4);
-    // A second carrier's sum replaces that of the first.
+    // A second aggregator's summary replaces that of the first.
     auto other = sumOf("dc-b", 1, 5, 10);
     other.loads = { { 7, 5, 1, 900 } };
     CHECK(peers.accept("10.0.1.2", other, now));
@@ -252,7 +252,7 @@
     CHECK(peers.loadOf(9).inFlight == 3);
 }
 
-TEST_CASE("the sum of a router that knows few of its neighbours does not replace a fresh one", "[dissemination]")
+TEST_CASE("the summary of a router that knows few of its neighbours does not replace a fresh one", "[dissemination]")
 {
     auto peers = groupOf("entry-1");
     CHECK(peers.accept("10.0.1.1", sumOf("dc-b", 1, 10, 9), now));
@@ -275,11 +275,11 @@
     relayed.accept("10.0.0.2", sum, now);
     CHECK(direct.confirmedAt({ 1, 5 }, 1) == now - milliseconds(400));
     CHECK(relayed.confirmedAt({ 1, 5 }, 1) == now - milliseconds(500));
-    // The carrier of this data centre tells the others only what its own data centre has confirmed.
+    // The aggregator of this data centre tells the others only what its own data centre has confirmed.
     CHECK_FALSE(direct.confirmedInDataCentre({ 1, 5 }, 1).has_value());
 }
 
-TEST_CASE("a sum is passed on to the neighbours once", "[dissemination]")
+TEST_CASE("a summary is passed on to the neighbours once", "[dissemination]")
 {
     router_fixture fixture;
     fixture.start();
