Name the prompt parts of failed attempts, and count crashed upstreams

Cause: the incident's logs can't tell requests that share a prompt part from requests that share nothing, and a crash of an upstream is only visible as connections that end in the same millisecond. Change: send_failed names the shared parts of the prompt (eight at most); upstream_crashed and kumquat_router_upstream_crashes_total tell each crash that a router notices.

--- a/servers/router/router_attempts.cpp
+++ b/servers/router/router_attempts.cpp
@@ -3,6 +3,7 @@
 #include "core/hash.h"
 
 #include <algorithm>
+#include <cstdio>
 
 namespace kumquat::router {
 
@@ -24,6 +25,20 @@
     constexpr auto crashAttributionWindow = std::chrono::milliseconds(1500);
     // The back-off after an upstream has refused a request because it is busy.
     constexpr auto refusalBackoff = std::chrono::milliseconds(60);
+    // A log line names this many parts of a prompt at most.
+    constexpr std::size_t maxLoggedParts = 8;
+
+    // The ids of the parts of a prompt in hexadecimal, without the last one, which belongs to one request only.
+    std::string formatSharedParts(const prompt_description& prompt)
+    {
+        std::string text;
+        for (std::size_t index = 0; index + 1 < prompt.parts.size() && index < maxLoggedParts; ++index) {
+            char digits[17] = {};
+            std::snprintf(digits, sizeof digits, "%llx", static_cast<unsigned long long>(prompt.parts[index].id));
+            text += (index == 0 ? "" : ",") + std::string(digits);
+        }
+        return text.empty() ? "none" : text;
+    }
 
 } // namespace
 
@@ -127,7 +142,7 @@
         recordCrash(upstream);
     static constexpr const char* outcomeNames[] = { "never_sent", "not_run", "may_have_run" };
     const char* outcomeName = outcomeNames[static_cast<int>(outcome)];
-    log(log_level::warning, "send_failed", { { "request", progress.request->requestId }, { "upstream", upstream.record.id }, { "outcome", outcomeName }, { "reason", reason }, { "after_ms", formatMilliseconds(m_now - position->startedAt) }, { "sends", std::to_string(progress.attemptCount) } });
+    log(log_level::warning, "send_failed", { { "request", progress.request->requestId }, { "upstream", upstream.record.id }, { "outcome", outcomeName }, { "reason", reason }, { "after_ms", formatMilliseconds(m_now - position->startedAt) }, { "sends", std::to_string(progress.attemptCount) }, { "parts", formatSharedParts(progress.request->prompt) } });
     emit(count_metric { "kumquat_router_failed_sends_total", { { "outcome", outcomeName } } });
     removeAttempt(progress, number);
     if (!progress.attempts.empty())
@@ -177,7 +192,14 @@
 // them is a suspect.
 void router_reducer::recordCrash(upstream_state& upstream)
 {
-    for (const auto& [suspect, failedAt] : std::exchange(upstream.recentFailures, {})) {
+    const auto failures = std::exchange(upstream.recentFailures, {});
+    const auto isRecent = [this](const auto& failure) { return m_now - failure.second <= crashAttributionWindow; };
+    const auto brokenRequests = std::count_if(failures.begin(), failures.end(), isRecent);
+    if (brokenRequests > 0) {
+        log(log_level::warning, "upstream_crashed", { { "upstream", upstream.record.id }, { "service", upstream.record.service }, { "broken_requests", std::to_string(brokenRequests) } });
+        emit(count_metric { "kumquat_router_upstream_crashes_total", { { "service", upstream.record.service } } });
+    }
+    for (const auto& [suspect, failedAt] : failures) {
         if (m_now - failedAt > crashAttributionWindow)
             continue;
         m_crashes.recordCrash(suspect, m_now);
