--- /dev/null
+++ b/tests/support/crashing_part_fixture.h
@@ -0,0 +1,258 @@
+#pragma once
+
+#include "tests/support/fleet_fixture.h"
+
+#include <map>
+#include <set>
+
+namespace kumquat::router {
+
+// A fleet of routers before model engines that crash when they begin to answer a request whose prompt has a bad part. The
+// engines, the callers and the network run in virtual time.
+class crashing_part_fixture {
+public:
+    struct options {
+        std::size_t routers = 1;
+        int engines = 9;
+        unsigned seed = 1;
+        duration badRequestInterval = milliseconds(700);
+        duration soundRequestInterval = milliseconds(40);
+    };
+
+    static constexpr std::uint64_t badPart = 666;
+
+    explicit crashing_part_fixture(options fleetOptions)
+        : fleet(fleetOptions.seed)
+        , m_options(fleetOptions)
+        , m_random(fleetOptions.seed)
+    {
+        fleet.records.clear();
+        for (int number = 1; number <= m_options.engines; ++number)
+            fleet.records.push_back(makeEngine());
+        fleet.onEffect = [this](std::size_t router, const router_effect& effect) { observe(router, effect); };
+        for (std::size_t number = 0; number < m_options.routers; ++number)
+            fleet.add("dc-" + std::to_string(number % 2));
+        fleet.run(seconds(3));
+        m_nextBad = fleet.now();
+        m_nextSound = fleet.now();
+    }
+
+    void run(duration elapsed)
+    {
+        const auto end = fleet.now() + elapsed;
+        while (fleet.now() < end) {
+            fleet.run(timeStep);
+            restartEngines();
+            sendDue();
+            runEngines();
+        }
+    }
+
+    // The prompt of a request with its number of shared parts, each given by its id.
+    proxied_request makeRequest(const std::vector<std::uint64_t>& sharedParts)
+    {
+        proxied_request item;
+        item.requestId = "request-" + std::to_string(++m_lastRequest);
+        item.method = "POST";
+        item.target = "/stream/x";
+        item.path = item.target;
+        item.host = "host";
+        item.apiKey = "key-a";
+        item.callerTimeout = seconds(10);
+        item.body = item.requestId;
+        for (const auto part : sharedParts)
+            item.prompt.parts.push_back({ part, 1000 });
+        item.prompt.parts.push_back({ hashBytes(item.requestId), 200 });
+        item.prompt.inputTokens = static_cast<int>(1000 * sharedParts.size()) + 200;
+        return item;
+    }
+
+    int crashes() const { return static_cast<int>(m_crashTimes.size()); }
+    // When the crash with that number, from 1, took place; far in the future if there was none.
+    instant timeOfCrash(std::size_t number) const { return number <= m_crashTimes.size() ? m_crashTimes[number - 1] : fleet.now() + std::chrono::hours(1); }
+    // How many attempts of requests with the bad part were started after a time.
+    int badAttemptsAfter(instant time) const
+    {
+        return static_cast<int>(std::count_if(m_badAttempts.begin(), m_badAttempts.end(), [time](instant sentAt) { return sentAt > time; }));
+    }
+    // The share of the sound requests with a shared part, sent after a time, of which an answer began.
+    double answeredShare(std::uint64_t part, instant from) const
+    {
+        int sent = 0;
+        int answered = 0;
+        for (const auto& [id, request] : m_soundRequests) {
+            const bool counts = request.sentAt >= from && request.parts.contains(part);
+            sent += counts ? 1 : 0;
+            answered += counts && request.answered ? 1 : 0;
+        }
+        return sent == 0 ? 1 : static_cast<double>(answered) / sent;
+    }
+
+    // Crashes the engine with that position among those in the store, for another reason than a request.
+    void crashEngine(std::size_t position) { crash(fleet.records[position].id); }
+    // Whether the bad part still crashes engines, and whether requests with it are sent.
+    bool partIsBad = true;
+    bool sendsBadRequests = true;
+    // Sound requests draw their second shared part from this many.
+    std::uint64_t subjects = 10;
+
+    fleet_fixture fleet;
+
+private:
+    static constexpr auto timeStep = milliseconds(10);
+    static constexpr auto prefillTime = milliseconds(200);
+    static constexpr auto eventInterval = milliseconds(50);
+    static constexpr int eventCount = 20;
+    static constexpr auto restartTime = seconds(4);
+    static constexpr std::uint64_t commonPart = 7;
+
+    struct running_attempt {
+        std::size_t router = 0;
+        attempt_number number = 0;
+        std::string engine;
+        shared_request request;
+        instant nextAt;
+        int events = 0;
+        bool started = false;
+        // The engine is gone: the attempt ends at the next step, with or without part of the request sent.
+        bool broken = false;
+        bool refused = false;
+    };
+
+    struct sound_request {
+        std::set<std::uint64_t> parts;
+        instant sentAt;
+        bool answered = false;
+    };
+
+    bool isBad(const proxied_request& request) const
+    {
+        return std::any_of(request.prompt.parts.begin(), request.prompt.parts.end(), [](const prompt_part& part) { return part.id == badPart; });
+    }
+
+    void observe(std::size_t router, const router_effect& effect)
+    {
+        if (const auto* attempt = std::get_if<start_attempt>(&effect))
+            start(router, *attempt);
+        if (const auto* cancelled = std::get_if<cancel_attempt>(&effect))
+            std::erase_if(m_running, [&](const running_attempt& item) { return item.router == router && item.number == cancelled->attemptNumber; });
+    }
+
+    void start(std::size_t router, const start_attempt& attempt)
+    {
+        running_attempt item { router, attempt.attemptNumber, attempt.upstreamId, attempt.request, fleet.now() + prefillTime };
+        item.refused = m_dead.contains(item.engine);
+        if (isBad(*item.request))
+            m_badAttempts.push_back(fleet.now());
+        m_running.push_back(std::move(item));
+    }
+
+    // Each start of an engine has an id of its own.
+    upstream_record makeEngine()
+    {
+        ++m_lastEngine;
+        return router_fixture::makeUpstream("llm-" + std::to_string(m_lastEngine), "llm", static_cast<std::uint16_t>(1000 + m_lastEngine));
+    }
+
+    void crash(const std::string& engine)
+    {
+        if (!m_dead.insert(engine).second)
+            return;
+        m_restarts.emplace(fleet.now() + restartTime, engine);
+        for (auto& item : m_running)
+            item.broken = item.broken || item.engine == engine;
+    }
+
+    void restartEngines()
+    {
+        while (!m_restarts.empty() && m_restarts.begin()->first <= fleet.now()) {
+            const auto engine = m_restarts.begin()->second;
+            m_restarts.erase(m_restarts.begin());
+            fleet.replaceRecord(engine, makeEngine());
+        }
+    }
+
+    void sendDue()
+    {
+        for (; m_nextSound <= fleet.now(); m_nextSound += m_options.soundRequestInterval) {
+            auto request = makeRequest({ commonPart, 100 + m_random() % subjects });
+            auto& record = m_soundRequests[request.requestId];
+            record.sentAt = fleet.now();
+            for (std::size_t index = 0; index + 1 < request.prompt.parts.size(); ++index)
+                record.parts.insert(request.prompt.parts[index].id);
+            fleet.request(m_random() % fleet.size(), std::move(request));
+        }
+        for (; m_nextBad <= fleet.now(); m_nextBad += m_options.badRequestInterval) {
+            if (sendsBadRequests)
+                fleet.request(m_random() % fleet.size(), makeRequest({ commonPart, badPart }));
+        }
+    }
+
+    void runEngines()
+    {
+        for (const auto& item : std::vector<running_attempt>(m_running)) {
+            const auto found = std::find_if(m_running.begin(), m_running.end(), [&](const running_attempt& other) { return other.router == item.router && other.number == item.number; });
+            if (found != m_running.end())
+                advance(*found);
+        }
+    }
+
+    void advance(running_attempt& item)
+    {
+        if (item.refused || item.broken)
+            return end(item, attempt_aborted { item.number, !item.refused, item.refused ? "Connection refused" : "End of file" });
+        if (fleet.now() < item.nextAt)
+            return;
+        if (!item.started && partIsBad && isBad(*item.request)) {
+            m_crashTimes.push_back(fleet.now());
+            return crash(item.engine);
+        }
+        answer(item);
+    }
+
+    void answer(running_attempt& item)
+    {
+        const auto router = item.router;
+        const auto number = item.number;
+        item.nextAt = fleet.now() + eventInterval;
+        const bool isFirst = !std::exchange(item.started, true);
+        const auto event = "id: " + std::to_string(++item.events) + "\ndata: x\n\n";
+        const bool isLast = item.events == eventCount;
+        if (const auto sound = m_soundRequests.find(item.request->requestId); sound != m_soundRequests.end())
+            sound->second.answered = true;
+        if (isLast)
+            remove(router, number);
+        if (isFirst)
+            fleet.post(router, answer_started { number, router_fixture::answer(200, true, true) });
+        fleet.post(router, answer_continued { number, event });
+        if (isLast)
+            fleet.post(router, answer_ended { number });
+    }
+
+    void remove(std::size_t router, attempt_number number)
+    {
+        std::erase_if(m_running, [&](const running_attempt& item) { return item.router == router && item.number == number; });
+    }
+
+    void end(const running_attempt& item, attempt_aborted event)
+    {
+        const auto router = item.router;
+        remove(router, item.number);
+        fleet.post(router, std::move(event));
+    }
+
+    options m_options;
+    std::mt19937_64 m_random;
+    std::vector<running_attempt> m_running;
+    std::set<std::string> m_dead;
+    std::multimap<instant, std::string> m_restarts;
+    std::vector<instant> m_crashTimes;
+    std::vector<instant> m_badAttempts;
+    std::map<std::string, sound_request> m_soundRequests;
+    instant m_nextSound;
+    instant m_nextBad;
+    int m_lastRequest = 0;
+    int m_lastEngine = 0;
+};
+
+} // namespace kumquat::router
--- a/tests/support/fleet_fixture.h
+++ b/tests/support/fleet_fixture.h
@@ -3,6 +3,7 @@
 #include "core/hash.h"
 #include "tests/support/router_fixture.h"
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
@@ -53,6 +54,12 @@
     void setSuspended(std::size_t number, bool suspended) { m_nodes[number]->suspended = suspended; }
     void post(std::size_t number, router_event event) { step(*m_nodes[number], std::move(event)); }
 
+    // Sends a request to a router.
+    void request(std::size_t number, proxied_request item)
+    {
+        step(*m_nodes[number], request_arrived { ++m_lastCaller, std::make_shared<const proxied_request>(std::move(item)) });
+    }
+
     // Sends a request for a path to a router, which stays in progress.
     void request(std::size_t number, const std::string& path)
     {
@@ -69,6 +76,20 @@
         step(*m_nodes[number], request_arrived { m_lastCaller, std::make_shared<const proxied_request>(std::move(item)) });
     }
 
+    // Replaces the record of an upstream in the store, or adds it, and answers the routers' watches.
+    void replaceRecord(const std::string& id, const upstream_record& replacement)
+    {
+        std::erase_if(records, [&id](const upstream_record& item) { return item.id == id; });
+        records.push_back(replacement);
+        ++m_revision;
+        for (const auto& item : m_nodes) {
+            if (!item->alive || item->upstreamWatch == 0)
+                continue;
+            const store_changes<upstream_record> changes { { { id, m_revision, removed_object {} }, { replacement.id, m_revision, replacement } }, m_revision };
+            step(*item, upstreams_read { std::exchange(item->upstreamWatch, 0), changes });
+        }
+    }
+
     // What one router has in flight at an upstream.
     int inFlight(std::size_t number, const std::string& upstream) const { return m_nodes[number]->reducer.upstreams().find(upstream)->inFlight; }
 
@@ -84,6 +105,8 @@
     }
 
     network net;
+    // Called with each effect of a router and its number. Must not post events.
+    std::function<void(std::size_t, const router_effect&)> onEffect = [](std::size_t, const router_effect&) {};
     // Every datagram that a router has sent, with its sender and receiver.
     struct sent_datagram {
         std::string from;
@@ -102,6 +125,8 @@
         router_reducer reducer;
         bool alive = true;
         bool suspended = false;
+        // The watch of the upstream records that waits for a change, or 0.
+        std::uint64_t upstreamWatch = 0;
     };
 
     std::optional<instant> nextTime(instant end) const
@@ -148,7 +173,9 @@
     {
         router_effects effects;
         target.reducer.step(std::move(event), m_now, effects);
+        const auto position = std::find_if(m_nodes.begin(), m_nodes.end(), [&target](const auto& item) { return item.get() == &target; });
         for (auto& effect : effects) {
+            onEffect(static_cast<std::size_t>(position - m_nodes.begin()), effect);
             if (auto* message = std::get_if<send_digest>(&effect))
                 send(target.address, *message);
             if (const auto* read = std::get_if<read_store>(&effect))
@@ -168,17 +195,20 @@
         }
     }
 
-    // Lists are answered at once, watches never.
+    // Lists are answered at once, watches of the upstream records when one of them has changed, watches of the configuration never.
     void answer(node& target, const read_store& read)
     {
-        if (read.sinceRevision)
+        if (read.sinceRevision) {
+            if (read.kind == store_kind::upstreams)
+                target.upstreamWatch = read.read;
             return;
+        }
         if (read.kind == store_kind::configuration)
             return step(target, config_read { read.read, store_page<shared_config> { { { "main", 5, std::make_shared<const routing_config>(router_fixture::sampleConfig()) } }, false, 5 } });
         store_page<upstream_record> page;
-        page.revision = 5;
+        page.revision = m_revision;
         for (const auto& record : records)
-            page.entries.push_back({ record.id, 5, record });
+            page.entries.push_back({ record.id, m_revision, record });
         step(target, upstreams_read { read.read, std::move(page) });
     }
 
@@ -187,6 +217,7 @@
     std::vector<std::unique_ptr<node>> m_nodes;
     std::multimap<instant, sent_datagram> m_inTransit;
     caller_id m_lastCaller = 0;
+    std::uint64_t m_revision = 5;
 };
 
 } // namespace kumquat::router
