--- a/core/caller_error.cpp
+++ b/core/caller_error.cpp
@@ -25,6 +25,7 @@
         { error_code::no_upstream, "no_upstream", 503 },
         { error_code::target_unreachable, "target_unreachable", 503 },
         { error_code::request_suspected, "request_suspected", 422 },
+        { error_code::crash_suspected, "crash_suspected", 503 },
         { error_code::upstream_failed, "upstream_failed", 502 },
         { error_code::outcome_unknown, "outcome_unknown", 504 },
         { error_code::claim_unavailable, "claim_unavailable", 503 },
--- a/core/caller_error.h
+++ b/core/caller_error.h
@@ -27,6 +27,7 @@
     no_upstream,
     target_unreachable,
     request_suspected,
+    crash_suspected,
     upstream_failed,
     outcome_unknown,
     claim_unavailable,
--- a/core/router_digest.h
+++ b/core/router_digest.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/clock.h"
+#include "core/crash_report.h"
 #include "core/store_position.h"
 
 #include <cstdint>
@@ -98,8 +99,8 @@
     std::vector<cached_prompt_part> cachedParts;
     // Upstreams whose answers to the routers for which the digest speaks stated a short time ago that they are shutting down.
     std::vector<leaving_upstream> leavingUpstreams;
-    // Fingerprints of requests that were in progress when their upstream crashed, each with its number of crashes.
-    std::vector<std::pair<std::uint64_t, int>> suspects;
+    // What crashed upstreams, as far as the routers know for which the digest speaks.
+    crash_news crashNews;
 };
 
 } // namespace kumquat
--- a/drivers/asio/http_client.cpp
+++ b/drivers/asio/http_client.cpp
@@ -112,7 +112,7 @@
     void parse(pooled_connection&, std::string_view);
     void handlePart(pooled_connection&, const answer_part&);
     void finishCall(pooled_connection&);
-    void failCall(pooled_connection&, const std::string& reason);
+    void failCall(pooled_connection&, const std::string& reason, connection_outcome = connection_outcome::unknown);
     void close(pooled_connection&);
 
     asio::io_context& context;
@@ -197,7 +197,7 @@
 {
     connection.connectTimer.reset();
     if (failure)
-        return failCall(connection, failure.message());
+        return failCall(connection, failure.message(), failure == asio::error::connection_refused ? connection_outcome::refused : connection_outcome::unknown);
     connection.connected = true;
     asio::error_code ignored;
     connection.socket.set_option(tcp::no_delay(true), ignored);
@@ -384,13 +384,13 @@
     callbacks.onEnd(call);
 }
 
-void http_client::implementation::failCall(pooled_connection& connection, const std::string& reason)
+void http_client::implementation::failCall(pooled_connection& connection, const std::string& reason, connection_outcome outcome)
 {
     const auto call = connection.call;
     const bool anyBytesSent = connection.anyBytesSent;
     close(connection);
     if (call != 0)
-        callbacks.onFailed(call, { anyBytesSent, reason });
+        callbacks.onFailed(call, { anyBytesSent, reason, outcome });
 }
 
 void http_client::implementation::close(pooled_connection& connection)
--- a/drivers/asio/http_client.h
+++ b/drivers/asio/http_client.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/clock.h"
+#include "core/connection_outcome.h"
 #include "core/http_message.h"
 #include "drivers/asio/reactor.h"
 
@@ -37,6 +38,8 @@
     // At least one byte of the request was written to the connection, so the server may have received it.
     bool anyBytesSent = false;
     std::string reason;
+    // What came of opening the connection, if the call needed a new one.
+    connection_outcome connection = connection_outcome::unknown;
 };
 
 // An HTTP/1.1 client that runs on the reactor's thread and reuses idle connections. Each connection carries one request
--- a/drivers/cbor/digest_codec.cpp
+++ b/drivers/cbor/digest_codec.cpp
@@ -31,20 +31,60 @@
         slice_count,
         loads,
         cached_parts,
-        suspects,
+        crashes,
+        answered_suspects,
+        refused_suspects,
         leaving_upstreams,
         field_count };
 
-    constexpr int formatVersion = 2;
-    // How many consecutive numbers of a flat list encode one load, one cached prompt part and one suspect.
+    constexpr int formatVersion = 3;
+    // How many consecutive numbers of a flat list encode one load, one cached prompt part, one crash and one suspect.
     constexpr std::size_t numbersPerLoad = 4;
     constexpr std::size_t numbersPerPart = 3;
-    constexpr std::size_t numbersPerSuspect = 2;
+    constexpr std::size_t numbersPerCrash = 6;
+    constexpr std::size_t numbersPerSuspect = 3;
     // A member is encoded as its address and its data centre.
     constexpr std::size_t valuesPerMember = 2;
     // A leaving upstream is encoded as its id and its start time.
     constexpr std::size_t valuesPerLeavingUpstream = 2;
 
+    crash_suspect decodeSuspect(const json& kind, const json& id)
+    {
+        return { kind.get<int>() == static_cast<int>(suspect_kind::request) ? suspect_kind::request : suspect_kind::prompt_part, id.get<std::uint64_t>() };
+    }
+
+    std::vector<crash_report> decodeCrashes(const json& list)
+    {
+        std::vector<crash_report> reports;
+        for (std::size_t index = 0; index + numbersPerCrash <= list.size(); index += numbersPerCrash)
+            reports.push_back({ decodeSuspect(list[index], list[index + 1]), list[index + 2].get<std::uint32_t>(), list[index + 3].get<std::uint32_t>(), list[index + 4].get<int>(), std::chrono::milliseconds(list[index + 5].get<std::int64_t>()) });
+        return reports;
+    }
+
+    std::vector<aged_suspect> decodeSuspects(const json& list)
+    {
+        std::vector<aged_suspect> suspects;
+        for (std::size_t index = 0; index + numbersPerSuspect <= list.size(); index += numbersPerSuspect)
+            suspects.push_back({ decodeSuspect(list[index], list[index + 1]), std::chrono::milliseconds(list[index + 2].get<std::int64_t>()) });
+        return suspects;
+    }
+
+    json encodeCrashes(const std::vector<crash_report>& reports)
+    {
+        json list = json::array();
+        for (const auto& report : reports)
+            list.insert(list.end(), { static_cast<int>(report.suspect.kind), report.suspect.id, report.upstream, report.request, report.position, report.age.count() });
+        return list;
+    }
+
+    json encodeSuspects(const std::vector<aged_suspect>& suspects)
+    {
+        json list = json::array();
+        for (const auto& [suspect, age] : suspects)
+            list.insert(list.end(), { static_cast<int>(suspect.kind), suspect.id, age.count() });
+        return list;
+    }
+
     router_digest decode(const json& root)
     {
         router_digest digest;
@@ -72,9 +112,7 @@
         const auto& partList = root.at(cached_parts);
         for (std::size_t index = 0; index + numbersPerPart <= partList.size(); index += numbersPerPart)
             digest.cachedParts.push_back({ partList[index].get<std::uint32_t>(), partList[index + 1].get<std::uint64_t>(), partList[index + 2].get<int>() });
-        const auto& suspectList = root.at(suspects);
-        for (std::size_t index = 0; index + numbersPerSuspect <= suspectList.size(); index += numbersPerSuspect)
-            digest.suspects.emplace_back(suspectList[index].get<std::uint64_t>(), suspectList[index + 1].get<int>());
+        digest.crashNews = { decodeCrashes(root.at(crashes)), decodeSuspects(root.at(answered_suspects)), decodeSuspects(root.at(refused_suspects)) };
         const auto& leavingList = root.at(leaving_upstreams);
         for (std::size_t index = 0; index + valuesPerLeavingUpstream <= leavingList.size(); index += valuesPerLeavingUpstream)
             digest.leavingUpstreams.push_back({ leavingList[index].get<std::string>(), leavingList[index + 1].get<std::int64_t>() });
@@ -94,15 +132,12 @@
     json partList = json::array();
     for (const auto& part : digest.cachedParts)
         partList.insert(partList.end(), { part.upstream, part.part, part.tokens });
-    json suspectList = json::array();
-    for (const auto& [fingerprint, crashes] : digest.suspects)
-        suspectList.insert(suspectList.end(), { fingerprint, crashes });
     json leavingList = json::array();
     for (const auto& upstream : digest.leavingUpstreams)
         leavingList.insert(leavingList.end(), { upstream.id, upstream.startedUnixMs });
     const json age = digest.configAge ? json(digest.configAge->count()) : json();
     const json root { formatVersion, digest.scope == digest_scope::data_centre, digest.instance, digest.dataCentre, digest.routers, digest.relayed, digest.incarnation, digest.sequence, digest.leaving, digest.storeEra,
-        digest.configPosition.era, digest.configPosition.revision, age, digest.configVersion, digest.upstreamPosition.era, digest.upstreamPosition.revision, std::move(memberList), digest.slice.index, digest.slice.count, std::move(loadList), std::move(partList), std::move(suspectList), std::move(leavingList) };
+        digest.configPosition.era, digest.configPosition.revision, age, digest.configVersion, digest.upstreamPosition.era, digest.upstreamPosition.revision, std::move(memberList), digest.slice.index, digest.slice.count, std::move(loadList), std::move(partList), encodeCrashes(digest.crashNews.crashes), encodeSuspects(digest.crashNews.answered), encodeSuspects(digest.crashNews.refused), std::move(leavingList) };
     std::string bytes;
     json::to_cbor(root, bytes);
     return bytes;
--- a/processes/router_process.cpp
+++ b/processes/router_process.cpp
@@ -117,7 +117,7 @@
             .onHead = [this](call_id call, http_answer_head head) { post(router::answer_started { call, platform::decodeAnswer(std::move(head)) }); },
             .onBody = [this](call_id call, std::string_view bytes) { post(router::answer_continued { call, std::string(bytes) }); },
             .onEnd = [this](call_id call) { post(router::answer_ended { call }); },
-            .onFailed = [this](call_id call, http_call_failure failure) { post(router::attempt_aborted { call, failure.anyBytesSent, std::move(failure.reason) }); },
+            .onFailed = [this](call_id call, http_call_failure failure) { post(router::attempt_aborted { call, failure.anyBytesSent, std::move(failure.reason), failure.connection }); },
             .onConnected = [this] { m_metrics.apply(count_metric { "kumquat_router_connections_total", { { "to", "upstream" } } }); },
         };
     }
--- a/servers/router/crash_tracker.cpp
+++ b/servers/router/crash_tracker.cpp
@@ -1,88 +1,333 @@
 #include "servers/router/crash_tracker.h"
 
 #include <algorithm>
+#include <unordered_set>
 
 namespace kumquat::router {
 
 namespace {
 
-    constexpr auto retentionTime = std::chrono::seconds(60);
-    // A digest has to fit in one datagram, so the list is bounded.
-    constexpr std::size_t maxReportedCounts = 48;
+    // A request is refused after this many independent crashes.
+    constexpr int requestCrashLimit = 3;
+    // A prompt part is refused after this many, if it explains most crashes of its time.
+    constexpr int partCrashLimit = 3;
+    // Otherwise after this many. A part that is only often beside the reason rarely goes so long without an answer.
+    constexpr int doubtfulPartCrashLimit = 5;
+    // The share of crashes that counts as most.
+    constexpr double explainedShare = 0.65;
+    // Crashes of other suspects in this time before the last one are compared with those of a suspect.
+    constexpr auto comparisonTime = std::chrono::seconds(10);
+    // Upstreams that fail within this time of each other may have failed for one reason outside the requests.
+    constexpr auto independenceTime = std::chrono::milliseconds(250);
+    // Routers notice one crash of an upstream within this time of each other.
+    constexpr auto sameCrashTime = std::chrono::milliseconds(1500);
+    // Within this time after a crash, the reports of all routers about it have arrived.
+    constexpr auto settlingTime = std::chrono::milliseconds(500);
+    constexpr auto evidenceTime = std::chrono::minutes(5);
+    // How long requests are refused after the last crash.
+    constexpr auto refusalTime = std::chrono::minutes(10);
+    // How long a refusal that has lapsed is renewed by a single crash.
+    constexpr auto probationTime = std::chrono::hours(1);
+    // Refusals that lapse within this time are no longer reported, so that routers with slightly different times don't renew each
+    // other's refusals for ever.
+    constexpr auto minReportedRefusal = std::chrono::seconds(10);
+    // Crashes and answers are reported for this time.
+    constexpr auto reportTime = std::chrono::seconds(5);
+    constexpr std::size_t maxSuspects = 4096;
+    constexpr std::size_t maxCrashesPerSuspect = 16;
+    constexpr std::size_t maxKnownCrashes = 512;
+    constexpr std::size_t maxReportedRefusals = 6;
+    constexpr std::size_t maxReportedAnswers = 6;
+
+    std::chrono::milliseconds ageOf(instant time, instant now)
+    {
+        return std::chrono::ceil<std::chrono::milliseconds>(now - time);
+    }
+
+    // Appends up to maxItems entries, beginning at a position that the rotation selects.
+    template <typename Item>
+    std::vector<Item> takeRotated(std::vector<Item> items, std::size_t maxItems, std::size_t rotation)
+    {
+        if (items.size() <= maxItems)
+            return items;
+        const auto start = rotation * maxItems % items.size();
+        std::rotate(items.begin(), items.begin() + static_cast<std::ptrdiff_t>(start), items.end());
+        items.resize(maxItems);
+        return items;
+    }
+
+    template <typename Crash>
+    bool isSameCrash(const Crash& crash, std::uint32_t upstream, instant at)
+    {
+        return crash.upstream == upstream && crash.at - at < sameCrashTime && at - crash.at < sameCrashTime;
+    }
+
+    // Counts crashes that are apart in time; those of one request count once for a prompt part.
+    template <typename Crashes>
+    int countIndependent(suspect_kind kind, const Crashes& crashes)
+    {
+        std::unordered_set<std::uint32_t> requests;
+        std::optional<instant> last;
+        int count = 0;
+        for (const auto& crash : crashes) {
+            if (last && crash.at - *last < independenceTime)
+                continue;
+            if (kind == suspect_kind::prompt_part && !requests.insert(crash.request).second)
+                continue;
+            last = crash.at;
+            ++count;
+        }
+        return count;
+    }
 
 } // namespace
 
-void crash_tracker::recordCrash(std::uint64_t fingerprint, instant now)
+void crash_tracker::recordCrash(const crash_report& report, news_origin origin, instant now)
 {
-    auto& record = m_ownRecords[fingerprint];
-    ++record.crashes;
-    record.lastCrashAt = now;
+    expire(now);
+    if (addCrash(report, now - report.age, origin))
+        judge(report.suspect);
 }
 
-void crash_tracker::recordSuccess(std::uint64_t fingerprint, instant now)
+bool crash_tracker::addCrash(const crash_report& report, instant at, news_origin origin)
 {
-    if (empty())
-        return;
-    m_ownRecords.erase(fingerprint);
-    m_clearedAt[fingerprint] = now;
+    auto& crash = findOrAddCrash(report.upstream, at);
+    if (report.suspect.kind == suspect_kind::prompt_part && m_refusals.contains(report.suspect))
+        explainCrash(crash);
+    else if (crash.explained)
+        return false;
+    const auto answer = m_answers.find(report.suspect);
+    if (answer != m_answers.end() && answer->second.at >= at)
+        return false;
+    auto& crashes = m_crashes[report.suspect];
+    const auto known = std::find_if(crashes.begin(), crashes.end(), [&](const observed_crash& item) { return isSameCrash(item, report.upstream, at); });
+    if (known != crashes.end()) {
+        known->origin = std::min(known->origin, origin);
+        return false;
+    }
+    if (crashes.size() == maxCrashesPerSuspect)
+        crashes.erase(crashes.begin());
+    const auto position = std::find_if(crashes.begin(), crashes.end(), [at](const observed_crash& item) { return item.at > at; });
+    crashes.insert(position, { report.upstream, report.request, report.position, at, origin });
+    if (m_crashes.size() > maxSuspects)
+        evictOldestSuspect();
+    return true;
 }
 
-void crash_tracker::setPeerCounts(const std::string& instance, const crash_counts& reported, instant now)
+void crash_tracker::judge(const crash_suspect& suspect)
 {
-    if (reported.empty())
-        m_peerCounts.erase(instance);
-    else
-        m_peerCounts[instance] = { reported, now };
+    const auto found = m_crashes.find(suspect);
+    if (found == m_crashes.end())
+        return;
+    const auto& crashes = found->second;
+    const auto lastCrashAt = crashes.back().at;
+    const int count = countIndependent(suspect.kind, crashes);
+    if (const auto refused = m_refusals.find(suspect); refused != m_refusals.end()) {
+        const bool lapsed = lastCrashAt - refused->second.lastCrashAt >= refusalTime;
+        refused->second.lastCrashAt = std::max(refused->second.lastCrashAt, lastCrashAt);
+        if (lapsed)
+            m_newRefusals.push_back({ suspect, count });
+        return;
+    }
+    if (suspect.kind == suspect_kind::request && count >= requestCrashLimit)
+        refuse(suspect, lastCrashAt, count);
 }
 
-int crash_tracker::crashCount(std::uint64_t fingerprint, instant now)
+void crash_tracker::judgePromptParts(instant now)
 {
-    evictExpired(now);
-    if (m_clearedAt.contains(fingerprint))
-        return 0;
-    const auto found = m_ownRecords.find(fingerprint);
-    int total = found == m_ownRecords.end() ? 0 : found->second.crashes;
-    for (const auto& [instance, peer] : m_peerCounts) {
-        for (const auto& [suspect, crashes] : peer.reported)
-            total += suspect == fingerprint ? crashes : 0;
+    // Reports of one crash arrive one after the other. A part that is only beside the reason must not be judged without it.
+    const auto settledBefore = now - settlingTime;
+    std::vector<std::pair<crash_suspect, observed_crashes>> candidates;
+    for (const auto& [suspect, crashes] : m_crashes) {
+        if (suspect.kind != suspect_kind::prompt_part || m_refusals.contains(suspect))
+            continue;
+        const auto end = std::find_if(crashes.begin(), crashes.end(), [settledBefore](const observed_crash& item) { return item.at > settledBefore; });
+        if (end - crashes.begin() >= partCrashLimit)
+            candidates.emplace_back(suspect, observed_crashes(crashes.begin(), end));
     }
-    return total;
+    for (const auto& [suspect, crashes] : candidates) {
+        if (isReason(suspect, crashes))
+            refuse(suspect, m_crashes.at(suspect).back().at, countIndependent(suspect.kind, crashes));
+    }
+}
+
+bool crash_tracker::isReason(const crash_suspect& suspect, const observed_crashes& crashes) const
+{
+    // Another part may have been found to be the reason of some of these crashes just now.
+    if (std::any_of(crashes.begin(), crashes.end(), [this](const observed_crash& item) { return isExplained(item); }))
+        return false;
+    const int count = countIndependent(suspect.kind, crashes);
+    if (count >= doubtfulPartCrashLimit)
+        return !hasRival(suspect, crashes, true);
+    return count >= partCrashLimit && explainsMostCrashes(crashes) && !hasRival(suspect, crashes, false);
+}
+
+bool crash_tracker::isExplained(const observed_crash& crash) const
+{
+    return std::any_of(m_knownCrashes.begin(), m_knownCrashes.end(), [&crash](const known_crash& item) { return item.explained && isSameCrash(item, crash.upstream, crash.at); });
+}
+
+bool crash_tracker::explainsMostCrashes(const observed_crashes& crashes) const
+{
+    const auto from = std::min(crashes.front().at, crashes.back().at - comparisonTime);
+    const auto all = std::count_if(m_knownCrashes.begin(), m_knownCrashes.end(), [from](const known_crash& item) { return item.at >= from && !item.explained; });
+    const auto explained = std::count_if(crashes.begin(), crashes.end(), [from](const observed_crash& item) { return item.at >= from; });
+    return static_cast<double>(explained) >= explainedShare * static_cast<double>(all);
+}
+
+bool crash_tracker::hasRival(const crash_suspect& suspect, const observed_crashes& crashes, bool deeperOnly) const
+{
+    return std::any_of(m_crashes.begin(), m_crashes.end(), [&](const auto& item) {
+        const auto& [other, otherCrashes] = item;
+        if (other == suspect || other.kind != suspect_kind::prompt_part || m_refusals.contains(other))
+            return false;
+        if (deeperOnly && otherCrashes.back().position <= crashes.back().position)
+            return false;
+        return std::all_of(crashes.begin(), crashes.end(), [&](const observed_crash& crash) {
+            return std::any_of(otherCrashes.begin(), otherCrashes.end(), [&crash](const observed_crash& otherCrash) { return isSameCrash(otherCrash, crash.upstream, crash.at); });
+        });
+    });
+}
+
+void crash_tracker::refuse(const crash_suspect& suspect, instant lastCrashAt, int crashes)
+{
+    m_refusals[suspect] = { lastCrashAt };
+    m_newRefusals.push_back({ suspect, crashes });
+    const auto found = m_crashes.find(suspect);
+    if (suspect.kind != suspect_kind::prompt_part || found == m_crashes.end())
+        return;
+    for (const auto& crash : observed_crashes(found->second))
+        explainCrash(findOrAddCrash(crash.upstream, crash.at));
 }
 
-crash_tracker::crash_counts crash_tracker::ownCounts(instant now)
+crash_tracker::known_crash& crash_tracker::findOrAddCrash(std::uint32_t upstream, instant at)
 {
-    evictExpired(now);
-    crash_counts reported;
-    for (const auto& [fingerprint, record] : m_ownRecords) {
-        if (reported.size() == maxReportedCounts)
-            break;
-        reported.emplace_back(fingerprint, record.crashes);
+    const auto found = std::find_if(m_knownCrashes.begin(), m_knownCrashes.end(), [&](const known_crash& item) { return isSameCrash(item, upstream, at); });
+    if (found != m_knownCrashes.end())
+        return *found;
+    if (m_knownCrashes.size() == maxKnownCrashes)
+        m_knownCrashes.erase(m_knownCrashes.begin());
+    return m_knownCrashes.emplace_back(known_crash { upstream, at, false });
+}
+
+void crash_tracker::explainCrash(known_crash& crash)
+{
+    if (std::exchange(crash.explained, true))
+        return;
+    for (auto& [suspect, crashes] : m_crashes) {
+        if (!m_refusals.contains(suspect))
+            std::erase_if(crashes, [&crash](const observed_crash& item) { return isSameCrash(item, crash.upstream, crash.at); });
     }
-    return reported;
+    std::erase_if(m_crashes, [](const auto& item) { return item.second.empty(); });
 }
 
-crash_tracker::crash_counts crash_tracker::sumOf(const std::vector<std::string>& instances, instant now)
+void crash_tracker::recordAnswer(const std::vector<crash_suspect>& suspects, instant answeredAt, news_origin origin)
 {
-    std::unordered_map<std::uint64_t, int> sums;
-    for (const auto& [fingerprint, crashes] : ownCounts(now))
-        sums[fingerprint] += crashes;
-    for (const auto& instance : instances) {
-        const auto found = m_peerCounts.find(instance);
-        if (found == m_peerCounts.end())
+    for (const auto& suspect : suspects) {
+        const auto found = m_crashes.find(suspect);
+        const auto refused = m_refusals.find(suspect);
+        if (found == m_crashes.end() && refused == m_refusals.end())
             continue;
-        for (const auto& [fingerprint, crashes] : found->second.reported)
-            sums[fingerprint] += crashes;
+        auto& answer = m_answers[suspect];
+        if (answer.at < answeredAt)
+            answer = { answeredAt, origin };
+        if (found != m_crashes.end()) {
+            std::erase_if(found->second, [answeredAt](const observed_crash& item) { return item.at <= answeredAt; });
+            if (found->second.empty())
+                m_crashes.erase(found);
+        }
+        if (refused != m_refusals.end() && refused->second.lastCrashAt <= answeredAt)
+            m_refusals.erase(refused);
+    }
+}
+
+std::optional<duration> crash_tracker::refusedFor(const crash_suspect& suspect, instant now) const
+{
+    const auto found = m_refusals.find(suspect);
+    if (found == m_refusals.end())
+        return std::nullopt;
+    const duration left = found->second.lastCrashAt + refusalTime - now;
+    return left > duration::zero() ? std::optional(left) : std::nullopt;
+}
+
+int crash_tracker::crashCount(const crash_suspect& suspect) const
+{
+    const auto found = m_crashes.find(suspect);
+    return found == m_crashes.end() ? 0 : countIndependent(suspect.kind, found->second);
+}
+
+void crash_tracker::learn(const crash_news& reported, news_origin origin, instant now)
+{
+    if (reported.size() == 0)
+        return;
+    expire(now);
+    for (const auto& [suspect, age] : reported.refused) {
+        const auto lastCrashAt = now - age;
+        const auto answer = m_answers.find(suspect);
+        const bool wasAnswered = answer != m_answers.end() && answer->second.at >= lastCrashAt;
+        // A refusal that is known keeps its time, since the reported one includes the time that the report took.
+        if (!wasAnswered && !m_refusals.contains(suspect))
+            refuse(suspect, lastCrashAt, 0);
+    }
+    for (const auto& [suspect, age] : reported.answered)
+        recordAnswer({ suspect }, now - age, origin);
+    for (const auto& crash : reported.crashes) {
+        if (addCrash(crash, now - crash.age, origin))
+            judge(crash.suspect);
     }
-    crash_counts reported(sums.begin(), sums.end());
-    reported.resize(std::min(reported.size(), maxReportedCounts));
-    return reported;
 }
 
-void crash_tracker::evictExpired(instant now)
+crash_news crash_tracker::ownNews(std::size_t maxItems, instant now)
+{
+    return news(maxItems, news_origin::own, now);
+}
+
+crash_news crash_tracker::dataCentreNews(std::size_t maxItems, instant now)
+{
+    return news(maxItems, news_origin::own_data_centre, now);
+}
+
+crash_news crash_tracker::news(std::size_t maxItems, news_origin widest, instant now)
+{
+    crash_news result;
+    if (empty() && m_answers.empty())
+        return result;
+    expire(now);
+    ++m_rotation;
+    for (const auto& [suspect, state] : m_refusals) {
+        if (refusedFor(suspect, now).value_or(duration::zero()) > minReportedRefusal)
+            result.refused.push_back({ suspect, ageOf(state.lastCrashAt, now) });
+    }
+    for (const auto& [suspect, answer] : m_answers) {
+        if (answer.origin <= widest && now - answer.at < reportTime)
+            result.answered.push_back({ suspect, ageOf(answer.at, now) });
+    }
+    for (const auto& [suspect, crashes] : m_crashes) {
+        for (const auto& crash : crashes) {
+            if (crash.origin <= widest && now - crash.at < reportTime)
+                result.crashes.push_back({ suspect, crash.upstream, crash.request, crash.position, ageOf(crash.at, now) });
+        }
+    }
+    result.refused = takeRotated(std::move(result.refused), maxReportedRefusals, m_rotation);
+    result.answered = takeRotated(std::move(result.answered), maxReportedAnswers, m_rotation);
+    result.crashes = takeRotated(std::move(result.crashes), maxItems - std::min(maxItems, result.refused.size() + result.answered.size()), m_rotation);
+    return result;
+}
+
+void crash_tracker::expire(instant now)
+{
+    for (auto& [suspect, crashes] : m_crashes)
+        std::erase_if(crashes, [now](const observed_crash& crash) { return now - crash.at > evidenceTime; });
+    std::erase_if(m_crashes, [](const auto& item) { return item.second.empty(); });
+    std::erase_if(m_knownCrashes, [now](const known_crash& item) { return now - item.at > evidenceTime; });
+    std::erase_if(m_answers, [now](const auto& item) { return now - item.second.at > evidenceTime; });
+    std::erase_if(m_refusals, [now](const auto& item) { return now - item.second.lastCrashAt > refusalTime + probationTime; });
+}
+
+void crash_tracker::evictOldestSuspect()
 {
-    std::erase_if(m_ownRecords, [now](const auto& item) { return now - item.second.lastCrashAt > retentionTime; });
-    std::erase_if(m_clearedAt, [now](const auto& item) { return now - item.second > retentionTime; });
-    std::erase_if(m_peerCounts, [now](const auto& item) { return now - item.second.receivedAt > retentionTime; });
+    const auto oldest = std::min_element(m_crashes.begin(), m_crashes.end(), [](const auto& left, const auto& right) { return left.second.back().at < right.second.back().at; });
+    m_crashes.erase(oldest);
 }
 
 } // namespace kumquat::router
--- a/servers/router/crash_tracker.h
+++ b/servers/router/crash_tracker.h
@@ -1,51 +1,110 @@
 #pragma once
 
 #include "core/clock.h"
+#include "core/crash_report.h"
 
 #include <cstdint>
-#include <string>
+#include <optional>
 #include <unordered_map>
 #include <utility>
 #include <vector>
 
 namespace kumquat::router {
 
-// Counts, for each request fingerprint, the upstreams that crashed while the request ran there, as observed by this router
-// and reported by the others. Many requests run on an upstream beside the one that crashes it, so a request that succeeds
-// is cleared of suspicion until the retention time has passed.
+// From whom a router knows of a crash or of an answer.
+enum class news_origin { own,
+    own_data_centre,
+    other_data_centre };
+
+// Finds out which requests crash upstreams, and which requests are refused for it.
+//
+// Whatever an upstream had not begun to answer when it crashed is a suspect: each request by itself, and each part of a prompt that
+// other requests may share. Many sound requests are there beside the one that crashes the upstream, so a suspect is refused only
+// after several crashes without an answer in between. Once a prompt part is refused, the crashes that it explains no longer count
+// against others.
 class crash_tracker {
 public:
-    using crash_counts = std::vector<std::pair<std::uint64_t, int>>;
-
-    void recordCrash(std::uint64_t fingerprint, instant now);
-    void recordSuccess(std::uint64_t fingerprint, instant now);
-    // Replaces the counts that another router reported earlier.
-    void setPeerCounts(const std::string& instance, const crash_counts&, instant now);
-    // True if neither this router nor another one has recorded a crash, so that callers can skip computing a fingerprint.
-    bool empty() const { return m_ownRecords.empty() && m_peerCounts.empty(); }
-    // The crashes that all routers together have recorded for a request. Returns 0 if the request has succeeded at this
-    // router within the retention time, even if it has crashed an upstream since.
-    int crashCount(std::uint64_t fingerprint, instant now);
-    // The crashes that this router and the given others have observed, for the summary of their data centre.
-    crash_counts sumOf(const std::vector<std::string>& instances, instant now);
-    // The crashes that this router observed itself, for its digest to the others.
-    crash_counts ownCounts(instant now);
+    struct refusal {
+        crash_suspect suspect;
+        // The independent crashes that led to it, or 0 if another router reported the refusal.
+        int crashes = 0;
+    };
+
+    // A request with the suspect was at the upstream with this key when it crashed. For what the other fields mean see crash_report.
+    void recordCrash(const crash_report&, news_origin, instant now);
+    // An upstream began to answer a request with the suspects at the given time, and did not crash on it.
+    void recordAnswer(const std::vector<crash_suspect>&, instant answeredAt, news_origin = news_origin::own);
+    // Refuses the prompt parts that are found to be the reason of crashes. To be called several times a second.
+    void judgePromptParts(instant now);
+    // The refusals that began since the last call.
+    std::vector<refusal> takeNewRefusals() { return std::exchange(m_newRefusals, {}); }
+
+    // True if there is neither a suspect nor a refusal, so that callers can skip computing the suspects of a request.
+    bool empty() const { return m_crashes.empty() && m_refusals.empty(); }
+    // How long requests with the suspect are refused from now on, or nothing if they are not refused.
+    std::optional<duration> refusedFor(const crash_suspect&, instant now) const;
+    // How many crashes count against the suspect.
+    int crashCount(const crash_suspect&) const;
+
+    // Merges what another router or the aggregator of another data centre reports.
+    void learn(const crash_news&, news_origin, instant now);
+    // What this router tells the others of its data centre, at most the given number of items. Each call goes on where the last
+    // one ended.
+    crash_news ownNews(std::size_t maxItems, instant now);
+    // What the aggregator tells the other data centres.
+    crash_news dataCentreNews(std::size_t maxItems, instant now);
 
 private:
-    struct crash_record {
-        int crashes = 0;
-        instant lastCrashAt;
+    struct observed_crash {
+        std::uint32_t upstream = 0;
+        std::uint32_t request = 0;
+        int position = 0;
+        instant at;
+        news_origin origin = news_origin::own;
+    };
+    // A crash, whatever is suspected of it.
+    struct known_crash {
+        std::uint32_t upstream = 0;
+        instant at;
+        // A refused prompt part was there.
+        bool explained = false;
     };
-    struct peer_counts {
-        crash_counts reported;
-        instant receivedAt;
+    struct observed_answer {
+        instant at;
+        news_origin origin = news_origin::own;
+    };
+    // A refusal that has lapsed is kept for a time: one more crash renews it.
+    struct refusal_state {
+        instant lastCrashAt;
     };
+    using observed_crashes = std::vector<observed_crash>;
 
-    void evictExpired(instant now);
+    void expire(instant now);
+    void evictOldestSuspect();
+    // Adds the crash, or completes what is known of it. Returns false if it was known.
+    bool addCrash(const crash_report&, instant at, news_origin);
+    // Refuses a request if the crashes that count against it suffice, and prolongs or renews the refusal of any suspect.
+    void judge(const crash_suspect&);
+    // Whether the crashes suffice to refuse a prompt part for them.
+    bool isReason(const crash_suspect&, const observed_crashes&) const;
+    bool isExplained(const observed_crash&) const;
+    void refuse(const crash_suspect&, instant lastCrashAt, int crashes);
+    // Returns what is known of the crash of an upstream at about that time.
+    known_crash& findOrAddCrash(std::uint32_t upstream, instant at);
+    // Removes a crash that a refused prompt part explains from the other suspects.
+    void explainCrash(known_crash&);
+    bool explainsMostCrashes(const observed_crashes&) const;
+    // Whether another prompt part explains all of these crashes too; with deeperOnly, one that is deeper in its prompts.
+    bool hasRival(const crash_suspect&, const observed_crashes&, bool deeperOnly) const;
+    crash_news news(std::size_t maxItems, news_origin widest, instant now);
 
-    std::unordered_map<std::uint64_t, crash_record> m_ownRecords;
-    std::unordered_map<std::uint64_t, instant> m_clearedAt;
-    std::unordered_map<std::string, peer_counts> m_peerCounts;
+    // The crashes that count against each suspect, in the order of their times.
+    std::unordered_map<crash_suspect, observed_crashes, crash_suspect_hash> m_crashes;
+    std::vector<known_crash> m_knownCrashes;
+    std::unordered_map<crash_suspect, observed_answer, crash_suspect_hash> m_answers;
+    std::unordered_map<crash_suspect, refusal_state, crash_suspect_hash> m_refusals;
+    std::vector<refusal> m_newRefusals;
+    std::size_t m_rotation = 0;
 };
 
 } // namespace kumquat::router
--- a/servers/router/peer_group.h
+++ b/servers/router/peer_group.h
@@ -68,8 +68,6 @@
     std::vector<outstanding_load> sumOfDataCentre(const std::vector<outstanding_load>& own) const;
     // The upstreams that the other routers of this data centre report as leaving.
     std::vector<leaving_upstream> leavingInDataCentre() const;
-    // The names under which the other routers of this data centre are known.
-    std::vector<std::string> neighbourNames() const;
 
     // The newest position at which another router has read the configuration.
     store_position newestConfigPosition() const;
--- a/servers/router/peer_group_targets.cpp
+++ b/servers/router/peer_group_targets.cpp
@@ -69,16 +69,6 @@
     return addresses;
 }
 
-std::vector<std::string> peer_group::neighbourNames() const
-{
-    std::vector<std::string> names;
-    for (const auto& [name, peer] : m_peers) {
-        if (isNeighbour(peer))
-            names.push_back(name);
-    }
-    return names;
-}
-
 std::vector<router_contact> peer_group::sampleContacts()
 {
     auto sample = m_contacts.rotateOutside(m_self.dataCentre);
--- a/servers/router/request_progress.h
+++ b/servers/router/request_progress.h
@@ -22,6 +22,10 @@
     bool streaming = false;
     // The answer is a successful event stream, whose events are forwarded as they arrive.
     bool forwardsEvents = false;
+    // When the first event arrived.
+    std::optional<instant> firstEventAt;
+    // The stream has gone on after its first event, so the request does not crash the upstream.
+    bool answersSoundly = false;
     // Present once the head of the answer has arrived.
     std::optional<upstream_answer> answer;
     // The body so far, if the answer is buffered until it is complete.
--- a/servers/router/router_admission.cpp
+++ b/servers/router/router_admission.cpp
@@ -15,8 +15,6 @@
     constexpr double keyFreshnessShare = 0.9;
     // The caller's next connection reaches another router, so it may retry almost at once.
     constexpr auto retryAtOtherRouter = std::chrono::milliseconds(20);
-    // A request that has crashed this many upstreams is refused.
-    constexpr int maxCrashes = 3;
     constexpr auto retryAfterStartup = std::chrono::milliseconds(500);
     // If the store is healthy, a router has read the configuration and the upstream records within this time of its start.
     // Requests that arrive earlier wait, since callers that lost their connection to the predecessor reconnect at once.
@@ -70,8 +68,8 @@
 {
     if (const auto refusal = classify(progress))
         return refuse(progress.caller, progress.request->requestId, *refusal);
-    if (!m_crashes.empty() && m_crashes.crashCount(fingerprint(progress), m_now) >= maxCrashes)
-        return refuse(progress.caller, progress.request->requestId, { error_code::no_upstream, "the request has crashed " + std::to_string(maxCrashes) + " upstreams", ran_state::no, retryAfterStartup });
+    if (const auto refusal = refuseSuspect(progress))
+        return refuse(progress.caller, progress.request->requestId, *refusal);
     if (deadlineExceedsShutdown(progress))
         return refuse(progress.caller, progress.request->requestId, { error_code::draining, "this router stops before the deadline of the request", ran_state::no, retryAtOtherRouter });
     const auto caller = progress.caller;
--- a/servers/router/router_answering.cpp
+++ b/servers/router/router_answering.cpp
@@ -32,12 +32,6 @@
         return type && type->starts_with(eventStreamType);
     }
 
-    active_attempt* findAttempt(request_progress& progress, attempt_number number)
-    {
-        const auto found = std::find_if(progress.attempts.begin(), progress.attempts.end(), [number](const active_attempt& item) { return item.number == number; });
-        return found == progress.attempts.end() ? nullptr : &*found;
-    }
-
 } // namespace
 
 void router_reducer::on(answer_started&& started)
@@ -106,6 +100,7 @@
     if (progress->lastEventAt)
         progress->longestEventGap = std::max(progress->longestEventGap, m_now - *progress->lastEventAt);
     progress->lastEventAt = m_now;
+    noteEvents(*progress, attempt);
     emit(append_reply { progress->caller, std::move(events), attempt.number });
 }
 
@@ -169,9 +164,10 @@
         return finish(progress, status, "upstream_failed");
     }
     const bool mayHaveRun = progress.mayHaveRunCount > 0;
-    const caller_error refusal = mayHaveRun
-        ? caller_error { error_code::upstream_failed, "the upstream gave no whole answer", ran_state::unknown, std::nullopt }
-        : caller_error { error_code::no_upstream, "no upstream accepted the request", ran_state::no, timeUntilUnblocked(progress.service).value_or(retryAfterFailure) };
+    const auto suspectRefusal = mayHaveRun ? std::nullopt : refuseSuspect(progress);
+    const caller_error refusal = mayHaveRun ? caller_error { error_code::upstream_failed, "the upstream gave no whole answer", ran_state::unknown, std::nullopt }
+        : suspectRefusal                    ? *suspectRefusal
+                                            : caller_error { error_code::no_upstream, "no upstream accepted the request", ran_state::no, timeUntilUnblocked(progress.service).value_or(retryAfterFailure) };
     refuse(progress.caller, progress.request->requestId, refusal);
     finish(progress, httpStatus(refusal.code), "failed");
 }
@@ -193,8 +189,8 @@
 
 void router_reducer::finish(request_progress& progress, int status, const char* outcome)
 {
-    if (isSuccess(status) && !m_crashes.empty())
-        m_crashes.recordSuccess(fingerprint(progress), m_now);
+    if (isSuccess(status))
+        recordCompletion(progress);
     const auto caller = progress.caller;
     const auto elapsedSeconds = std::chrono::duration<double>(m_now - progress.arrivedAt).count();
     log(log_level::info, "request_finished",
--- a/servers/router/router_attempts.cpp
+++ b/servers/router/router_attempts.cpp
@@ -1,9 +1,6 @@
 #include "servers/router/router_reducer.h"
 
-#include "core/hash.h"
-
 #include <algorithm>
-#include <cstdio>
 
 namespace kumquat::router {
 
@@ -20,31 +17,14 @@
     constexpr double hedgeDelayShare = 0.6;
     constexpr auto initialBackoff = std::chrono::milliseconds(250);
     constexpr int maxBackoffDoublings = 4;
-    // If an upstream is unreachable within this time after the connection of a request broke, the request may have crashed
-    // it.
-    constexpr auto crashAttributionWindow = std::chrono::milliseconds(1500);
     // The back-off after an upstream has refused a request because it is busy.
     constexpr auto refusalBackoff = std::chrono::milliseconds(60);
-    // A log line names this many parts of a prompt at most.
-    constexpr std::size_t maxLoggedParts = 8;
-
-    // The ids of the parts of a prompt in hexadecimal, without the last one, which belongs to one request only.
-    std::string formatSharedParts(const prompt_description& prompt)
-    {
-        std::string text;
-        for (std::size_t index = 0; index + 1 < prompt.parts.size() && index < maxLoggedParts; ++index) {
-            char digits[17] = {};
-            std::snprintf(digits, sizeof digits, "%llx", static_cast<unsigned long long>(prompt.parts[index].id));
-            text += (index == 0 ? "" : ",") + std::string(digits);
-        }
-        return text.empty() ? "none" : text;
-    }
 
 } // namespace
 
 bool router_reducer::dispatch(request_progress& progress, const char* cause)
 {
-    if (progress.deadline - m_now < minTimeLeft)
+    if (progress.deadline - m_now < minTimeLeft || refuseSuspect(progress))
         return false;
     const placement_policy policy = progress.targetsEngine && progress.matchedRoute->usesPromptCache ? m_options.enginePlacement : least_in_flight {};
     const auto selected = place(policy, { m_upstreams.ofService(progress.service), *progress.request, progress.triedUpstreams, m_options.settings.dataCentre, m_peers, m_now });
@@ -70,7 +50,7 @@
     upstream.uncachedPromptTokens += selected.uncachedPromptTokens;
     if (progress.targetsEngine)
         recordPromptPlacement(upstream, progress);
-    progress.attempts.push_back({ number, selected.upstream, m_now, selected.uncachedPromptTokens, false, false, std::nullopt, {} });
+    progress.attempts.push_back({ number, selected.upstream, m_now, selected.uncachedPromptTokens });
     m_attemptCallers.emplace(number, progress.caller);
     start_attempt effect;
     effect.attemptNumber = number;
@@ -138,11 +118,9 @@
     recordFailure(upstream, outcome);
     if (outcome == attempt_end::may_have_run)
         ++progress.mayHaveRunCount;
-    if (outcome == attempt_end::never_sent)
-        recordCrash(upstream);
     static constexpr const char* outcomeNames[] = { "never_sent", "not_run", "may_have_run" };
     const char* outcomeName = outcomeNames[static_cast<int>(outcome)];
-    log(log_level::warning, "send_failed", { { "request", progress.request->requestId }, { "upstream", upstream.record.id }, { "outcome", outcomeName }, { "reason", reason }, { "after_ms", formatMilliseconds(m_now - position->startedAt) }, { "sends", std::to_string(progress.attemptCount) }, { "parts", formatSharedParts(progress.request->prompt) } });
+    log(log_level::warning, "send_failed", { { "request", progress.request->requestId }, { "upstream", upstream.record.id }, { "outcome", outcomeName }, { "reason", reason }, { "after_ms", formatMilliseconds(m_now - position->startedAt) }, { "sends", std::to_string(progress.attemptCount) }, { "parts", formatSharedParts(progress) } });
     emit(count_metric { "kumquat_router_failed_sends_total", { { "outcome", outcomeName } } });
     removeAttempt(progress, number);
     if (!progress.attempts.empty())
@@ -181,30 +159,10 @@
     }
 }
 
-// A caller that repeats a request uses a new request id, so the fingerprint covers target, organisation and body instead.
-std::uint64_t router_reducer::fingerprint(const request_progress& progress)
+active_attempt* router_reducer::findAttempt(request_progress& progress, attempt_number number)
 {
-    const auto& request = *progress.request;
-    return hashBytes(request.body, hashBytes(request.target, hashBytes(progress.organisation)));
-}
-
-// Called when an upstream can't be reached. If requests failed there shortly before, it has probably crashed, and each of
-// them is a suspect.
-void router_reducer::recordCrash(upstream_state& upstream)
-{
-    const auto failures = std::exchange(upstream.recentFailures, {});
-    const auto isRecent = [this](const auto& failure) { return m_now - failure.second <= crashAttributionWindow; };
-    const auto brokenRequests = std::count_if(failures.begin(), failures.end(), isRecent);
-    if (brokenRequests > 0) {
-        log(log_level::warning, "upstream_crashed", { { "upstream", upstream.record.id }, { "service", upstream.record.service }, { "broken_requests", std::to_string(brokenRequests) } });
-        emit(count_metric { "kumquat_router_upstream_crashes_total", { { "service", upstream.record.service } } });
-    }
-    for (const auto& [suspect, failedAt] : failures) {
-        if (m_now - failedAt > crashAttributionWindow)
-            continue;
-        m_crashes.recordCrash(suspect, m_now);
-        log(log_level::warning, "request_suspected", { { "fingerprint", std::to_string(suspect) }, { "upstream", upstream.record.id }, { "crashes", std::to_string(m_crashes.crashCount(suspect, m_now)) } });
-    }
+    const auto found = std::find_if(progress.attempts.begin(), progress.attempts.end(), [number](const active_attempt& item) { return item.number == number; });
+    return found == progress.attempts.end() ? nullptr : &*found;
 }
 
 request_progress* router_reducer::findByAttempt(attempt_number number)
@@ -221,12 +179,14 @@
     auto* progress = findByAttempt(aborted.attemptNumber);
     if (!progress)
         return;
-    if (aborted.requestSent) {
-        for (const auto& attempt : progress->attempts) {
-            if (attempt.number == aborted.attemptNumber)
-                attempt.upstream->recentFailures.emplace_back(fingerprint(*progress), m_now);
-        }
-    }
+    const auto upstream = findAttempt(*progress, aborted.attemptNumber)->upstream;
+    if (aborted.requestSent)
+        recordBrokenAttempt(*progress, *findAttempt(*progress, aborted.attemptNumber));
+    if (aborted.outcome == connection_outcome::refused)
+        recordCrash(*upstream);
+    // The crash may have ended the request as a refused one.
+    if (!findByAttempt(aborted.attemptNumber))
+        return;
     failAttempt(*progress, aborted.attemptNumber, aborted.requestSent ? attempt_end::may_have_run : attempt_end::never_sent, aborted.reason);
 }
 
--- /dev/null
+++ b/servers/router/router_crashes.cpp
@@ -0,0 +1,182 @@
+#include "servers/router/router_reducer.h"
+
+#include "core/hash.h"
+
+#include <algorithm>
+#include <cstdio>
+
+// How a router notices that an upstream has crashed, and which requests it refuses because they crash upstreams.
+
+namespace kumquat::router {
+
+namespace {
+
+    // If an upstream refuses connections within this time after the connection of a request broke, the request may have crashed it.
+    constexpr auto crashAttributionWindow = std::chrono::milliseconds(1500);
+    // A stream that still delivers events this long after its first one has not crashed its upstream.
+    constexpr auto survivalTime = std::chrono::milliseconds(100);
+    // Requests are not sent to an upstream that has just crashed, unless there is no other.
+    constexpr auto crashBackoff = std::chrono::milliseconds(1000);
+
+    // A caller that repeats a request uses a new request id, so the hash covers target, organisation and body instead.
+    std::uint64_t hashRequest(const request_progress& progress)
+    {
+        const auto& request = *progress.request;
+        return hashBytes(request.body, hashBytes(request.target, hashBytes(progress.organisation)));
+    }
+
+    // The same part may be harmless to the engines of another service.
+    std::uint64_t hashPart(const std::string& service, std::uint64_t part)
+    {
+        return hashBytes(service, part);
+    }
+
+    // The parts of a prompt that other requests may share. The last one belongs to one request only.
+    std::size_t sharedPartCount(const prompt_description& prompt)
+    {
+        return prompt.parts.empty() ? 0 : prompt.parts.size() - 1;
+    }
+
+    std::vector<crash_suspect> promptSuspects(const request_progress& progress)
+    {
+        const auto& prompt = progress.request->prompt;
+        std::vector<crash_suspect> suspects;
+        for (std::size_t index = 0; index < sharedPartCount(prompt); ++index)
+            suspects.push_back({ suspect_kind::prompt_part, hashPart(progress.service, prompt.parts[index].id) });
+        return suspects;
+    }
+
+    const char* toString(suspect_kind kind)
+    {
+        return kind == suspect_kind::request ? "request" : "prompt_part";
+    }
+
+    std::string formatHex(std::uint64_t value)
+    {
+        char digits[17] = {};
+        std::snprintf(digits, sizeof digits, "%llx", static_cast<unsigned long long>(value));
+        return digits;
+    }
+
+} // namespace
+
+// The request itself first, then the parts of its prompt in their order.
+std::vector<crash_suspect> router_reducer::suspectsOf(const request_progress& progress)
+{
+    std::vector<crash_suspect> suspects { { suspect_kind::request, hashRequest(progress) } };
+    const auto parts = promptSuspects(progress);
+    suspects.insert(suspects.end(), parts.begin(), parts.end());
+    return suspects;
+}
+
+std::string router_reducer::formatSharedParts(const request_progress& progress)
+{
+    // A log line names this many parts at most.
+    constexpr std::size_t maxLoggedParts = 8;
+    const auto& prompt = progress.request->prompt;
+    std::string text;
+    for (std::size_t index = 0; index < std::min(sharedPartCount(prompt), maxLoggedParts); ++index)
+        text += (index == 0 ? "" : ",") + formatHex(prompt.parts[index].id);
+    return text.empty() ? "none" : text;
+}
+
+std::optional<caller_error> router_reducer::refuseSuspect(const request_progress& progress) const
+{
+    if (m_crashes.empty())
+        return std::nullopt;
+    const auto suspects = suspectsOf(progress);
+    for (std::size_t index = 0; index < suspects.size(); ++index) {
+        const auto timeLeft = m_crashes.refusedFor(suspects[index], m_now);
+        if (!timeLeft)
+            continue;
+        const auto what = index == 0 ? std::string("this request crashes") : "requests with the prompt part " + formatHex(progress.request->prompt.parts[index - 1].id) + " crash";
+        return caller_error { error_code::crash_suspected, what + " upstreams", ran_state::no, std::chrono::ceil<std::chrono::milliseconds>(*timeLeft) };
+    }
+    return std::nullopt;
+}
+
+void router_reducer::recordBrokenAttempt(const request_progress& progress, const active_attempt& attempt)
+{
+    auto& upstream = *attempt.upstream;
+    std::erase_if(upstream.brokenAttempts, [this](const broken_attempt& item) { return m_now - item.brokenAt > crashAttributionWindow; });
+    broken_attempt broken;
+    broken.suspects = attempt.answersSoundly ? std::vector { suspectsOf(progress).front() } : suspectsOf(progress);
+    broken.request = static_cast<std::uint32_t>(broken.suspects.front().id);
+    broken.brokenAt = m_now;
+    upstream.brokenAttempts.push_back(std::move(broken));
+    if (upstream.crashedAt && m_now - *upstream.crashedAt <= crashAttributionWindow)
+        return recordCrash(upstream);
+}
+
+// Called when an upstream refuses connections. If attempts there broke shortly before, it has crashed, and what they asked for is
+// suspected.
+void router_reducer::recordCrash(upstream_state& upstream)
+{
+    auto brokenAttempts = std::exchange(upstream.brokenAttempts, {});
+    std::erase_if(brokenAttempts, [this](const broken_attempt& broken) { return m_now - broken.brokenAt > crashAttributionWindow; });
+    if (brokenAttempts.empty())
+        return;
+    upstream.crashedAt = m_now;
+    upstream.backoffUntil = std::max(upstream.backoffUntil, m_now + crashBackoff);
+    log(log_level::warning, "upstream_crashed", { { "upstream", upstream.record.id }, { "service", upstream.record.service }, { "broken_requests", std::to_string(brokenAttempts.size()) } });
+    emit(count_metric { "kumquat_router_upstream_crashes_total", { { "service", upstream.record.service } } });
+    const auto key = static_cast<std::uint32_t>(hashBytes(upstream.record.id, static_cast<std::uint64_t>(upstream.record.startedUnixMs)));
+    for (const auto& broken : brokenAttempts) {
+        const auto age = std::chrono::floor<std::chrono::milliseconds>(m_now - broken.brokenAt);
+        for (std::size_t index = 0; index < broken.suspects.size(); ++index)
+            m_crashes.recordCrash({ broken.suspects[index], key, broken.request, std::max(static_cast<int>(index) - 1, 0), age }, news_origin::own, m_now);
+    }
+    actOnNewRefusals();
+}
+
+void router_reducer::recordSoundAnswer(request_progress& progress, active_attempt& attempt)
+{
+    attempt.answersSoundly = true;
+    if (!m_crashes.empty())
+        m_crashes.recordAnswer(promptSuspects(progress), *attempt.firstEventAt);
+}
+
+void router_reducer::noteEvents(request_progress& progress, active_attempt& attempt)
+{
+    if (!attempt.firstEventAt)
+        attempt.firstEventAt = m_now;
+    else if (!attempt.answersSoundly && m_now - *attempt.firstEventAt >= survivalTime)
+        recordSoundAnswer(progress, attempt);
+}
+
+void router_reducer::recordCompletion(request_progress& progress)
+{
+    if (!m_crashes.empty())
+        m_crashes.recordAnswer({ suspectsOf(progress).front() }, m_now);
+}
+
+void router_reducer::actOnNewRefusals()
+{
+    const auto refusals = m_crashes.takeNewRefusals();
+    if (refusals.empty())
+        return;
+    for (const auto& [suspect, crashes] : refusals) {
+        log(log_level::warning, "suspect_refused", { { "kind", toString(suspect.kind) }, { "suspect", formatHex(suspect.id) }, { "crashes", std::to_string(crashes) }, { "known_from", crashes == 0 ? "peer" : "crashes" } });
+        emit(count_metric { "kumquat_router_refused_suspects_total", { { "kind", toString(suspect.kind) } } });
+    }
+    cancelRefusedAttempts();
+}
+
+// Takes requests that are refused now back from upstreams that have not begun to answer them, before they crash these.
+void router_reducer::cancelRefusedAttempts()
+{
+    std::vector<caller_id> refused;
+    for (const auto& [caller, progress] : m_requests) {
+        const bool waits = !progress.attempts.empty() && !progress.replyStarted;
+        if (waits && refuseSuspect(progress))
+            refused.push_back(caller);
+    }
+    for (const auto caller : refused) {
+        auto& progress = m_requests.at(caller);
+        progress.mayHaveRunCount += static_cast<int>(progress.attempts.size());
+        cancelAttempts(progress);
+        answerWithFailure(progress);
+    }
+}
+
+} // namespace kumquat::router
--- a/servers/router/router_event.h
+++ b/servers/router/router_event.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/connection_outcome.h"
 #include "core/proxied_request.h"
 #include "core/router_digest.h"
 #include "core/router_settings.h"
@@ -58,6 +59,8 @@
     // Part of the request was written, so the upstream may have received and run it.
     bool requestSent = false;
     std::string reason;
+    // What came of opening a connection for the attempt.
+    connection_outcome outcome = connection_outcome::unknown;
 };
 
 // A read of the upstream records has ended.
--- a/servers/router/router_peers.cpp
+++ b/servers/router/router_peers.cpp
@@ -19,10 +19,10 @@
 
     // After a stall, messages that waited in the sockets are read within this time.
     constexpr auto waitingMessagesTime = std::chrono::milliseconds(500);
-    // So many loads, prompt parts and suspects fit in a datagram beside each other.
+    // So many loads fit in a datagram beside the prompt parts and the news of crashes, which share their space.
     constexpr std::size_t maxLoadsPerDigest = 36;
-    constexpr std::size_t maxPartsPerDigest = 24;
-    constexpr std::size_t maxSuspectsPerDigest = 12;
+    constexpr std::size_t maxPartsAndCrashNewsPerDigest = 26;
+    constexpr std::size_t maxCrashNewsPerDigest = 18;
 
     // Adds one slice of the loads to a digest, another one for each rotation.
     void addLoads(router_digest& digest, std::vector<outstanding_load> loads, std::uint32_t rotation)
@@ -35,19 +35,13 @@
         digest.loads = std::move(loads);
     }
 
-    // Adds the newest prompt parts to a digest: they are the ones that the engines still have cached.
+    // Adds the newest prompt parts to a digest that has its news of crashes: they are the ones that the engines still have cached.
     void addCachedParts(router_digest& digest, const std::vector<cached_prompt_part>& parts)
     {
-        const auto count = std::min(parts.size(), maxPartsPerDigest);
+        const auto count = std::min(parts.size(), maxPartsAndCrashNewsPerDigest - digest.crashNews.size());
         digest.cachedParts.assign(parts.end() - static_cast<std::ptrdiff_t>(count), parts.end());
     }
 
-    void addSuspects(router_digest& digest, crash_tracker::crash_counts suspects)
-    {
-        suspects.resize(std::min(suspects.size(), maxSuspectsPerDigest));
-        digest.suspects = std::move(suspects);
-    }
-
 } // namespace
 
 void router_reducer::on(digest_received&& received)
@@ -76,7 +70,8 @@
 void router_reducer::learnFromDigest(const router_digest& digest)
 {
     checkPeerEra();
-    m_crashes.setPeerCounts(digest.scope == digest_scope::router ? digest.instance : summaryName(digest.dataCentre), digest.suspects, m_now);
+    m_crashes.learn(digest.crashNews, digest.scope == digest_scope::router ? news_origin::own_data_centre : news_origin::other_data_centre, m_now);
+    actOnNewRefusals();
     for (const auto& leaving : digest.leavingUpstreams) {
         const auto upstream = m_upstreams.find(leaving.id);
         if (upstream && upstream->record.startedUnixMs == leaving.startedUnixMs && !upstream->announcedLeaving)
@@ -141,6 +136,8 @@
     detectStaleWatch();
     confirmConfig();
     setTimer(timer_kind::digest, 0, m_now + m_peers.digestInterval());
+    m_crashes.judgePromptParts(m_now);
+    actOnNewRefusals();
     const bool idle = m_requests.empty() && m_recentCachedParts.empty() && !m_terminating;
     m_idleDigests = idle ? m_idleDigests + 1 : 0;
     if (m_idleDigests > repeatedIdleDigests && m_now - m_digestSentAt < heartbeatInterval)
@@ -165,7 +162,7 @@
         digest.configAge = std::chrono::ceil<std::chrono::milliseconds>(m_now - *confirmed);
     digest.members = m_peers.sampleContacts();
     addLoads(digest, ownLoads(), m_digestSlice++);
-    addSuspects(digest, m_crashes.ownCounts(m_now));
+    digest.crashNews = m_crashes.ownNews(maxCrashNewsPerDigest, m_now);
     digest.leavingUpstreams = recentLeavingUpstreams();
     m_summaryCachedParts.insert(m_summaryCachedParts.end(), m_recentCachedParts.begin(), m_recentCachedParts.end());
     addCachedParts(digest, std::exchange(m_recentCachedParts, {}));
@@ -224,7 +221,7 @@
         summary.configAge = std::chrono::ceil<std::chrono::milliseconds>(m_now - *confirmed);
     summary.members = m_peers.sampleContacts();
     addLoads(summary, m_peers.sumOfDataCentre(ownLoads()), m_summarySlice++);
-    addSuspects(summary, m_crashes.sumOf(m_peers.neighbourNames(), m_now));
+    summary.crashNews = m_crashes.dataCentreNews(maxCrashNewsPerDigest, m_now);
     summary.leavingUpstreams = recentLeavingUpstreams();
     const auto others = m_peers.leavingInDataCentre();
     summary.leavingUpstreams.insert(summary.leavingUpstreams.end(), others.begin(), others.end());
--- a/servers/router/router_reducer.h
+++ b/servers/router/router_reducer.h
@@ -105,12 +105,30 @@
     // Ends an attempt without an answer: records the failure, and retries the request or answers the caller.
     void failAttempt(request_progress&, attempt_number, attempt_end, const std::string& reason);
     void recordFailure(upstream_state&, attempt_end);
-    void recordCrash(upstream_state&);
-    static std::uint64_t fingerprint(const request_progress&);
     void releaseLoad(const active_attempt&);
     void removeAttempt(request_progress&, attempt_number);
     void cancelAttempts(request_progress&);
     request_progress* findByAttempt(attempt_number);
+    // Returns null if the request has no such attempt.
+    static active_attempt* findAttempt(request_progress&, attempt_number);
+
+    // Crashes of upstreams.
+    // What a crash of an upstream is blamed on if the request was there.
+    static std::vector<crash_suspect> suspectsOf(const request_progress&);
+    // The ids of the shared parts of a request's prompt, for the log.
+    static std::string formatSharedParts(const request_progress&);
+    // Why a request is refused as one that crashes upstreams, or nothing.
+    std::optional<caller_error> refuseSuspect(const request_progress&) const;
+    // An attempt has ended without a complete answer.
+    void recordBrokenAttempt(const request_progress&, const active_attempt&);
+    void recordCrash(upstream_state&);
+    // Clears the request's prompt parts once its stream has gone on for a time.
+    void noteEvents(request_progress&, active_attempt&);
+    void recordSoundAnswer(request_progress&, active_attempt&);
+    // Clears the request itself.
+    void recordCompletion(request_progress&);
+    void actOnNewRefusals();
+    void cancelRefusedAttempts();
 
     // What upstreams state about themselves in their answers.
     void acceptStatements(upstream_state&, const upstream_answer&);
--- a/servers/router/upstream_table.h
+++ b/servers/router/upstream_table.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/clock.h"
+#include "core/crash_report.h"
 #include "core/store_position.h"
 #include "core/upstream_record.h"
 #include "servers/router/prompt_cache_model.h"
@@ -14,6 +15,15 @@
 
 namespace kumquat::router {
 
+// An attempt whose connection ended before its answer was complete.
+struct broken_attempt {
+    // What may have crashed the upstream, in the order of the prompt; a request itself comes first.
+    std::vector<crash_suspect> suspects;
+    // Hash of the request.
+    std::uint32_t request = 0;
+    instant brokenAt;
+};
+
 // One upstream: its record in the store, this router's load there, and the failures that it observed.
 struct upstream_state {
     upstream_record record;
@@ -29,8 +39,10 @@
     // Attempts that have delivered their first event.
     int streams = 0;
     prompt_cache_model promptCache;
-    // Fingerprints of requests whose connection broke, with the time. They are suspects if the upstream turns out to be down.
-    std::vector<std::pair<std::uint64_t, instant>> recentFailures;
+    // Attempts that ended without their answer. They are suspects if the upstream turns out to have crashed.
+    std::vector<broken_attempt> brokenAttempts;
+    // When the upstream was last found to have crashed.
+    std::optional<instant> crashedAt;
     // Consecutive attempts that failed without an answer.
     int consecutiveFailures = 0;
     // The upstream has stated in an answer, to this or another router, that it is shutting down. Only a successor with another
--- a/tests/servers/router/crashing_part_test.cpp
+++ b/tests/servers/router/crashing_part_test.cpp
@@ -27,3 +27,87 @@
         CHECK(site.badAttemptsAfter(site.timeOfCrash(5) + reactionTime) <= maxLateAttempts);
     }
 }
+
+TEST_CASE("a prompt part that crashes upstreams is refused at every rate, position and number of upstreams", "[crashing-part]")
+{
+    const auto badPartIsFirst = GENERATE(false, true);
+    const auto interval = GENERATE(milliseconds(100), milliseconds(400), milliseconds(1500), milliseconds(4000));
+    const auto engines = GENERATE(4, 9, 40);
+    const auto routers = GENERATE(std::size_t(2), std::size_t(12));
+    CAPTURE(badPartIsFirst, interval.count(), engines, routers);
+    crashing_part_fixture site({ .routers = routers, .engines = engines, .badRequestInterval = interval, .badPartIsFirst = badPartIsFirst });
+    site.run(seconds(10) + 8 * interval);
+    CHECK(site.badAttemptsAfter(site.timeOfCrash(5) + reactionTime) <= maxLateAttempts);
+}
+
+TEST_CASE("sound requests with the same caller and the other parts of a refused prompt are served on", "[crashing-part]")
+{
+    for (unsigned seed = 1; seed <= 5; ++seed) {
+        CAPTURE(seed);
+        crashing_part_fixture site({ .routers = 6, .seed = seed, .badPartIsFirst = seed % 2 == 0 });
+        site.run(seconds(12));
+        const auto from = site.timeOfCrash(3) + 2 * reactionTime;
+        site.run(seconds(20));
+        CHECK(site.answeredShare(crashing_part_fixture::commonPart, from) > 0.95);
+        for (std::uint64_t subject = 0; subject < site.subjects; ++subject) {
+            CAPTURE(subject);
+            CHECK(site.answeredShare(crashing_part_fixture::firstSubject + subject, from) > 0.9);
+        }
+    }
+}
+
+TEST_CASE("upstreams that crash for another reason make no router refuse a prompt part", "[crashing-part]")
+{
+    for (unsigned seed = 1; seed <= 8; ++seed) {
+        CAPTURE(seed);
+        crashing_part_fixture site({ .routers = 4, .seed = seed });
+        site.sendsBadRequests = false;
+        site.subjects = seed % 2 == 0 ? 10 : 200;
+        for (std::size_t round = 0; round < 60; ++round) {
+            site.run(milliseconds(700));
+            site.crashEngine(round % 9);
+        }
+        CHECK(site.refusedParts == 0);
+    }
+}
+
+TEST_CASE("all upstreams that fail at one moment, again and again, make no router refuse a prompt part", "[crashing-part]")
+{
+    for (unsigned seed = 1; seed <= 4; ++seed) {
+        CAPTURE(seed);
+        crashing_part_fixture site({ .routers = 4, .seed = seed });
+        site.sendsBadRequests = false;
+        site.subjects = 100;
+        for (int round = 0; round < 6; ++round) {
+            site.run(seconds(6));
+            for (std::size_t engine = 0; engine < 9; ++engine)
+                site.crashEngine(engine);
+        }
+        CHECK(site.refusedParts == 0);
+    }
+}
+
+TEST_CASE("a router that starts while a prompt part is refused learns so from the others", "[crashing-part]")
+{
+    crashing_part_fixture site({ .routers = 4 });
+    site.run(seconds(12));
+    REQUIRE(site.badAttemptsAfter(site.fleet.now() - seconds(4)) == 0);
+    site.fleet.add("dc-0");
+    site.fleet.add("dc-1");
+    const auto restartedAt = site.fleet.now();
+    site.run(seconds(15));
+    CHECK(site.badAttemptsAfter(restartedAt + reactionTime) == 0);
+}
+
+TEST_CASE("lost and delayed digests don't keep routers from refusing a prompt part", "[crashing-part]")
+{
+    for (unsigned seed = 1; seed <= 5; ++seed) {
+        CAPTURE(seed);
+        crashing_part_fixture site({ .routers = 8, .seed = seed });
+        site.fleet.net.lossShare = 0.2;
+        site.fleet.net.maxDelay = milliseconds(100);
+        site.run(seconds(15));
+        CHECK(site.badAttemptsAfter(site.timeOfCrash(5) + reactionTime) <= maxLateAttempts);
+        CHECK(site.answeredShare(crashing_part_fixture::commonPart, site.timeOfCrash(5) + 2 * reactionTime) > 0.9);
+    }
+}
--- a/tests/support/router_fixture.h
+++ b/tests/support/router_fixture.h
@@ -2,6 +2,7 @@
 
 #include "servers/router/router_reducer.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <string>
 #include <vector>
@@ -165,6 +166,13 @@
         return found.front();
     }
 
+    // Whether the last event was logged under that name.
+    bool hasLog(const std::string& name) const
+    {
+        const auto logs = all<log_event>();
+        return std::any_of(logs.begin(), logs.end(), [&name](const log_event& item) { return item.name == name; });
+    }
+
     // The status of the only complete answer or refusal that the caller received.
     int replyStatus() const
     {
