Bound what an upstream's answer without end can hold, and take a stream that ends inside an event for a possible crash

An answer may have neither length nor chunks: such a stream that ends inside an event was failed and retried, but its upstream was not checked and the request not suspected, so a crash of such an upstream counted for nothing. Bytes may come without end: an event stream without the end of an event and a body that is buffered grew until the memory was used up. Change: a stream that ends before it has gone on for a time, with its connection, is checked like one that breaks off. More than 1 MiB without the end of an event, and an error answer of more than 1 MiB, give up the attempt and close its connection. A larger successful answer is passed on as it arrives, which bounds its memory, and is broken off at its route's timeout. Result: ten new tests; on the commit before these fail: the stream that ends inside an event, the one that ends before its first event, the stream and the error answer without end, the two large answers and the answer that never ends. A head without end was bounded already (64 KiB), and a reset answer without length was no complete one.

--- a/servers/router/request_progress.h
+++ b/servers/router/request_progress.h
@@ -22,6 +22,8 @@
     bool streaming = false;
     // The answer is a successful event stream, whose events are forwarded as they arrive.
     bool forwardsEvents = false;
+    // The answer was too large to be buffered and is forwarded as it arrives.
+    bool forwardsBody = false;
     // When the first event arrived.
     std::optional<instant> firstEventAt;
     // The stream has gone on after its first event, so the request does not crash the upstream.
@@ -59,6 +61,8 @@
     std::string failedBody;
     // The head of the answer was sent to the caller.
     bool replyStarted = false;
+    // Part of an answer that is not an event stream has reached the caller, so no other attempt can go on with it.
+    bool bodyForwarded = false;
     std::optional<instant> firstEventAt;
     std::optional<instant> lastEventAt;
     duration longestEventGap {};
--- a/servers/router/router_answering.cpp
+++ b/servers/router/router_answering.cpp
@@ -13,6 +13,10 @@
     constexpr int statusRequestTimeout = 408;
     constexpr int statusInternalServerError = 500;
     constexpr auto retryAfterFailure = std::chrono::milliseconds(200);
+    // Larger answers are passed on to the caller before they are complete.
+    constexpr std::size_t maxBufferedAnswerBytes = 1024 * 1024;
+    // An upstream that sends more bytes without the end of an event sends no event stream.
+    constexpr std::size_t maxEventBytes = 1024 * 1024;
     constexpr std::string_view eventStreamType = "text/event-stream";
 
     bool isSuccess(int status)
@@ -76,32 +80,67 @@
     auto& attempt = *findAttempt(*progress, continued.attemptNumber);
     if (!attempt.answer)
         return;
+    if (attempt.forwardsBody)
+        return emit(append_reply { progress->caller, std::move(continued.bytes), attempt.number });
     if (!attempt.forwardsEvents) {
         attempt.body += continued.bytes;
+        if (attempt.body.size() > maxBufferedAnswerBytes)
+            onLargeAnswer(*progress, attempt.number);
         return;
     }
     auto events = progress->stream.feed(continued.bytes);
-    if (events.empty())
-        return;
+    if (!events.empty())
+        forwardEvents(*progress, attempt, std::move(events));
+    if (progress->stream.partialEventBytes() > maxEventBytes)
+        abandonAttempt(*progress, attempt.number, "an event of more than " + std::to_string(maxEventBytes) + " bytes");
+}
+
+void router_reducer::forwardEvents(request_progress& progress, active_attempt& attempt, std::string events)
+{
     if (!attempt.streaming) {
         attempt.streaming = true;
         ++attempt.upstream->streams;
         attempt.upstream->uncachedPromptTokens -= attempt.uncachedPromptTokens;
         attempt.uncachedPromptTokens = 0;
     }
-    if (!progress->replyStarted) {
-        progress->replyStarted = true;
-        progress->firstEventAt = m_now;
-        auto head = attempt.answer->head;
-        head.contentLength.reset();
-        emit(start_reply { progress->caller, std::move(head) });
-        emit(observe_metric { "kumquat_router_first_event_seconds", { { "route", progress->matchedRoute->name } }, std::chrono::duration<double>(m_now - progress->arrivedAt).count() });
+    if (!progress.replyStarted) {
+        progress.firstEventAt = m_now;
+        startReply(progress, attempt);
+        emit(observe_metric { "kumquat_router_first_event_seconds", { { "route", progress.matchedRoute->name } }, std::chrono::duration<double>(m_now - progress.arrivedAt).count() });
     }
-    if (progress->lastEventAt)
-        progress->longestEventGap = std::max(progress->longestEventGap, m_now - *progress->lastEventAt);
-    progress->lastEventAt = m_now;
-    noteEvents(*progress, attempt);
-    emit(append_reply { progress->caller, std::move(events), attempt.number });
+    if (progress.lastEventAt)
+        progress.longestEventGap = std::max(progress.longestEventGap, m_now - *progress.lastEventAt);
+    progress.lastEventAt = m_now;
+    noteEvents(progress, attempt);
+    emit(append_reply { progress.caller, std::move(events), attempt.number });
+}
+
+void router_reducer::startReply(request_progress& progress, const active_attempt& attempt)
+{
+    progress.replyStarted = true;
+    auto head = attempt.answer->head;
+    head.contentLength.reset();
+    emit(start_reply { progress.caller, std::move(head) });
+}
+
+// A large answer is passed on as it arrives, so that its size needs no memory. It can't be retried from then on.
+void router_reducer::onLargeAnswer(request_progress& progress, attempt_number number)
+{
+    const auto status = findAttempt(progress, number)->answer->head.status;
+    if (status >= statusInternalServerError || impliesNotRun(status) || progress.replyStarted)
+        return abandonAttempt(progress, number, "status " + std::to_string(status) + " with more than " + std::to_string(maxBufferedAnswerBytes) + " bytes");
+    cancelOtherAttempts(progress, number);
+    auto& attempt = *findAttempt(progress, number);
+    attempt.forwardsBody = true;
+    progress.bodyForwarded = true;
+    startReply(progress, attempt);
+    emit(append_reply { progress.caller, std::exchange(attempt.body, {}), number });
+}
+
+void router_reducer::abandonAttempt(request_progress& progress, attempt_number number, const std::string& reason)
+{
+    emit(cancel_attempt { number });
+    failAttempt(progress, number, attempt_end::may_have_run, reason);
 }
 
 void router_reducer::on(answer_ended&& ended)
@@ -114,16 +153,32 @@
         return failAttempt(*progress, ended.attemptNumber, attempt_end::may_have_run, "the connection ended without an answer");
     if (attempt.forwardsEvents)
         return onStreamEnd(*progress, ended.attemptNumber);
+    if (attempt.forwardsBody)
+        return completeReply(*progress, ended.attemptNumber);
     onCompleteAnswer(*progress, ended.attemptNumber);
 }
 
 void router_reducer::onStreamEnd(request_progress& progress, attempt_number number)
 {
-    if (progress.stream.hasPartialEvent() || !progress.replyStarted)
+    auto& attempt = *findAttempt(progress, number);
+    const bool isIncomplete = progress.stream.hasPartialEvent() || !progress.replyStarted;
+    // The end of the connection may be the end of the stream or a crash of the upstream.
+    const bool endedByConnection = !attempt.answer->head.keepAlive;
+    if (isIncomplete || (endedByConnection && !attempt.answersSoundly))
+        recordBrokenAttempt(progress, attempt);
+    if (!findByAttempt(number))
+        return;
+    if (isIncomplete)
         return failAttempt(progress, number, attempt_end::may_have_run, "the stream ended before its last event was complete");
+    completeReply(progress, number);
+}
+
+void router_reducer::completeReply(request_progress& progress, attempt_number number)
+{
+    const auto status = findAttempt(progress, number)->answer->head.status;
     removeAttempt(progress, number);
     emit(end_reply { progress.caller });
-    finish(progress, statusOk, "streamed");
+    finish(progress, status, "streamed");
 }
 
 void router_reducer::onCompleteAnswer(request_progress& progress, attempt_number number)
--- a/servers/router/router_attempts.cpp
+++ b/servers/router/router_attempts.cpp
@@ -91,6 +91,8 @@
         return false;
     if (progress.mayHaveRun() && !progress.matchedRoute->repeatable())
         return false;
+    if (progress.bodyForwarded)
+        return false;
     return outcome != attempt_end::may_have_run || progress.mayHaveRunCount < progress.matchedRoute->maxAttempts;
 }
 
@@ -152,10 +154,17 @@
 
 void router_reducer::cancelAttempts(request_progress& progress)
 {
-    while (!progress.attempts.empty()) {
-        const auto number = progress.attempts.back().number;
-        removeAttempt(progress, number);
-        emit(cancel_attempt { number });
+    // No attempt has the number 0.
+    cancelOtherAttempts(progress, 0);
+}
+
+void router_reducer::cancelOtherAttempts(request_progress& progress, attempt_number kept)
+{
+    for (const auto& attempt : std::vector<active_attempt>(progress.attempts)) {
+        if (attempt.number == kept)
+            continue;
+        removeAttempt(progress, attempt.number);
+        emit(cancel_attempt { attempt.number });
     }
 }
 
--- a/servers/router/router_reducer.h
+++ b/servers/router/router_reducer.h
@@ -108,7 +108,10 @@
     void recordFailure(upstream_state&, attempt_end);
     void releaseLoad(const active_attempt&);
     void removeAttempt(request_progress&, attempt_number);
+    // Cancels an attempt whose answer is of no use, and goes on as after a failed one.
+    void abandonAttempt(request_progress&, attempt_number, const std::string& reason);
     void cancelAttempts(request_progress&);
+    void cancelOtherAttempts(request_progress&, attempt_number kept);
     request_progress* findByAttempt(attempt_number);
     // Returns null if the request has no such attempt.
     static active_attempt* findAttempt(request_progress&, attempt_number);
@@ -143,6 +146,10 @@
 
     // Answers to callers.
     void onStreamHead(request_progress&, active_attempt&);
+    void forwardEvents(request_progress&, active_attempt&, std::string events);
+    void onLargeAnswer(request_progress&, attempt_number);
+    void startReply(request_progress&, const active_attempt&);
+    void completeReply(request_progress&, attempt_number);
     void onCompleteAnswer(request_progress&, attempt_number);
     void onStreamEnd(request_progress&, attempt_number);
     void answerWithFailure(request_progress&);
--- a/servers/router/stream_assembler.h
+++ b/servers/router/stream_assembler.h
@@ -19,6 +19,8 @@
     std::optional<std::uint64_t> lastId() const { return m_lastId; }
     // The last event has arrived only in part.
     bool hasPartialEvent() const { return !m_buffer.empty(); }
+    // How many bytes of an incomplete event have arrived.
+    std::size_t partialEventBytes() const { return m_buffer.size(); }
 
 private:
     std::string m_buffer;
--- a/tests/drivers/http_loop_test.cpp
+++ b/tests/drivers/http_loop_test.cpp
@@ -131,6 +131,60 @@
     CHECK(fixture.client.connectionCount() == 0);
 }
 
+TEST_CASE("an answer without length or chunks is complete when its connection ends, and not when it is reset", "[http]")
+{
+    for (const bool isReset : { false, true }) {
+        CAPTURE(isReset);
+        asio::io_context context;
+        tcp::acceptor acceptor(context, { asio::ip::make_address_v4("127.0.0.1"), 0 });
+        std::thread server([&] {
+            tcp::socket socket(context);
+            acceptor.accept(socket);
+            asio::streambuf received;
+            asio::read_until(socket, received, "\r\n\r\n");
+            asio::write(socket, asio::buffer(std::string("HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\nid: 1\ndata: x\n\n")));
+            // The client has to read the bytes before a reset discards them.
+            std::this_thread::sleep_for(std::chrono::milliseconds(100));
+            if (isReset)
+                socket.set_option(asio::socket_base::linger(true, 0));
+            socket.close();
+        });
+        client_fixture fixture;
+        const auto outcome = fixture.run(1, acceptor.local_endpoint().port());
+        server.join();
+        CHECK(outcome.body == "id: 1\ndata: x\n\n");
+        CHECK(outcome.ended == !isReset);
+        CHECK(outcome.failure.has_value() == isReset);
+    }
+}
+
+TEST_CASE("a head without end fails the call and closes the connection", "[http]")
+{
+    for (const auto* filler : { "X-Filler: xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx\r\n", "xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx" }) {
+        asio::io_context context;
+        tcp::acceptor acceptor(context, { asio::ip::make_address_v4("127.0.0.1"), 0 });
+        std::size_t sent = 0;
+        std::thread server([&] {
+            tcp::socket socket(context);
+            acceptor.accept(socket);
+            asio::streambuf received;
+            asio::read_until(socket, received, "\r\n\r\n");
+            asio::error_code failure;
+            asio::write(socket, asio::buffer(std::string("HTTP/1.1 200 OK\r\nX-Id: 1\r\n")), failure);
+            constexpr std::size_t maxSent = 256 * 1024 * 1024;
+            while (!failure && sent < maxSent)
+                sent += asio::write(socket, asio::buffer(std::string(filler)), failure);
+        });
+        client_fixture fixture;
+        const auto outcome = fixture.run(1, acceptor.local_endpoint().port());
+        server.join();
+        REQUIRE(outcome.failure);
+        CHECK(outcome.failure->anyBytesSent);
+        CHECK(fixture.client.connectionCount() == 0);
+        CHECK(sent < 64 * 1024 * 1024);
+    }
+}
+
 TEST_CASE("the server answers pipelined requests in order and leaves an aborted answer without its last chunk", "[http]")
 {
     reactor loop;
--- a/tests/servers/router/attempt_test.cpp
+++ b/tests/servers/router/attempt_test.cpp
@@ -186,3 +186,62 @@
         }
     }
 }
+
+namespace {
+
+constexpr std::size_t partBytes = 64 * 1024;
+
+// Lets the upstream answer with a status and more bytes than the router buffers.
+attempt_number answerWithManyBytes(router_fixture& fixture, int status)
+{
+    fixture.start();
+    fixture.request(1, "/look/x");
+    const auto number = fixture.only<start_attempt>().attemptNumber;
+    fixture.step(answer_started { number, router_fixture::answer(status) });
+    for (int part = 0; part < 40 && fixture.all<start_reply>().empty() && fixture.all<cancel_attempt>().empty(); ++part)
+        fixture.step(answer_continued { number, std::string(partBytes, 'x') });
+    return number;
+}
+
+} // namespace
+
+TEST_CASE("a large answer is passed on as it arrives, and ends as complete only with its last byte", "[router]")
+{
+    router_fixture fixture;
+    const auto number = answerWithManyBytes(fixture, 200);
+    CHECK(fixture.only<start_reply>().head.status == 200);
+    CHECK(fixture.only<append_reply>().bytes.size() > 1024 * 1024);
+    fixture.step(answer_continued { number, "end" });
+    CHECK(fixture.only<append_reply>().bytes == "end");
+    fixture.step(answer_ended { number });
+    CHECK(fixture.all<end_reply>().size() == 1);
+}
+
+TEST_CASE("a large answer that breaks off is neither retried nor complete", "[router]")
+{
+    router_fixture fixture;
+    const auto number = answerWithManyBytes(fixture, 200);
+    fixture.step(attempt_aborted { number, true, "reset" });
+    CHECK(fixture.all<start_attempt>().empty());
+    CHECK(fixture.all<abort_reply>().size() == 1);
+}
+
+TEST_CASE("an answer that never ends is broken off at the timeout of its route", "[router]")
+{
+    router_fixture fixture;
+    const auto number = answerWithManyBytes(fixture, 200);
+    const auto effects = fixture.advance(seconds(2));
+    CHECK(router_fixture::all<abort_reply>(effects).size() == 1);
+    const auto cancelled = router_fixture::all<cancel_attempt>(effects);
+    REQUIRE(cancelled.size() == 1);
+    CHECK(cancelled.front().attemptNumber == number);
+}
+
+TEST_CASE("an error answer that never ends is given up, and its connection closed", "[router]")
+{
+    router_fixture fixture;
+    const auto number = answerWithManyBytes(fixture, 500);
+    CHECK(fixture.only<cancel_attempt>().attemptNumber == number);
+    // The request is repeatable, so another upstream gets it.
+    CHECK(fixture.all<start_attempt>().size() == 1);
+}
--- a/tests/servers/router/stream_test.cpp
+++ b/tests/servers/router/stream_test.cpp
@@ -109,3 +109,59 @@
         CHECK_FALSE(assembler.hasPartialEvent());
     }
 }
+
+TEST_CASE("a stream without a length that ends with its connection after a whole event is complete", "[router]")
+{
+    router_fixture fixture;
+    fixture.start();
+    fixture.request(1, "/oneshot/x");
+    const auto number = fixture.only<start_attempt>().attemptNumber;
+    auto answer = router_fixture::answer(200, true, true);
+    answer.head.keepAlive = false;
+    fixture.step(answer_started { number, answer });
+    fixture.step(answer_continued { number, events(1, 2) });
+    fixture.step(answer_ended { number });
+    CHECK(fixture.all<end_reply>().size() == 1);
+}
+
+TEST_CASE("a stream without a length that ends inside an event was broken off, and its upstream may have crashed", "[router]")
+{
+    router_fixture fixture;
+    fixture.start();
+    fixture.request(1, "/stream/x");
+    const auto first = fixture.only<start_attempt>();
+    auto answer = router_fixture::answer(200, true, true);
+    answer.head.keepAlive = false;
+    fixture.step(answer_started { first.attemptNumber, answer });
+    fixture.step(answer_continued { first.attemptNumber, events(1, 2) + "id: 3\nda" });
+    fixture.step(answer_ended { first.attemptNumber });
+    CHECK(fixture.all<end_reply>().empty());
+    CHECK(fixture.only<start_attempt>().resumeAfter == 2);
+    const auto check = fixture.only<check_connection>();
+    CHECK(formatEndpoint(check.target) == formatEndpoint(first.target));
+    fixture.step(connection_checked { check.check, connection_outcome::refused });
+    CHECK(fixture.hasLog("upstream_crashed"));
+}
+
+TEST_CASE("a stream without a length that ends before its first event is not answered with success", "[router]")
+{
+    router_fixture fixture;
+    const auto attempt = startStream(fixture, "/oneshot/x");
+    fixture.step(answer_ended { attempt.attemptNumber });
+    CHECK(fixture.replyStatus() == 502);
+    CHECK(fixture.all<check_connection>().size() == 1);
+}
+
+TEST_CASE("a stream that sends bytes without the end of an event is given up, and its connection closed", "[router]")
+{
+    router_fixture fixture;
+    const auto attempt = startStream(fixture, "/oneshot/x");
+    std::size_t sent = 0;
+    while (fixture.all<cancel_attempt>().empty() && sent < 4 * 1024 * 1024) {
+        fixture.step(answer_continued { attempt.attemptNumber, std::string(64 * 1024, 'x') });
+        sent += 64 * 1024;
+    }
+    CHECK(sent <= 1024 * 1024 + 64 * 1024);
+    CHECK(fixture.only<cancel_attempt>().attemptNumber == attempt.attemptNumber);
+    CHECK(fixture.replyStatus() == 502);
+}
