Keep refused prompt parts in the platform's store

Cause: class of fault: knowledge that only lives in the memory of processes which all may end at once. Routers tell each other what they refuse, so a restart of all of them forgets it, and a router that can't hear the others has to lose upstreams of its own. Change: refusal_store decides when refused suspects are written (by the routers that found them), removed (by the router that had an answer), and listed: at the start, after a crash, after a suspension, and every two seconds while no other router is heard. Written again after a restore of the store. Also: a part has to explain half of the crashes, not 0.65, since routers that are cut off cause crashes that the others can't explain.

--- a/core/store_object.h
+++ b/core/store_object.h
@@ -49,6 +49,15 @@
     std::string reason;
 };
 
+// How a write to the store ended.
+enum class store_write_outcome {
+    written,
+    // An object to be created exists, or one to be replaced or removed does not.
+    conflict,
+    // The store did not confirm the write, which may have taken effect.
+    failed
+};
+
 template <typename Value>
 using store_read_outcome = std::variant<store_page<Value>, store_changes<Value>, store_history_lost, store_read_failed>;
 
--- a/processes/router_process.cpp
+++ b/processes/router_process.cpp
@@ -46,9 +46,17 @@
         return std::chrono::seconds(withSuspension.tv_sec - monotonic.tv_sec) + std::chrono::nanoseconds(withSuspension.tv_nsec - monotonic.tv_nsec);
     }
 
-    // A read of the store whose answer has not arrived completely.
+    // What a call to the store is for.
+    enum class store_call_purpose {
+        read_upstreams,
+        read_config,
+        list_refusals,
+        write_refusal
+    };
+
+    // A call to the store whose answer has not arrived completely.
     struct store_call {
-        store_kind kind = store_kind::upstreams;
+        store_call_purpose purpose = store_call_purpose::read_upstreams;
         http_answer_head head;
         std::string body;
     };
@@ -72,8 +80,9 @@
         void onAdminRequest(connection_id, const http_request&);
         void refuse(const router::refuse_reply&);
         void startRead(const router::read_store&);
-        void finishRead(call_id);
-        void reportFailedRead(call_id, store_kind, const std::string& reason);
+        void startRefusalCall(const router::call_refusal_store&);
+        void finishStoreCall(call_id);
+        void reportFailedCall(call_id, store_call_purpose, const std::string& reason);
         void onDatagram(const std::string& host, const std::string& bytes);
         void detectSuspension();
         void detectStall();
@@ -132,11 +141,11 @@
             .onBody = [this](call_id call, std::string_view bytes) {
                 m_storeCalls[call].body.append(bytes);
                 post(router::store_read_progressed { call }); },
-            .onEnd = [this](call_id call) { finishRead(call); },
+            .onEnd = [this](call_id call) { finishStoreCall(call); },
             .onFailed = [this](call_id call, const http_call_failure& failure) {
-                const auto kind = m_storeCalls[call].kind;
+                const auto purpose = m_storeCalls[call].purpose;
                 m_storeCalls.erase(call);
-                reportFailedRead(call, kind, failure.reason); },
+                reportFailedCall(call, purpose, failure.reason); },
             .onConnected = [this] { m_metrics.apply(count_metric { "kumquat_router_connections_total", { { "to", "store" } } }); },
         };
     }
@@ -303,7 +312,7 @@
 
     void router_process::startRead(const router::read_store& read)
     {
-        m_storeCalls[read.read].kind = read.kind;
+        m_storeCalls[read.read].purpose = read.kind == store_kind::upstreams ? store_call_purpose::read_upstreams : store_call_purpose::read_config;
         http_call call;
         call.id = read.read;
         call.target = m_settings.store;
@@ -312,7 +321,25 @@
         m_store.start(std::move(call));
     }
 
-    void router_process::finishRead(call_id call)
+    void router_process::startRefusalCall(const router::call_refusal_store& request)
+    {
+        const bool isList = std::holds_alternative<router::list_refusals>(request.request);
+        m_storeCalls[request.call].purpose = isList ? store_call_purpose::list_refusals : store_call_purpose::write_refusal;
+        const auto now = std::chrono::system_clock::now();
+        http_call call;
+        call.id = request.call;
+        call.target = m_settings.store;
+        call.bytes = std::visit(overloaded {
+                                    [&](const router::list_refusals& list) { return platform::encodeRefusalList(m_settings.store, list.after); },
+                                    [&](const router::save_refusal& save) { return platform::encodeRefusal(m_settings.store, save.refusal, save.replaces, now); },
+                                    [&](const router::remove_refusal& removal) { return platform::encodeRefusalRemoval(m_settings.store, removal.suspect); },
+                                },
+            request.request);
+        m_metrics.apply(count_metric { isList ? "kumquat_router_store_reads_total" : "kumquat_router_store_writes_total", { { "kind", "refusals" } } });
+        m_store.start(std::move(call));
+    }
+
+    void router_process::finishStoreCall(call_id call)
     {
         const auto found = m_storeCalls.find(call);
         if (found == m_storeCalls.end())
@@ -321,17 +348,32 @@
         m_storeCalls.erase(found);
         const auto era = platform::decodeEra(completed.head.headers);
         if (const auto* unreadable = errorOf(era))
-            return reportFailedRead(call, completed.kind, unreadable->message);
-        if (completed.kind == store_kind::upstreams)
-            return post(router::upstreams_read { call, platform::decodeUpstreams(completed.head.status, completed.body), valueOf(era) });
-        post(router::config_read { call, platform::decodeConfigs(completed.head.status, completed.body), valueOf(era) });
+            return reportFailedCall(call, completed.purpose, unreadable->message);
+        const auto status = completed.head.status;
+        switch (completed.purpose) {
+        case store_call_purpose::read_upstreams:
+            return post(router::upstreams_read { call, platform::decodeUpstreams(status, completed.body), valueOf(era) });
+        case store_call_purpose::read_config:
+            return post(router::config_read { call, platform::decodeConfigs(status, completed.body), valueOf(era) });
+        case store_call_purpose::list_refusals:
+            return post(router::refusals_listed { call, platform::decodeRefusals(status, completed.body, std::chrono::system_clock::now()), valueOf(era) });
+        case store_call_purpose::write_refusal:
+            return post(router::refusal_written { call, platform::decodeWriteStatus(status), "status " + std::to_string(status), valueOf(era) });
+        }
     }
 
-    void router_process::reportFailedRead(call_id call, store_kind kind, const std::string& reason)
+    void router_process::reportFailedCall(call_id call, store_call_purpose purpose, const std::string& reason)
     {
-        if (kind == store_kind::upstreams)
+        switch (purpose) {
+        case store_call_purpose::read_upstreams:
             return post(router::upstreams_read { call, store_read_failed { reason }, std::nullopt });
-        post(router::config_read { call, store_read_failed { reason }, std::nullopt });
+        case store_call_purpose::read_config:
+            return post(router::config_read { call, store_read_failed { reason }, std::nullopt });
+        case store_call_purpose::list_refusals:
+            return post(router::refusals_listed { call, store_read_failed { reason }, std::nullopt });
+        case store_call_purpose::write_refusal:
+            return post(router::refusal_written { call, store_write_outcome::failed, reason, std::nullopt });
+        }
     }
 
     void router_process::execute(router::router_effect& effect)
@@ -367,6 +409,7 @@
                 m_store.cancel(cancel.read);
                 m_storeCalls.erase(cancel.read);
             },
+            [this](const router::call_refusal_store& call) { startRefusalCall(call); },
             [this](const router::send_digest& message) {
                 const auto bytes = encodeDigest(message.digest);
                 for (const auto& address : message.addresses)
--- a/servers/router/crash_tracker.cpp
+++ b/servers/router/crash_tracker.cpp
@@ -13,8 +13,8 @@
     constexpr int partCrashLimit = 3;
     // Otherwise after this many. A part that is only often beside the reason rarely goes so long without an answer.
     constexpr int doubtfulPartCrashLimit = 5;
-    // The share of crashes that counts as most.
-    constexpr double explainedShare = 0.65;
+    // The share of crashes that counts as most: routers that are cut off cause some that the others can't explain.
+    constexpr double explainedShare = 0.5;
     // Crashes of other suspects in this time before the last one are compared with those of a suspect.
     constexpr auto comparisonTime = std::chrono::seconds(10);
     // Upstreams that fail within this time of each other may have failed for one reason outside the requests.
@@ -236,8 +236,11 @@
             if (found->second.empty())
                 m_crashes.erase(found);
         }
-        if (refused != m_refusals.end() && refused->second.lastCrashAt <= answeredAt)
+        if (refused != m_refusals.end() && refused->second.lastCrashAt <= answeredAt) {
             m_refusals.erase(refused);
+            if (origin == news_origin::own)
+                m_liftedRefusals.push_back(suspect);
+        }
     }
 }
 
--- a/servers/router/crash_tracker.h
+++ b/servers/router/crash_tracker.h
@@ -39,6 +39,9 @@
     // The refusals that began since the last call.
     std::vector<refusal> takeNewRefusals() { return std::exchange(m_newRefusals, {}); }
 
+    // The suspects whose refusal ended since the last call because this router had an answer.
+    std::vector<crash_suspect> takeLiftedRefusals() { return std::exchange(m_liftedRefusals, {}); }
+
     // True if there is neither a suspect nor a refusal, so that callers can skip computing the suspects of a request.
     bool empty() const { return m_crashes.empty() && m_refusals.empty(); }
     // How long requests with the suspect are refused from now on, or nothing if they are not refused.
@@ -104,6 +107,7 @@
     std::unordered_map<crash_suspect, observed_answer, crash_suspect_hash> m_answers;
     std::unordered_map<crash_suspect, refusal_state, crash_suspect_hash> m_refusals;
     std::vector<refusal> m_newRefusals;
+    std::vector<crash_suspect> m_liftedRefusals;
     std::size_t m_rotation = 0;
 };
 
--- a/servers/router/router_crashes.cpp
+++ b/servers/router/router_crashes.cpp
@@ -152,14 +152,18 @@
         for (std::size_t index = 0; index < broken.suspects.size(); ++index)
             m_crashes.recordCrash({ broken.suspects[index], key, broken.request, std::max(static_cast<int>(index) - 1, 0), age }, news_origin::own, m_now);
     }
+    // Another router, which this one can't hear, may know the reason already.
+    m_refusalStore.requestList();
     actOnNewRefusals();
 }
 
 void router_reducer::recordSoundAnswer(request_progress& progress, active_attempt& attempt)
 {
     attempt.answersSoundly = true;
-    if (!m_crashes.empty())
-        m_crashes.recordAnswer(promptSuspects(progress), *attempt.firstEventAt);
+    if (m_crashes.empty())
+        return;
+    m_crashes.recordAnswer(promptSuspects(progress), *attempt.firstEventAt);
+    actOnNewRefusals();
 }
 
 void router_reducer::noteEvents(request_progress& progress, active_attempt& attempt)
@@ -178,12 +182,18 @@
 
 void router_reducer::actOnNewRefusals()
 {
+    for (const auto& suspect : m_crashes.takeLiftedRefusals()) {
+        log(log_level::info, "suspect_cleared", { { "kind", toString(suspect.kind) }, { "suspect", formatHex(suspect.id) } });
+        m_refusalStore.remove(suspect);
+    }
     const auto refusals = m_crashes.takeNewRefusals();
     if (refusals.empty())
         return;
     for (const auto& [suspect, crashes] : refusals) {
         log(log_level::warning, "suspect_refused", { { "kind", toString(suspect.kind) }, { "suspect", formatHex(suspect.id) }, { "crashes", std::to_string(crashes) }, { "known_from", crashes == 0 ? "peer" : "crashes" } });
         emit(count_metric { "kumquat_router_refused_suspects_total", { { "kind", toString(suspect.kind) } } });
+        if (crashes > 0)
+            m_refusalStore.save(suspect, m_now);
     }
     cancelRefusedAttempts();
 }
--- a/servers/router/router_effect.h
+++ b/servers/router/router_effect.h
@@ -4,6 +4,7 @@
 #include "core/forwarding_options.h"
 #include "core/log_event.h"
 #include "core/metric.h"
+#include "servers/router/refusal_store.h"
 #include "servers/router/router_event.h"
 
 namespace kumquat::router {
@@ -94,6 +95,13 @@
     std::uint64_t read = 0;
 };
 
+// Read or write the refused suspects in the store. cancel_store_read cancels this call too.
+struct call_refusal_store {
+    // Identifies the call in its outcome.
+    std::uint64_t call = 0;
+    refusal_call request;
+};
+
 struct send_digest {
     std::vector<std::string> addresses;
     router_digest digest;
@@ -111,7 +119,7 @@
 struct stop_router { };
 
 using router_effect = std::variant<start_attempt, cancel_attempt, check_connection, throttle_attempt, close_upstream_connections, start_reply, append_reply, end_reply, send_reply, refuse_reply,
-    abort_reply, read_store, cancel_store_read, send_digest, apply_caller_limits, close_callers_after_answers, close_idle_callers, stop_router, log_event,
+    abort_reply, read_store, cancel_store_read, call_refusal_store, send_digest, apply_caller_limits, close_callers_after_answers, close_idle_callers, stop_router, log_event,
     count_metric, observe_metric>;
 
 using router_effects = std::vector<router_effect>;
--- a/servers/router/router_event.h
+++ b/servers/router/router_event.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/connection_outcome.h"
+#include "core/crash_report.h"
 #include "core/proxied_request.h"
 #include "core/router_digest.h"
 #include "core/router_settings.h"
@@ -90,6 +91,24 @@
     std::uint64_t read = 0;
 };
 
+// A list of the refused suspects in the store has ended.
+struct refusals_listed {
+    std::uint64_t call = 0;
+    store_read_outcome<aged_suspect> outcome;
+    // As in upstreams_read.
+    std::optional<std::uint64_t> era;
+};
+
+// A write of a refused suspect to the store has ended.
+struct refusal_written {
+    std::uint64_t call = 0;
+    store_write_outcome outcome = store_write_outcome::failed;
+    // Why it failed.
+    std::string reason;
+    // As in upstreams_read.
+    std::optional<std::uint64_t> era;
+};
+
 // Another router's digest has arrived from this address.
 struct digest_received {
     std::string address;
@@ -117,6 +136,6 @@
 struct router_timer_due { };
 
 using router_event = std::variant<request_arrived, caller_left, caller_ready, answer_started, answer_continued, answer_ended, attempt_aborted, connection_checked,
-    upstreams_read, config_read, store_read_progressed, digest_received, clock_jumped, process_stalled, settings_changed, termination_requested, router_timer_due>;
+    upstreams_read, config_read, store_read_progressed, refusals_listed, refusal_written, digest_received, clock_jumped, process_stalled, settings_changed, termination_requested, router_timer_due>;
 
 } // namespace kumquat::router
--- a/servers/router/router_peers.cpp
+++ b/servers/router/router_peers.cpp
@@ -17,6 +17,8 @@
     constexpr auto minRecordBatchDelay = std::chrono::milliseconds(50);
     constexpr auto maxRecordBatchDelay = std::chrono::milliseconds(500);
 
+    // A router that hears no other one reads this often from the store what the others refuse.
+    constexpr auto refusalListIntervalAlone = std::chrono::seconds(2);
     // After a stall, messages that waited in the sockets are read within this time.
     constexpr auto waitingMessagesTime = std::chrono::milliseconds(500);
     // So many loads fit in a datagram beside the prompt parts and the news of crashes, which share their space.
@@ -104,6 +106,7 @@
     m_configWatcher.resetAndRelist();
     m_confirmation = {};
     m_confirmedBeforeRestore.reset();
+    m_refusalStore.requestList();
 }
 
 // Digests and the answer to a watch may have waited in the socket, so what they confirm may be older than they say. The
@@ -136,6 +139,8 @@
     detectStaleWatch();
     confirmConfig();
     setTimer(timer_kind::digest, 0, m_now + m_peers.digestInterval());
+    if (m_peers.count() == 0)
+        m_refusalStore.requestListOlderThan(refusalListIntervalAlone, m_now);
     m_crashes.judgePromptParts(m_now);
     actOnNewRefusals();
     const bool idle = m_requests.empty() && m_recentCachedParts.empty() && !m_terminating;
--- a/servers/router/router_reducer.cpp
+++ b/servers/router/router_reducer.cpp
@@ -14,6 +14,7 @@
 router_reducer::router_reducer(router_options options)
     : m_options(std::move(options))
     , m_retryLimiter({})
+    , m_refusalStore(m_options.incarnation)
     , m_upstreamWatcher(m_options.incarnation)
     , m_configWatcher(m_options.incarnation)
 {
@@ -30,6 +31,7 @@
     std::visit([this](auto& item) { on(std::move(item)); }, event);
     readUpstreams();
     readConfig();
+    callRefusalStore();
     if (!m_pendingRequests.empty() && !awaitsFirstRead())
         admitPending();
     // The first exchange; the digest timer triggers all later ones.
@@ -130,6 +132,8 @@
             hedge(found->second);
         return;
     case timer_kind::read_timeout:
+        if (id == m_refusalCall)
+            return timeOutRefusalCall();
         emit(cancel_store_read { id });
         if (id == m_upstreamRead)
             on(upstreams_read { id, store_read_failed { "timeout" } });
@@ -138,6 +142,7 @@
         return;
     case timer_kind::upstream_reads:
     case timer_kind::config_reads:
+    case timer_kind::refusal_call:
     case timer_kind::first_read:
         // step() starts reads that are due and admits pending requests after each event, so these timers only trigger it.
         return;
--- a/servers/router/router_reducer.h
+++ b/servers/router/router_reducer.h
@@ -5,6 +5,7 @@
 #include "servers/router/crash_tracker.h"
 #include "servers/router/peer_group.h"
 #include "servers/router/placement.h"
+#include "servers/router/refusal_store.h"
 #include "servers/router/request_progress.h"
 #include "servers/router/retry_limiter.h"
 #include "servers/router/router_effect.h"
@@ -49,6 +50,7 @@
         config_reads,
         first_read,
         read_timeout,
+        refusal_call,
         record_expiry,
         digest,
         summary,
@@ -72,6 +74,8 @@
     void on(upstreams_read&&);
     void on(config_read&&);
     void on(store_read_progressed&&);
+    void on(refusals_listed&&);
+    void on(refusal_written&&);
     void on(digest_received&&);
     void on(clock_jumped&&);
     void on(process_stalled&&);
@@ -133,6 +137,11 @@
     // Clears the request itself.
     void recordCompletion(request_progress&);
     void actOnNewRefusals();
+    // Calls to the store that keep the refused suspects.
+    void callRefusalStore();
+    // Returns false if the call is not the one in progress.
+    bool endRefusalCall(std::uint64_t call, std::optional<std::uint64_t> era);
+    void timeOutRefusalCall();
     void cancelRefusedAttempts();
 
     // What upstreams state about themselves in their answers.
@@ -212,6 +221,9 @@
     upstream_table m_upstreams;
     peer_group m_peers;
     crash_tracker m_crashes;
+    refusal_store m_refusalStore;
+    // The call to the store about refused suspects that is in progress, or 0.
+    std::uint64_t m_refusalCall = 0;
     // The connection checks that are in progress.
     std::unordered_map<std::uint64_t, shared_upstream> m_connectionChecks;
     // Prompt parts that were sent to upstreams since the last digest.
--- a/servers/router/router_restores.cpp
+++ b/servers/router/router_restores.cpp
@@ -50,6 +50,7 @@
     m_upstreamWatcher.restart();
     m_configWatcher.restart();
     m_confirmation = {};
+    m_refusalStore.saveAgain();
 }
 
 // The era is adopted only from the store's own answer, so that a damaged digest can't make this router reject the store.
--- a/tests/platform/store_codec_test.cpp
+++ b/tests/platform/store_codec_test.cpp
@@ -89,3 +89,40 @@
     for (const auto* text : { "", "x", "-1", "3 ", "1.5", "99999999999999999999" })
         CHECK(errorOf(decodeEra({ { "Store-Era", text } })) != nullptr);
 }
+
+TEST_CASE("a refused suspect is written and read back with its age", "[platform]")
+{
+    const endpoint store { "10.0.0.9", 80 };
+    const time_of_day now { std::chrono::milliseconds(1765000000000) };
+    const aged_suspect refusal { { suspect_kind::prompt_part, 0xab }, std::chrono::milliseconds(1500) };
+    const auto created = encodeRefusal(store, refusal, false, now);
+    CHECK(created.starts_with("POST /objects/refused-suspects HTTP/1.1\r\n"));
+    const auto body = created.substr(created.find("\r\n\r\n") + 4);
+    CHECK(body == R"({"Metadata":{"Name":"prompt-part-00000000000000ab"},"Spec":{"LastCrashUnixMs":1764999998500}})");
+    CHECK(encodeRefusal(store, refusal, true, now).starts_with("PUT /objects/refused-suspects/prompt-part-00000000000000ab HTTP/1.1\r\n"));
+    CHECK(encodeRefusalRemoval(store, refusal.suspect).starts_with("DELETE /objects/refused-suspects/prompt-part-00000000000000ab HTTP/1.1\r\n"));
+    CHECK(encodeRefusalList(store, "request-1").starts_with("GET /objects/refused-suspects?After=request-1 HTTP/1.1\r\n"));
+
+    const auto outcome = decodeRefusals(200, R"({"Items":[{"Metadata":{"Name":"prompt-part-00000000000000ab","Revision":3},"Spec":{"LastCrashUnixMs":1764999998500}},{"Metadata":{"Name":"odd","Revision":4},"Spec":{"LastCrashUnixMs":1}},{"Metadata":{"Name":"request-0000000000000001","Revision":5},"Spec":{"LastCrashUnixMs":1765000009000}}],"HasMore":false,"At":9})", now);
+    const auto* page = std::get_if<store_page<aged_suspect>>(&outcome);
+    REQUIRE(page);
+    REQUIRE(page->entries.size() == 3);
+    const auto& read = std::get<aged_suspect>(page->entries[0].content);
+    CHECK(read.suspect == refusal.suspect);
+    CHECK(read.age == refusal.age);
+    CHECK(std::holds_alternative<invalid_object>(page->entries[1].content));
+    // The writer's clock is ahead.
+    const auto& ahead = std::get<aged_suspect>(page->entries[2].content);
+    CHECK(ahead.suspect == crash_suspect { suspect_kind::request, 1 });
+    CHECK(ahead.age == std::chrono::milliseconds(0));
+}
+
+TEST_CASE("the status of a write tells whether it has taken effect", "[platform]")
+{
+    CHECK(decodeWriteStatus(200) == store_write_outcome::written);
+    CHECK(decodeWriteStatus(201) == store_write_outcome::written);
+    CHECK(decodeWriteStatus(409) == store_write_outcome::conflict);
+    CHECK(decodeWriteStatus(404) == store_write_outcome::conflict);
+    CHECK(decodeWriteStatus(429) == store_write_outcome::failed);
+    CHECK(decodeWriteStatus(503) == store_write_outcome::failed);
+}
--- a/tests/servers/router/crashing_part_test.cpp
+++ b/tests/servers/router/crashing_part_test.cpp
@@ -111,3 +111,57 @@
         CHECK(site.answeredShare(crashing_part_fixture::commonPart, site.timeOfCrash(5) + 2 * reactionTime) > 0.9);
     }
 }
+
+TEST_CASE("a prompt part stays refused when all routers restart at once", "[crashing-part]")
+{
+    crashing_part_fixture site({ .routers = 4 });
+    site.run(seconds(12));
+    REQUIRE(site.badAttemptsAfter(site.fleet.now() - seconds(4)) == 0);
+    for (std::size_t number = 0; number < 4; ++number)
+        site.fleet.kill(number);
+    for (int number = 0; number < 4; ++number)
+        site.fleet.add(number % 2 == 0 ? "dc-0" : "dc-1");
+    const auto restartedAt = site.fleet.now();
+    site.run(seconds(15));
+    CHECK(site.badAttemptsAfter(restartedAt) == 0);
+}
+
+TEST_CASE("a router that can't hear the others learns of a refused prompt part from the store", "[crashing-part]")
+{
+    for (unsigned seed = 1; seed <= 10; ++seed) {
+        CAPTURE(seed);
+        crashing_part_fixture site({ .routers = 4, .seed = seed });
+        site.fleet.net.isCut = [](const std::string& from, const std::string& to) { return from == "10.0.0.4" || to == "10.0.0.4"; };
+        site.run(seconds(30));
+        CHECK(site.badArrivalsAfter(site.timeOfCrash(5) + reactionTime) <= maxLateAttempts);
+    }
+}
+
+TEST_CASE("refused prompt parts are written to the store once it is up again, by the routers that found them only", "[crashing-part]")
+{
+    crashing_part_fixture site({ .routers = 12 });
+    site.fleet.refusalStoreIsDown = true;
+    site.run(seconds(15));
+    CHECK(site.badAttemptsAfter(site.timeOfCrash(5) + reactionTime) <= maxLateAttempts);
+    CHECK(site.fleet.storedRefusals.empty());
+    const auto writesWhileDown = site.fleet.refusalWrites;
+    site.fleet.refusalStoreIsDown = false;
+    site.run(seconds(20));
+    CHECK(site.fleet.storedRefusals.size() == 1);
+    CHECK(site.fleet.refusalWrites - writesWhileDown <= 12);
+}
+
+TEST_CASE("a prompt part that no longer crashes upstreams is served again after its refusal", "[crashing-part]")
+{
+    crashing_part_fixture site({ .routers = 3 });
+    site.run(seconds(10));
+    REQUIRE(site.badAttemptsAfter(site.fleet.now() - seconds(3)) == 0);
+    site.partIsBad = false;
+    site.sendsBadRequests = false;
+    site.run(std::chrono::minutes(11));
+    site.sendsBadRequests = true;
+    const auto from = site.fleet.now();
+    site.run(seconds(10));
+    CHECK(site.badAttemptsAfter(from) >= 10);
+    CHECK(site.fleet.storedRefusals.empty());
+}
--- a/tests/soak/soak_store.h
+++ b/tests/soak/soak_store.h
@@ -41,7 +41,11 @@
             setDraining(number, false);
         publish();
         m_server.new_task_queue = [] { return new httplib::ThreadPool(serverThreads); };
-        m_server.Get(R"(/objects/(\w+))", [this](const httplib::Request& request, httplib::Response& response) { serve(request, response); });
+        m_server.Get(R"(/objects/([\w-]+))", [this](const httplib::Request& request, httplib::Response& response) { serve(request, response); });
+        const auto write = [this](const httplib::Request& request, httplib::Response& response) { response.status = serveWrite(request); };
+        m_server.Post(R"(/objects/(refused-suspects))", write);
+        m_server.Put(R"(/objects/(refused-suspects)/([\w-]+))", write);
+        m_server.Delete(R"(/objects/(refused-suspects)/([\w-]+))", write);
         // Without SO_REUSEPORT, which httplib sets by default: two soaks on the same ports would read each other's store.
         m_server.set_socket_options([](socket_t socket) {
             const int reuse = 1;
@@ -201,6 +205,24 @@
         m_changed.notify_all();
     }
 
+    // Creates, replaces or removes an object of the routers. Returns the status of the answer.
+    int serveWrite(const httplib::Request& request)
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_refusesReads)
+            return 503;
+        const std::string kind = request.matches[1];
+        if (request.method == "DELETE")
+            return m_objects[kind].erase(request.matches[2]) > 0 ? 200 : 404;
+        const auto object = json::parse(request.body);
+        const std::string name = object["Metadata"]["Name"];
+        const bool exists = m_objects[kind].contains(name);
+        if (exists != (request.method == "PUT"))
+            return exists ? 409 : 404;
+        putLocked(kind, name, object["Spec"]);
+        return 200;
+    }
+
     void serve(const httplib::Request& request, httplib::Response& response)
     {
         std::unique_lock lock(m_mutex);
--- a/tests/support/crashing_part_fixture.h
+++ b/tests/support/crashing_part_fixture.h
@@ -80,6 +80,11 @@
     {
         return static_cast<int>(std::count_if(m_badAttempts.begin(), m_badAttempts.end(), [time](instant sentAt) { return sentAt > time; }));
     }
+    // How many of these reached an engine.
+    int badArrivalsAfter(instant time) const
+    {
+        return static_cast<int>(std::count_if(m_badArrivals.begin(), m_badArrivals.end(), [time](instant sentAt) { return sentAt > time; }));
+    }
     // The share of the sound requests with a shared part, sent after a time, of which an answer began.
     double answeredShare(std::uint64_t part, instant from) const
     {
@@ -132,6 +137,16 @@
         bool answered = false;
     };
 
+    // A router to which callers can connect.
+    std::size_t livingRouter()
+    {
+        for (;;) {
+            const auto number = m_random() % fleet.size();
+            if (fleet.isAlive(number))
+                return number;
+        }
+    }
+
     proxied_request makeBadRequest()
     {
         const auto subject = subjectPart();
@@ -173,6 +188,8 @@
         item.refused = m_dead.contains(item.engine);
         if (isBad(*item.request))
             m_badAttempts.push_back(fleet.now());
+        if (isBad(*item.request) && !item.refused)
+            m_badArrivals.push_back(fleet.now());
         m_running.push_back(std::move(item));
     }
 
@@ -214,16 +231,17 @@
             record.sentAt = fleet.now();
             for (std::size_t index = 0; index + 1 < request.prompt.parts.size(); ++index)
                 record.parts.insert(request.prompt.parts[index].id);
-            fleet.request(m_random() % fleet.size(), std::move(request));
+            fleet.request(livingRouter(), std::move(request));
         }
         for (; m_nextBad <= fleet.now(); m_nextBad += m_options.badRequestInterval) {
             if (sendsBadRequests)
-                fleet.request(m_random() % fleet.size(), makeBadRequest());
+                fleet.request(livingRouter(), makeBadRequest());
         }
     }
 
     void runEngines()
     {
+        std::erase_if(m_running, [this](const running_attempt& item) { return !fleet.isAlive(item.router); });
         for (const auto& item : std::vector<running_attempt>(m_running)) {
             const auto found = std::find_if(m_running.begin(), m_running.end(), [&](const running_attempt& other) { return other.router == item.router && other.number == item.number; });
             if (found != m_running.end())
@@ -291,6 +309,7 @@
     std::multimap<instant, std::string> m_restarts;
     std::vector<instant> m_crashTimes;
     std::vector<instant> m_badAttempts;
+    std::vector<instant> m_badArrivals;
     std::map<std::string, sound_request> m_soundRequests;
     instant m_nextSound;
     instant m_nextBad;
--- a/tests/support/fleet_fixture.h
+++ b/tests/support/fleet_fixture.h
@@ -115,6 +115,10 @@
         instant sentAt;
     };
     std::vector<sent_datagram> sent;
+    // The refused suspects in the store with the times of their last crashes, by their ids.
+    std::map<std::uint64_t, std::pair<crash_suspect, instant>> storedRefusals;
+    bool refusalStoreIsDown = false;
+    int refusalWrites = 0;
     // The upstreams that the store lists.
     std::vector<upstream_record> records { router_fixture::makeUpstream("app-1", "app", 1003) };
 
@@ -180,6 +184,8 @@
                 send(target.address, *message);
             if (const auto* read = std::get_if<read_store>(&effect))
                 answer(target, *read);
+            if (const auto* call = std::get_if<call_refusal_store>(&effect))
+                answer(target, *call);
         }
     }
 
@@ -212,6 +218,32 @@
         step(target, upstreams_read { read.read, std::move(page) });
     }
 
+    // Executes a call about refused suspects at once, or fails it while the store is down.
+    void answer(node& target, const call_refusal_store& call)
+    {
+        const auto outcome = refusalStoreIsDown ? store_write_outcome::failed : store_write_outcome::written;
+        if (const auto* list = std::get_if<list_refusals>(&call.request))
+            return step(target, refusals_listed { call.call, listRefusals(list->after), std::nullopt });
+        ++refusalWrites;
+        if (const auto* save = std::get_if<save_refusal>(&call.request); save && !refusalStoreIsDown)
+            storedRefusals[save->refusal.suspect.id] = { save->refusal.suspect, m_now - save->refusal.age };
+        if (const auto* removal = std::get_if<remove_refusal>(&call.request); removal && !refusalStoreIsDown)
+            storedRefusals.erase(removal->suspect.id);
+        step(target, refusal_written { call.call, outcome, "down", std::nullopt });
+    }
+
+    store_read_outcome<aged_suspect> listRefusals(const std::string& after) const
+    {
+        if (refusalStoreIsDown)
+            return store_read_failed { "down" };
+        store_page<aged_suspect> page;
+        for (const auto& [id, stored] : storedRefusals) {
+            if (after.empty() || std::to_string(id) > after)
+                page.entries.push_back({ std::to_string(id), m_revision, aged_suspect { stored.first, std::chrono::ceil<milliseconds>(m_now - stored.second) } });
+        }
+        return page;
+    }
+
     std::mt19937_64 m_random;
     instant m_now = instant() + std::chrono::hours(1);
     std::vector<std::unique_ptr<node>> m_nodes;
