Clear prompt parts by short streams, and tell requests without bodies apart

A stream that ends within 100 ms of its first event never cleared its parts, so a part that all requests share stayed as suspect as the bad one and neither was refused. Requests that differ only in the last part of their prompts counted as one request, so their crashes counted once. And a bad request was sent on to a second upstream at once, when its part had two crashes against it already. Change: a complete answer clears the parts too, unless it ends with its connection before it has gone on for a time. The last part tells requests apart; a single request that was at all crashes is the better reason than a part of its prompt. A request that has broken off and whose suspects have two crashes against them is not retried.

--- a/servers/router/crash_tracker.cpp
+++ b/servers/router/crash_tracker.cpp
@@ -179,9 +179,11 @@
 {
     return std::any_of(m_crashes.begin(), m_crashes.end(), [&](const auto& item) {
         const auto& [other, otherCrashes] = item;
-        if (other == suspect || other.kind != suspect_kind::prompt_part || m_refusals.contains(other))
+        if (other == suspect)
             return false;
-        if (deeperOnly && otherCrashes.back().position <= crashes.back().position)
+        // One request that was there at all of them is the better reason, also if it is refused already.
+        const bool isPart = other.kind == suspect_kind::prompt_part;
+        if (isPart && (m_refusals.contains(other) || (deeperOnly && otherCrashes.back().position <= crashes.back().position)))
             return false;
         return std::all_of(crashes.begin(), crashes.end(), [&](const observed_crash& crash) {
             return std::any_of(otherCrashes.begin(), otherCrashes.end(), [&crash](const observed_crash& otherCrash) { return isSameCrash(otherCrash, crash.upstream, crash.at); });
--- a/servers/router/crash_tracker.h
+++ b/servers/router/crash_tracker.h
@@ -97,7 +97,8 @@
     // Removes a crash that a refused prompt part explains from the other suspects.
     void explainCrash(known_crash&);
     bool explainsMostCrashes(const observed_crashes&) const;
-    // Whether another prompt part explains all of these crashes too; with deeperOnly, one that is deeper in its prompts.
+    // Whether one request or another prompt part explains all of these crashes too; with deeperOnly, only a part that is deeper in
+    // its prompts.
     bool hasRival(const crash_suspect&, const observed_crashes&, bool deeperOnly) const;
     crash_news news(std::size_t maxItems, news_origin widest, instant now);
 
--- a/servers/router/router_answering.cpp
+++ b/servers/router/router_answering.cpp
@@ -176,6 +176,7 @@
 void router_reducer::completeReply(request_progress& progress, attempt_number number)
 {
     const auto status = findAttempt(progress, number)->answer->head.status;
+    recordCompletion(progress, *findAttempt(progress, number));
     removeAttempt(progress, number);
     emit(end_reply { progress.caller });
     finish(progress, status, "streamed");
@@ -198,6 +199,8 @@
     if (progress.replyStarted)
         return failAttempt(progress, number, attempt_end::may_have_run, "status " + std::to_string(status) + " in answer to the resumption of a stream");
     attempt.upstream->consecutiveFailures = 0;
+    if (isSuccess(status))
+        recordCompletion(progress, attempt);
     removeAttempt(progress, number);
     cancelAttempts(progress);
     answer.head.contentLength = body.size();
@@ -244,8 +247,6 @@
 
 void router_reducer::finish(request_progress& progress, int status, const char* outcome)
 {
-    if (isSuccess(status))
-        recordCompletion(progress);
     const auto caller = progress.caller;
     const auto elapsedSeconds = std::chrono::duration<double>(m_now - progress.arrivedAt).count();
     log(log_level::info, "request_finished",
--- a/servers/router/router_attempts.cpp
+++ b/servers/router/router_attempts.cpp
@@ -91,7 +91,7 @@
         return false;
     if (progress.mayHaveRun() && !progress.matchedRoute->repeatable())
         return false;
-    if (progress.bodyForwarded)
+    if (progress.bodyForwarded || (progress.mayHaveRun() && mayCrashUpstream(progress)))
         return false;
     return outcome != attempt_end::may_have_run || progress.mayHaveRunCount < progress.matchedRoute->maxAttempts;
 }
--- a/servers/router/router_crashes.cpp
+++ b/servers/router/router_crashes.cpp
@@ -18,6 +18,8 @@
     constexpr auto connectionCheckTimeout = std::chrono::milliseconds(500);
     // A stream that still delivers events this long after its first one has not crashed its upstream.
     constexpr auto survivalTime = std::chrono::milliseconds(100);
+    // A request whose suspects have this many crashes against them, not yet enough to refuse it, is not retried.
+    constexpr int crashesBeforeNoRetry = 2;
     // Requests are not sent to an upstream that has just crashed, unless there is no other.
     constexpr auto crashBackoff = std::chrono::milliseconds(1000);
 
@@ -98,13 +100,23 @@
     return std::nullopt;
 }
 
+bool router_reducer::mayCrashUpstream(const request_progress& progress) const
+{
+    if (m_crashes.empty())
+        return false;
+    const auto suspects = suspectsOf(progress);
+    return std::any_of(suspects.begin(), suspects.end(), [this](const crash_suspect& suspect) { return m_crashes.crashCount(suspect) >= crashesBeforeNoRetry; });
+}
+
 void router_reducer::recordBrokenAttempt(const request_progress& progress, const active_attempt& attempt)
 {
     auto& upstream = *attempt.upstream;
     std::erase_if(upstream.brokenAttempts, [this](const broken_attempt& item) { return m_now - item.brokenAt > crashAttributionWindow; });
     broken_attempt broken;
     broken.suspects = attempt.answersSoundly ? std::vector { suspectsOf(progress).front() } : suspectsOf(progress);
-    broken.request = static_cast<std::uint32_t>(broken.suspects.front().id);
+    // Requests may differ only in the part of the prompt that is their own.
+    const auto& parts = progress.request->prompt.parts;
+    broken.request = static_cast<std::uint32_t>(hashPart(std::to_string(broken.suspects.front().id), parts.empty() ? 0 : parts.back().id));
     broken.brokenAt = m_now;
     upstream.brokenAttempts.push_back(std::move(broken));
     if (upstream.crashedAt && m_now - *upstream.crashedAt <= crashAttributionWindow)
@@ -174,10 +186,15 @@
         recordSoundAnswer(progress, attempt);
 }
 
-void router_reducer::recordCompletion(request_progress& progress)
+void router_reducer::recordCompletion(request_progress& progress, const active_attempt& attempt)
 {
-    if (!m_crashes.empty())
-        m_crashes.recordAnswer({ suspectsOf(progress).front() }, m_now);
+    if (m_crashes.empty())
+        return;
+    m_crashes.recordAnswer({ suspectsOf(progress).front() }, m_now);
+    // What ends with its connection may have been cut off by a crash.
+    const bool isSurelyComplete = !attempt.answer || attempt.answer->head.keepAlive;
+    if (isSurelyComplete || attempt.answersSoundly)
+        m_crashes.recordAnswer(promptSuspects(progress), attempt.firstEventAt.value_or(m_now));
 }
 
 void router_reducer::actOnNewRefusals()
--- a/servers/router/router_reducer.h
+++ b/servers/router/router_reducer.h
@@ -127,6 +127,8 @@
     static std::string formatSharedParts(const request_progress&);
     // Why a request is refused as one that crashes upstreams, or nothing.
     std::optional<caller_error> refuseSuspect(const request_progress&) const;
+    // Whether a request that has broken off is likely enough to crash upstreams that it is not sent to another one.
+    bool mayCrashUpstream(const request_progress&) const;
     // An attempt has ended without a complete answer.
     void recordBrokenAttempt(const request_progress&, const active_attempt&);
     void checkConnection(const shared_upstream&);
@@ -134,8 +136,8 @@
     // Clears the request's prompt parts once its stream has gone on for a time.
     void noteEvents(request_progress&, active_attempt&);
     void recordSoundAnswer(request_progress&, active_attempt&);
-    // Clears the request itself.
-    void recordCompletion(request_progress&);
+    // Clears the request and its prompt parts.
+    void recordCompletion(request_progress&, const active_attempt&);
     void actOnNewRefusals();
     // Calls to the store that keep the refused suspects.
     void callRefusalStore();
--- a/tests/servers/router/crash_test.cpp
+++ b/tests/servers/router/crash_test.cpp
@@ -96,3 +96,32 @@
     CHECK(checks >= 1);
     CHECK(checks <= 4);
 }
+
+TEST_CASE("a short stream that is complete clears the parts of its prompt", "[router]")
+{
+    // Again and again an upstream crashes with a request that has the part 7 of the fixture's prompts, and a short stream with it
+    // succeeds.
+    router_fixture fixture;
+    std::vector<upstream_record> records;
+    for (int number = 1; number <= 8; ++number)
+        records.push_back(router_fixture::makeUpstream("llm-" + std::to_string(number), "llm", static_cast<std::uint16_t>(1000 + number)));
+    fixture.answerConfigList(router_fixture::sampleConfig(), 5);
+    fixture.answerUpstreamList(records, 5);
+    for (caller_id caller = 1; caller <= 10; caller += 2) {
+        fixture.request(caller, "/oneshot/" + std::to_string(caller));
+        fixture.step(attempt_aborted { fixture.only<start_attempt>().attemptNumber, true, "End of file" });
+        // An upstream that has crashed a moment ago is not checked again.
+        for (const auto& check : fixture.all<check_connection>())
+            fixture.step(connection_checked { check.check, connection_outcome::refused });
+        fixture.advance(milliseconds(300));
+        fixture.request(caller + 1, "/oneshot/x");
+        const auto number = fixture.only<start_attempt>().attemptNumber;
+        fixture.step(answer_started { number, router_fixture::answer(200, true, true) });
+        fixture.step(answer_continued { number, "id: 1\ndata: x\n\n" });
+        fixture.step(answer_ended { number });
+        fixture.advance(milliseconds(300));
+    }
+    fixture.request(20, "/oneshot/x");
+    INFO((fixture.all<refuse_reply>().empty() ? "" : fixture.all<refuse_reply>().front().refusal.message));
+    CHECK(fixture.all<start_attempt>().size() == 1);
+}
--- a/tests/servers/router/crash_tracker_test.cpp
+++ b/tests/servers/router/crash_tracker_test.cpp
@@ -289,3 +289,16 @@
     CHECK(tracker.crashCount({ suspect_kind::request, 0 }) == 0);
     CHECK(tracker.crashCount({ suspect_kind::request, 5999 }) == 1);
 }
+
+TEST_CASE("a request that explains all crashes of a part is refused in its place", "[crash-tracker]")
+{
+    crash_tracker tracker;
+    crash_reports reports(tracker);
+    // The request is repeated with another last part each time.
+    for (int number = 0; number < 6; ++number)
+        reports.crash({ request, part }, start + seconds(number));
+    CHECK(isRefused(tracker, request, start + seconds(6)));
+    CHECK_FALSE(isRefused(tracker, part, start + seconds(6)));
+    reports.crash({ part }, start + seconds(7));
+    CHECK(isRefused(tracker, part, start + seconds(7)));
+}
--- a/tests/servers/router/crashing_part_test.cpp
+++ b/tests/servers/router/crashing_part_test.cpp
@@ -40,6 +40,13 @@
     CHECK(site.badAttemptsAfter(site.timeOfCrash(5) + reactionTime) <= maxLateAttempts);
 }
 
+TEST_CASE("requests that differ only in the last part of their prompts count as different ones", "[crashing-part]")
+{
+    crashing_part_fixture site({ .routers = 1, .hasBodies = false });
+    site.run(seconds(15));
+    CHECK(site.badAttemptsAfter(site.timeOfCrash(5) + reactionTime) <= maxLateAttempts);
+}
+
 TEST_CASE("sound requests with the same caller and the other parts of a refused prompt are served on", "[crashing-part]")
 {
     for (unsigned seed = 1; seed <= 5; ++seed) {
--- a/tests/support/crashing_part_fixture.h
+++ b/tests/support/crashing_part_fixture.h
@@ -19,6 +19,8 @@
         duration soundRequestInterval = milliseconds(40);
         // Where the bad part stands in the prompts that have it.
         bool badPartIsFirst = false;
+        // Whether each request has a body of its own.
+        bool hasBodies = true;
     };
 
     static constexpr std::uint64_t commonPart = 7;
@@ -64,7 +66,7 @@
         item.host = "host";
         item.apiKey = "key-a";
         item.callerTimeout = seconds(10);
-        item.body = item.requestId;
+        item.body = m_options.hasBodies ? item.requestId : std::string();
         for (const auto part : sharedParts)
             item.prompt.parts.push_back({ part, 1000 });
         item.prompt.parts.push_back({ hashBytes(item.requestId), 200 });
