--- a/processes/router_process.cpp
+++ b/processes/router_process.cpp
@@ -14,15 +14,14 @@
 #include "platform/answer_codec.h"
 #include "platform/request_codec.h"
 #include "platform/settings_decoder.h"
-#include "platform/store_codec.h"
 #include "processes/file_reader.h"
+#include "processes/router_store_client.h"
 #include "servers/router/router_reducer.h"
 
 #include <algorithm>
 #include <ctime>
 #include <deque>
 #include <random>
-#include <unordered_map>
 
 namespace kumquat {
 
@@ -46,21 +45,6 @@
         return std::chrono::seconds(withSuspension.tv_sec - monotonic.tv_sec) + std::chrono::nanoseconds(withSuspension.tv_nsec - monotonic.tv_nsec);
     }
 
-    // What a call to the store is for.
-    enum class store_call_purpose {
-        read_upstreams,
-        read_config,
-        list_refusals,
-        write_refusal
-    };
-
-    // A call to the store whose answer has not arrived completely.
-    struct store_call {
-        store_call_purpose purpose = store_call_purpose::read_upstreams;
-        http_answer_head head;
-        std::string body;
-    };
-
     // Connects the reducer to its network connections, timers and signals, and executes its effects.
     class router_process {
     public:
@@ -79,15 +63,10 @@
         void onCallerRequest(connection_id, http_request&&);
         void onAdminRequest(connection_id, const http_request&);
         void refuse(const router::refuse_reply&);
-        void startRead(const router::read_store&);
-        void startRefusalCall(const router::call_refusal_store&);
-        void finishStoreCall(call_id);
-        void reportFailedCall(call_id, store_call_purpose, const std::string& reason);
         void onDatagram(const std::string& host, const std::string& bytes);
         void detectSuspension();
         void detectStall();
         http_client::handlers upstreamHandlers();
-        http_client::handlers storeHandlers();
 
         std::string m_settingsFile;
         std::string m_settingsText;
@@ -96,14 +75,13 @@
         metrics_registry m_metrics;
         router::router_reducer m_reducer;
         http_client m_upstreams;
-        http_client m_store;
+        router_store_client m_store;
         connection_checker m_connectionChecker;
         std::unique_ptr<http_server> m_callers;
         std::unique_ptr<http_server> m_admin;
         std::unique_ptr<datagram_port> m_peers;
         duration m_suspendedTime = measureSuspendedTime();
         instant m_lastEventAt = std::chrono::steady_clock::now();
-        std::unordered_map<call_id, store_call> m_storeCalls;
         // Events that arrived while m_stepping was set.
         std::deque<router::router_event> m_queuedEvents;
         bool m_stepping = false;
@@ -118,7 +96,7 @@
         , m_settings(settings)
         , m_reducer({ .settings = settings, .incarnation = std::random_device {}() })
         , m_upstreams(m_reactor, upstreamHandlers())
-        , m_store(m_reactor, storeHandlers())
+        , m_store(m_reactor, m_metrics, [this](router::router_event event) { post(std::move(event)); })
         , m_connectionChecker(m_reactor)
     {
     }
@@ -134,22 +112,6 @@
         };
     }
 
-    http_client::handlers router_process::storeHandlers()
-    {
-        return {
-            .onHead = [this](call_id call, const http_answer_head& head) { m_storeCalls[call].head = head; },
-            .onBody = [this](call_id call, std::string_view bytes) {
-                m_storeCalls[call].body.append(bytes);
-                post(router::store_read_progressed { call }); },
-            .onEnd = [this](call_id call) { finishStoreCall(call); },
-            .onFailed = [this](call_id call, const http_call_failure& failure) {
-                const auto purpose = m_storeCalls[call].purpose;
-                m_storeCalls.erase(call);
-                reportFailedCall(call, purpose, failure.reason); },
-            .onConnected = [this] { m_metrics.apply(count_metric { "kumquat_router_connections_total", { { "to", "store" } } }); },
-        };
-    }
-
     std::optional<error> router_process::openServers()
     {
         auto callers = http_server::open(m_reactor, m_settings.callers,
@@ -310,72 +272,6 @@
         m_callers->answer(reply.caller, head, body);
     }
 
-    void router_process::startRead(const router::read_store& read)
-    {
-        m_storeCalls[read.read].purpose = read.kind == store_kind::upstreams ? store_call_purpose::read_upstreams : store_call_purpose::read_config;
-        http_call call;
-        call.id = read.read;
-        call.target = m_settings.store;
-        call.bytes = read.sinceRevision ? platform::encodeWatch(read.kind, m_settings.store, *read.sinceRevision, read.wait) : platform::encodeList(read.kind, m_settings.store, read.after);
-        m_metrics.apply(count_metric { "kumquat_router_store_reads_total", { { "kind", read.kind == store_kind::upstreams ? "upstreams" : "configuration" } } });
-        m_store.start(std::move(call));
-    }
-
-    void router_process::startRefusalCall(const router::call_refusal_store& request)
-    {
-        const bool isList = std::holds_alternative<router::list_refusals>(request.request);
-        m_storeCalls[request.call].purpose = isList ? store_call_purpose::list_refusals : store_call_purpose::write_refusal;
-        const auto now = std::chrono::system_clock::now();
-        http_call call;
-        call.id = request.call;
-        call.target = m_settings.store;
-        call.bytes = std::visit(overloaded {
-                                    [&](const router::list_refusals& list) { return platform::encodeRefusalList(m_settings.store, list.after); },
-                                    [&](const router::save_refusal& save) { return platform::encodeRefusal(m_settings.store, save.refusal, save.replaces, now); },
-                                    [&](const router::remove_refusal& removal) { return platform::encodeRefusalRemoval(m_settings.store, removal.suspect); },
-                                },
-            request.request);
-        m_metrics.apply(count_metric { isList ? "kumquat_router_store_reads_total" : "kumquat_router_store_writes_total", { { "kind", "refusals" } } });
-        m_store.start(std::move(call));
-    }
-
-    void router_process::finishStoreCall(call_id call)
-    {
-        const auto found = m_storeCalls.find(call);
-        if (found == m_storeCalls.end())
-            return;
-        const auto completed = std::move(found->second);
-        m_storeCalls.erase(found);
-        const auto era = platform::decodeEra(completed.head.headers);
-        if (const auto* unreadable = errorOf(era))
-            return reportFailedCall(call, completed.purpose, unreadable->message);
-        const auto status = completed.head.status;
-        switch (completed.purpose) {
-        case store_call_purpose::read_upstreams:
-            return post(router::upstreams_read { call, platform::decodeUpstreams(status, completed.body), valueOf(era) });
-        case store_call_purpose::read_config:
-            return post(router::config_read { call, platform::decodeConfigs(status, completed.body), valueOf(era) });
-        case store_call_purpose::list_refusals:
-            return post(router::refusals_listed { call, platform::decodeRefusals(status, completed.body, std::chrono::system_clock::now()), valueOf(era) });
-        case store_call_purpose::write_refusal:
-            return post(router::refusal_written { call, platform::decodeWriteStatus(status), "status " + std::to_string(status), valueOf(era) });
-        }
-    }
-
-    void router_process::reportFailedCall(call_id call, store_call_purpose purpose, const std::string& reason)
-    {
-        switch (purpose) {
-        case store_call_purpose::read_upstreams:
-            return post(router::upstreams_read { call, store_read_failed { reason }, std::nullopt });
-        case store_call_purpose::read_config:
-            return post(router::config_read { call, store_read_failed { reason }, std::nullopt });
-        case store_call_purpose::list_refusals:
-            return post(router::refusals_listed { call, store_read_failed { reason }, std::nullopt });
-        case store_call_purpose::write_refusal:
-            return post(router::refusal_written { call, store_write_outcome::failed, reason, std::nullopt });
-        }
-    }
-
     void router_process::execute(router::router_effect& effect)
     {
         const auto visitor = overloaded {
@@ -404,12 +300,9 @@
             [this](const router::send_reply& reply) { m_callers->answer(reply.caller, reply.head, reply.body); },
             [this](const router::refuse_reply& reply) { refuse(reply); },
             [this](const router::abort_reply& reply) { m_callers->abortAnswer(reply.caller); },
-            [this](const router::read_store& read) { startRead(read); },
-            [this](const router::cancel_store_read& cancel) {
-                m_store.cancel(cancel.read);
-                m_storeCalls.erase(cancel.read);
-            },
-            [this](const router::call_refusal_store& call) { startRefusalCall(call); },
+            [this](const router::read_store& read) { m_store.start(read, m_settings.store); },
+            [this](const router::cancel_store_read& cancelled) { m_store.cancel(cancelled); },
+            [this](const router::call_refusal_store& call) { m_store.start(call, m_settings.store); },
             [this](const router::send_digest& message) {
                 const auto bytes = encodeDigest(message.digest);
                 for (const auto& address : message.addresses)
--- a/servers/router/crash_tracker.cpp
+++ b/servers/router/crash_tracker.cpp
@@ -28,33 +28,9 @@
     constexpr auto refusalTime = std::chrono::minutes(10);
     // How long a refusal that has lapsed is renewed by a single crash.
     constexpr auto probationTime = std::chrono::hours(1);
-    // Refusals that lapse within this time are no longer reported, so that routers with slightly different times don't renew each
-    // other's refusals for ever.
-    constexpr auto minReportedRefusal = std::chrono::seconds(10);
-    // Crashes and answers are reported for this time.
-    constexpr auto reportTime = std::chrono::seconds(5);
     constexpr std::size_t maxSuspects = 4096;
     constexpr std::size_t maxCrashesPerSuspect = 16;
     constexpr std::size_t maxKnownCrashes = 512;
-    constexpr std::size_t maxReportedRefusals = 6;
-    constexpr std::size_t maxReportedAnswers = 6;
-
-    std::chrono::milliseconds ageOf(instant time, instant now)
-    {
-        return std::chrono::ceil<std::chrono::milliseconds>(now - time);
-    }
-
-    // Appends up to maxItems entries, beginning at a position that the rotation selects.
-    template <typename Item>
-    std::vector<Item> takeRotated(std::vector<Item> items, std::size_t maxItems, std::size_t rotation)
-    {
-        if (items.size() <= maxItems)
-            return items;
-        const auto start = rotation * maxItems % items.size();
-        std::rotate(items.begin(), items.begin() + static_cast<std::ptrdiff_t>(start), items.end());
-        items.resize(maxItems);
-        return items;
-    }
 
     template <typename Crash>
     bool isSameCrash(const Crash& crash, std::uint32_t upstream, instant at)
@@ -178,7 +154,8 @@
 bool crash_tracker::hasRival(const crash_suspect& suspect, const observed_crashes& crashes, bool deeperOnly) const
 {
     return std::any_of(m_crashes.begin(), m_crashes.end(), [&](const auto& item) {
-        const auto& [other, otherCrashes] = item;
+        const auto& other = item.first;
+        const auto& otherCrashes = item.second;
         if (other == suspect)
             return false;
         // One request that was there at all of them is the better reason, also if it is refused already.
@@ -261,64 +238,6 @@
     return found == m_crashes.end() ? 0 : countIndependent(suspect.kind, found->second);
 }
 
-void crash_tracker::learn(const crash_news& reported, news_origin origin, instant now)
-{
-    if (reported.size() == 0)
-        return;
-    expire(now);
-    for (const auto& [suspect, age] : reported.refused) {
-        const auto lastCrashAt = now - age;
-        const auto answer = m_answers.find(suspect);
-        const bool wasAnswered = answer != m_answers.end() && answer->second.at >= lastCrashAt;
-        // A refusal that is known keeps its time, since the reported one includes the time that the report took.
-        if (!wasAnswered && !m_refusals.contains(suspect))
-            refuse(suspect, lastCrashAt, 0);
-    }
-    for (const auto& [suspect, age] : reported.answered)
-        recordAnswer({ suspect }, now - age, origin);
-    for (const auto& crash : reported.crashes) {
-        if (addCrash(crash, now - crash.age, origin))
-            judge(crash.suspect);
-    }
-}
-
-crash_news crash_tracker::ownNews(std::size_t maxItems, instant now)
-{
-    return news(maxItems, news_origin::own, now);
-}
-
-crash_news crash_tracker::dataCentreNews(std::size_t maxItems, instant now)
-{
-    return news(maxItems, news_origin::own_data_centre, now);
-}
-
-crash_news crash_tracker::news(std::size_t maxItems, news_origin widest, instant now)
-{
-    crash_news result;
-    if (empty() && m_answers.empty())
-        return result;
-    expire(now);
-    ++m_rotation;
-    for (const auto& [suspect, state] : m_refusals) {
-        if (refusedFor(suspect, now).value_or(duration::zero()) > minReportedRefusal)
-            result.refused.push_back({ suspect, ageOf(state.lastCrashAt, now) });
-    }
-    for (const auto& [suspect, answer] : m_answers) {
-        if (answer.origin <= widest && now - answer.at < reportTime)
-            result.answered.push_back({ suspect, ageOf(answer.at, now) });
-    }
-    for (const auto& [suspect, crashes] : m_crashes) {
-        for (const auto& crash : crashes) {
-            if (crash.origin <= widest && now - crash.at < reportTime)
-                result.crashes.push_back({ suspect, crash.upstream, crash.request, crash.position, ageOf(crash.at, now) });
-        }
-    }
-    result.refused = takeRotated(std::move(result.refused), maxReportedRefusals, m_rotation);
-    result.answered = takeRotated(std::move(result.answered), maxReportedAnswers, m_rotation);
-    result.crashes = takeRotated(std::move(result.crashes), maxItems - std::min(maxItems, result.refused.size() + result.answered.size()), m_rotation);
-    return result;
-}
-
 void crash_tracker::expire(instant now)
 {
     for (auto& [suspect, crashes] : m_crashes)
--- a/tests/servers/router/router_pages_test.cpp
+++ b/tests/servers/router/router_pages_test.cpp
@@ -36,6 +36,7 @@
             collect(text, *pattern, events);
     }
     collect(contentOf(root / "processes/router_process.cpp"), literalName, events);
+    collect(contentOf(root / "processes/router_store_client.cpp"), literalName, events);
     collect(contentOf(root / "drivers/spdlog/bounded_sink.cpp"), nameInText, events);
     return events;
 }
@@ -76,6 +77,7 @@
     for (const auto& item : fs::directory_iterator(root / "servers/router"))
         code.merge(metricsIn(contentOf(item.path())));
     code.merge(metricsIn(contentOf(root / "processes/router_process.cpp")));
+    code.merge(metricsIn(contentOf(root / "processes/router_store_client.cpp")));
     CHECK(code.size() > 5);
     CHECK(metricsIn(contentOf(root / "docs/METRICS.md")) == code);
 }
--- a/tests/support/crashing_part_fixture.h
+++ b/tests/support/crashing_part_fixture.h
@@ -253,9 +253,10 @@
 
     void answerChecks()
     {
-        for (const auto& [router, check] : std::exchange(m_checks, {})) {
-            const bool isDead = std::any_of(m_dead.begin(), m_dead.end(), [&](const std::string& engine) { return portOf(engine) == check.target.port; });
-            fleet.post(router, connection_checked { check.check, isDead ? connection_outcome::refused : connection_outcome::accepted });
+        for (const auto& pending : std::exchange(m_checks, {})) {
+            const auto port = pending.second.target.port;
+            const bool isDead = std::any_of(m_dead.begin(), m_dead.end(), [port](const std::string& engine) { return portOf(engine) == port; });
+            fleet.post(pending.first, connection_checked { pending.second.check, isDead ? connection_outcome::refused : connection_outcome::accepted });
         }
     }
 
