Refuse the deeper of two prompt parts that are at the same crashes

Cause: found by reading, not seen in a run: a part that begins many prompts could be at one crash more than the bad part behind it, because a router that noticed the crash had no request with the bad part there, and was then refused in its place. Change: a deeper part that shares three independent crashes goes before one that begins the prompt, at once and not only after five; two parts at one position wait for an answer or for the fifth crash, as before.

--- a/servers/router/crash_news.cpp
+++ b/servers/router/crash_news.cpp
@@ -21,7 +21,7 @@
         return std::chrono::ceil<std::chrono::milliseconds>(now - time);
     }
 
-    // Appends up to maxItems entries, beginning at a position that the rotation selects.
+    // Returns up to maxItems entries, beginning at a position that the rotation selects.
     template <typename Item>
     std::vector<Item> takeRotated(std::vector<Item> items, std::size_t maxItems, std::size_t rotation)
     {
--- a/servers/router/crash_tracker.cpp
+++ b/servers/router/crash_tracker.cpp
@@ -1,6 +1,7 @@
 #include "servers/router/crash_tracker.h"
 
 #include <algorithm>
+#include <iterator>
 #include <unordered_set>
 
 namespace kumquat::router {
@@ -56,6 +57,27 @@
         return count;
     }
 
+    template <typename Crash>
+    bool contains(const std::vector<Crash>& crashes, const Crash& crash)
+    {
+        return std::any_of(crashes.begin(), crashes.end(), [&crash](const Crash& item) { return isSameCrash(item, crash.upstream, crash.at); });
+    }
+
+    template <typename Crash>
+    bool containsAll(const std::vector<Crash>& all, const std::vector<Crash>& some)
+    {
+        return std::all_of(some.begin(), some.end(), [&all](const Crash& crash) { return contains(all, crash); });
+    }
+
+    // The crashes of the first list that the second one has too.
+    template <typename Crash>
+    std::vector<Crash> sharedCrashes(const std::vector<Crash>& first, const std::vector<Crash>& second)
+    {
+        std::vector<Crash> shared;
+        std::copy_if(first.begin(), first.end(), std::back_inserter(shared), [&second](const Crash& crash) { return contains(second, crash); });
+        return shared;
+    }
+
 } // namespace
 
 void crash_tracker::recordCrash(const crash_report& report, news_origin origin, instant now)
@@ -133,9 +155,8 @@
     if (std::any_of(crashes.begin(), crashes.end(), [this](const observed_crash& item) { return isExplained(item); }))
         return false;
     const int count = countIndependent(suspect.kind, crashes);
-    if (count >= doubtfulPartCrashLimit)
-        return !hasRival(suspect, crashes, true);
-    return count >= partCrashLimit && explainsMostCrashes(crashes) && !hasRival(suspect, crashes, false);
+    const bool isLikely = count >= doubtfulPartCrashLimit || (count >= partCrashLimit && explainsMostCrashes(crashes));
+    return isLikely && std::none_of(m_crashes.begin(), m_crashes.end(), [&](const auto& other) { return isBetterReason(other.first, other.second, suspect, crashes); });
 }
 
 bool crash_tracker::isExplained(const observed_crash& crash) const
@@ -151,21 +172,22 @@
     return static_cast<double>(explained) >= explainedShare * static_cast<double>(all);
 }
 
-bool crash_tracker::hasRival(const crash_suspect& suspect, const observed_crashes& crashes, bool deeperOnly) const
+bool crash_tracker::isBetterReason(const crash_suspect& other, const observed_crashes& otherCrashes, const crash_suspect& suspect, const observed_crashes& crashes) const
 {
-    return std::any_of(m_crashes.begin(), m_crashes.end(), [&](const auto& item) {
-        const auto& other = item.first;
-        const auto& otherCrashes = item.second;
-        if (other == suspect)
-            return false;
-        // One request that was there at all of them is the better reason, also if it is refused already.
-        const bool isPart = other.kind == suspect_kind::prompt_part;
-        if (isPart && (m_refusals.contains(other) || (deeperOnly && otherCrashes.back().position <= crashes.back().position)))
-            return false;
-        return std::all_of(crashes.begin(), crashes.end(), [&](const observed_crash& crash) {
-            return std::any_of(otherCrashes.begin(), otherCrashes.end(), [&crash](const observed_crash& otherCrash) { return isSameCrash(otherCrash, crash.upstream, crash.at); });
-        });
-    });
+    if (other == suspect)
+        return false;
+    // One request that was there at all of them, also if it is refused already.
+    if (other.kind == suspect_kind::request)
+        return containsAll(otherCrashes, crashes);
+    if (m_refusals.contains(other))
+        return false;
+    const auto position = crashes.back().position;
+    const auto otherPosition = otherCrashes.back().position;
+    // To refuse a part that begins many prompts does the most harm, so a deeper one that may be the reason goes first.
+    if (otherPosition > position)
+        return countIndependent(other.kind, sharedCrashes(otherCrashes, crashes)) >= partCrashLimit;
+    const bool isDoubtful = countIndependent(suspect.kind, crashes) < doubtfulPartCrashLimit;
+    return otherPosition == position && isDoubtful && containsAll(otherCrashes, crashes);
 }
 
 void crash_tracker::refuse(const crash_suspect& suspect, instant lastCrashAt, int crashes)
--- a/servers/router/crash_tracker.h
+++ b/servers/router/crash_tracker.h
@@ -97,9 +97,8 @@
     // Removes a crash that a refused prompt part explains from the other suspects.
     void explainCrash(known_crash&);
     bool explainsMostCrashes(const observed_crashes&) const;
-    // Whether one request or another prompt part explains all of these crashes too; with deeperOnly, only a part that is deeper in
-    // its prompts.
-    bool hasRival(const crash_suspect&, const observed_crashes&, bool deeperOnly) const;
+    // Whether the first suspect, with its crashes, is a better reason for the crashes of the second one, a prompt part, than that.
+    bool isBetterReason(const crash_suspect& other, const observed_crashes& otherCrashes, const crash_suspect&, const observed_crashes&) const;
     crash_news news(std::size_t maxItems, news_origin widest, instant now);
 
     // The crashes that count against each suspect, in the order of their times.
