Read the limit that an upstream names, and log when it changes

The header was unknown and went on to callers. Change: the limit is read from answers of any status, kept for the upstream, logged (upstream_limited, upstream_limit_unreadable) and counted. It is not forwarded, as it speaks of the upstream, not of the answer. Attempts are started as before.

--- a/core/upstream_answer.h
+++ b/core/upstream_answer.h
@@ -2,6 +2,7 @@
 
 #include "core/clock.h"
 #include "core/http_message.h"
+#include "core/result.h"
 
 #include <cstdint>
 #include <optional>
@@ -24,6 +25,9 @@
     std::optional<duration> retryAfter;
     // The text that names such a time, if it can't be read.
     std::string invalidRetryAfter;
+    // Set if the upstream names a limit of the requests a second that it accepts from all routers together. An error tells why
+    // the limit can't be read.
+    std::optional<result<double>> rateLimit;
 };
 
 } // namespace kumquat
--- a/servers/router/router_reducer.h
+++ b/servers/router/router_reducer.h
@@ -149,6 +149,7 @@
     // What upstreams state about themselves in their answers.
     void acceptStatements(upstream_state&, const upstream_answer&);
     void acceptRetryAfter(upstream_state&, const upstream_answer&);
+    void acceptRateLimit(upstream_state&, const upstream_answer&);
     // How long until an upstream of the service accepts requests again, if each one in service has asked for a pause;
     // otherwise nothing.
     std::optional<std::chrono::milliseconds> timeUntilUnblocked(const std::string& service) const;
--- a/servers/router/router_statements.cpp
+++ b/servers/router/router_statements.cpp
@@ -11,11 +11,17 @@
     // Digests tell for this long that an upstream is leaving, so that a router that loses some of them still learns of it.
     constexpr auto leavingAnnouncementTime = std::chrono::seconds(5);
 
+    std::string formatRate(const std::optional<double>& requestsPerSecond)
+    {
+        return requestsPerSecond ? std::to_string(*requestsPerSecond) : "none";
+    }
+
 } // namespace
 
 void router_reducer::acceptStatements(upstream_state& upstream, const upstream_answer& answer)
 {
     acceptRetryAfter(upstream, answer);
+    acceptRateLimit(upstream, answer);
     if (!answer.leaving || upstream.announcedLeaving)
         return;
     markLeaving(upstream, m_options.settings.instance);
@@ -35,6 +41,18 @@
     emit(count_metric { "kumquat_router_paused_upstreams_total", {} });
 }
 
+void router_reducer::acceptRateLimit(upstream_state& upstream, const upstream_answer& answer)
+{
+    if (const auto* failure = answer.rateLimit ? errorOf(*answer.rateLimit) : nullptr)
+        return log(log_level::warning, "upstream_limit_unreadable", { { "upstream", upstream.record.id }, { "reason", failure->message } });
+    const auto stated = answer.rateLimit ? std::optional(valueOf(*answer.rateLimit)) : std::nullopt;
+    if (stated == upstream.statedRateLimit)
+        return;
+    log(log_level::info, "upstream_limited", { { "upstream", upstream.record.id }, { "requests_per_s", formatRate(stated) }, { "before", formatRate(upstream.statedRateLimit) }, { "in_flight", std::to_string(upstream.inFlight) } });
+    emit(count_metric { "kumquat_router_rate_limit_changes_total", {} });
+    upstream.statedRateLimit = stated;
+}
+
 std::optional<std::chrono::milliseconds> router_reducer::timeUntilUnblocked(const std::string& service) const
 {
     std::optional<instant> earliest;
--- a/servers/router/upstream_table.h
+++ b/servers/router/upstream_table.h
@@ -59,6 +59,8 @@
     std::optional<std::uint64_t> leavingEra;
     // No attempt is started here before this time, even if all other upstreams are unavailable.
     instant blockedUntil;
+    // The limit that the upstream named in its last answer to this router, in requests a second from all routers together.
+    std::optional<double> statedRateLimit;
     // Set if the record expired during an outage of the store: the upstream is removed at this time unless the record has
     // returned.
     std::optional<instant> expiresAt;
--- a/tests/platform/answer_codec_test.cpp
+++ b/tests/platform/answer_codec_test.cpp
@@ -47,3 +47,28 @@
         CHECK(answer.invalidRetryAfter == text);
     }
 }
+
+TEST_CASE("the limit that an upstream names is read from answers of any status and not forwarded", "[platform][rate-limit]")
+{
+    for (const int status : { 200, 429, 500, 503 }) {
+        const auto answer = decode(status, { { "server-limit", "2.5" }, { "Content-Type", "text/plain" } });
+        REQUIRE(answer.rateLimit.has_value());
+        CHECK(valueOf(*answer.rateLimit) == 2.5);
+        CHECK(findHeader(answer.head.headers, "Server-Limit") == nullptr);
+        CHECK(findHeader(answer.head.headers, "Content-Type") != nullptr);
+    }
+    for (const auto& [text, requestsPerSecond] : std::vector<std::pair<std::string, double>> { { "0.125", 0.125 }, { "0", 0 }, { "370", 370 }, { "1.0", 1 } })
+        CHECK(valueOf(*decode(200, { { "Server-Limit", text } }).rateLimit) == requestsPerSecond);
+    CHECK_FALSE(decode(200, {}).rateLimit.has_value());
+}
+
+TEST_CASE("a limit that can't be read is an error and not forwarded", "[platform][rate-limit]")
+{
+    for (const auto* text : { "", "-1", "nan", "inf", "1/s", " 2", "1e3", "1,5", "many" }) {
+        CAPTURE(text);
+        const auto answer = decode(200, { { "Server-Limit", text } });
+        REQUIRE(answer.rateLimit.has_value());
+        CHECK(errorOf(*answer.rateLimit) != nullptr);
+        CHECK(findHeader(answer.head.headers, "Server-Limit") == nullptr);
+    }
+}
