--- a/tests/support/fleet_fixture.h
+++ b/tests/support/fleet_fixture.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <unordered_map>
 
 namespace kumquat::router {
 
@@ -18,6 +19,8 @@
     struct network {
         double lossShare = 0;
         duration maxDelay = milliseconds(5);
+        // Datagrams arrive at whole multiples of this time.
+        duration resolution = duration(1);
         // Returns true if a datagram from the first to the second address is lost.
         std::function<bool(const std::string&, const std::string&)> isCut = [](const std::string&, const std::string&) { return false; };
     };
@@ -37,13 +40,16 @@
         options.settings.address = "10.0.0." + std::to_string(number);
         options.settings.seeds = { "10.0.0.1", "10.0.0.2", "10.0.0.3" };
         options.incarnation = 100 + number;
-        m_nodes.push_back(std::make_unique<node>(node { options.settings.address, dataCentre, router_reducer(options), true }));
+        m_nodes.push_back(std::make_unique<node>(node { m_nodes.size(), options.settings.address, dataCentre, router_reducer(options), true }));
+        m_numbers[options.settings.address] = m_nodes.size() - 1;
         step(*m_nodes.back(), router_timer_due {});
     }
 
     std::size_t size() const { return m_nodes.size(); }
     const std::string& address(std::size_t number) const { return m_nodes[number]->address; }
     const std::string& dataCentre(std::size_t number) const { return m_nodes[number]->dataCentre; }
+    // The reducer of a router, for what it has concluded.
+    const router_reducer& reducer(std::size_t number) const { return m_nodes[number]->reducer; }
     const peer_group& peers(std::size_t number) const { return m_nodes[number]->reducer.peers(); }
     instant now() const { return m_now; }
 
@@ -115,6 +121,8 @@
         instant sentAt;
     };
     std::vector<sent_datagram> sent;
+    // Whether `sent` is kept. Large fleets send too much for that.
+    bool recordsSent = true;
     // The refused suspects in the store with the times of their last crashes, by their ids.
     std::map<std::uint64_t, std::pair<crash_suspect, instant>> storedRefusals;
     bool refusalStoreIsDown = false;
@@ -124,6 +132,7 @@
 
 private:
     struct node {
+        std::size_t number = 0;
         std::string address;
         std::string dataCentre;
         router_reducer reducer;
@@ -154,14 +163,14 @@
         while (!m_inTransit.empty() && m_inTransit.begin()->first <= m_now) {
             auto datagram = std::move(m_inTransit.begin()->second);
             m_inTransit.erase(m_inTransit.begin());
-            for (const auto& item : m_nodes) {
-                if (item->address != datagram.to || !item->alive)
-                    continue;
-                if (item->suspended)
-                    m_inTransit.emplace(m_now + milliseconds(10), datagram);
-                else
-                    step(*item, digest_received { datagram.from, datagram.digest });
-            }
+            const auto receiver = m_numbers.find(datagram.to);
+            if (receiver == m_numbers.end() || !isAlive(receiver->second))
+                continue;
+            auto& item = *m_nodes[receiver->second];
+            if (item.suspended)
+                m_inTransit.emplace(m_now + milliseconds(10), datagram);
+            else
+                step(item, digest_received { datagram.from, std::move(datagram.digest) });
         }
     }
 
@@ -177,9 +186,8 @@
     {
         router_effects effects;
         target.reducer.step(std::move(event), m_now, effects);
-        const auto position = std::find_if(m_nodes.begin(), m_nodes.end(), [&target](const auto& item) { return item.get() == &target; });
         for (auto& effect : effects) {
-            onEffect(static_cast<std::size_t>(position - m_nodes.begin()), effect);
+            onEffect(target.number, effect);
             if (auto* message = std::get_if<send_digest>(&effect))
                 send(target.address, *message);
             if (const auto* read = std::get_if<read_store>(&effect))
@@ -192,12 +200,14 @@
     void send(const std::string& from, const send_digest& message)
     {
         for (const auto& to : message.addresses) {
-            sent.push_back({ from, to, message.digest, m_now });
+            if (recordsSent)
+                sent.push_back({ from, to, message.digest, m_now });
             const bool isLost = std::uniform_real_distribution<>(0, 1)(m_random) < net.lossShare;
             if (isLost || net.isCut(from, to))
                 continue;
             const auto delay = duration(m_random() % static_cast<std::uint64_t>(net.maxDelay.count()));
-            m_inTransit.emplace(m_now + delay, sent_datagram { from, to, message.digest, m_now });
+            const auto arrivesAt = (m_now + delay).time_since_epoch() + net.resolution - duration(1);
+            m_inTransit.emplace(instant(arrivesAt - arrivesAt % net.resolution), sent_datagram { from, to, message.digest, m_now });
         }
     }
 
@@ -247,6 +257,7 @@
     std::mt19937_64 m_random;
     instant m_now = instant() + std::chrono::hours(1);
     std::vector<std::unique_ptr<node>> m_nodes;
+    std::unordered_map<std::string, std::size_t> m_numbers;
     std::multimap<instant, sent_datagram> m_inTransit;
     caller_id m_lastCaller = 0;
     std::uint64_t m_revision = 5;
