Keep all routers together within the limit that an upstream names

Callers saw: an upstream that asked for 1 request a second went on getting its usual load (13 in 4 s, 11 allowed), so that what ran there got no relief. Cause: routers did not act on the limit; each chose upstreams by load and cache alone. Change: each router computes its share of a limit from the routers that it knows, and paces new requests, retries and resumptions by a token bucket; a hedge takes nothing of a limit. Up to floor(limit) + 3 shares are given out, by rendezvous hashing over data centres and routers when there are more routers, since one saved-up request of each of 370 routers exceeds a small limit. A router counts others for 20 s after they fell silent, has no share for 3 s after it has started or stood still, and assumes 8 routers while it hears none. Limits go to the other routers in digests (format 4); only what answers told a router or its data centre is passed on, so that an old limit can't circulate. After the end of a limit the rate doubles each second for 6 s. A value that can't be read changes nothing.

--- a/core/router_digest.h
+++ b/core/router_digest.h
@@ -41,6 +41,20 @@
     bool operator==(const leaving_upstream&) const = default;
 };
 
+// The limit that an upstream named in an answer to a router.
+struct upstream_limit_report {
+    // Hash of the upstream's id.
+    std::uint32_t upstream = 0;
+    // As in upstream_record; a successor under the same id does not have the limit.
+    std::int64_t startedUnixMs = 0;
+    // The requests a second from all routers together, or nothing if the upstream names no limit any more.
+    std::optional<double> requestsPerSecond;
+    // The time since that answer.
+    std::chrono::milliseconds age {};
+
+    bool operator==(const upstream_limit_report&) const = default;
+};
+
 // Where a router can be reached.
 struct router_contact {
     std::string address;
@@ -99,6 +113,8 @@
     std::vector<cached_prompt_part> cachedParts;
     // Upstreams whose answers to the routers for which the digest speaks stated a short time ago that they are shutting down.
     std::vector<leaving_upstream> leavingUpstreams;
+    // Limits that upstreams named to the routers for which the digest speaks.
+    std::vector<upstream_limit_report> limits;
     // What crashed upstreams, as far as the routers know for which the digest speaks.
     crash_news crashNews;
 };
--- a/drivers/cbor/digest_codec.cpp
+++ b/drivers/cbor/digest_codec.cpp
@@ -1,6 +1,7 @@
 #include "drivers/cbor/digest_codec.h"
 
 #include <algorithm>
+#include <cmath>
 #include <nlohmann/json.hpp>
 
 namespace kumquat {
@@ -35,9 +36,10 @@
         answered_suspects,
         refused_suspects,
         leaving_upstreams,
+        limits,
         field_count };
 
-    constexpr int formatVersion = 3;
+    constexpr int formatVersion = 4;
     // How many consecutive numbers of a flat list encode one load, one cached prompt part, one crash and one suspect.
     constexpr std::size_t numbersPerLoad = 4;
     constexpr std::size_t numbersPerPart = 3;
@@ -48,6 +50,9 @@
     // A leaving upstream is encoded as its id and its start time.
     constexpr std::size_t valuesPerLeavingUpstream = 2;
 
+    // A limit is encoded as the upstream's key and start time, the rate or null, and the age.
+    constexpr std::size_t valuesPerLimit = 4;
+
     crash_suspect decodeSuspect(const json& kind, const json& id)
     {
         return { kind.get<int>() == static_cast<int>(suspect_kind::request) ? suspect_kind::request : suspect_kind::prompt_part, id.get<std::uint64_t>() };
@@ -69,6 +74,29 @@
         return suspects;
     }
 
+    std::vector<upstream_limit_report> decodeLimits(const json& list)
+    {
+        std::vector<upstream_limit_report> reports;
+        for (std::size_t index = 0; index + valuesPerLimit <= list.size(); index += valuesPerLimit) {
+            const auto& rate = list[index + 2];
+            reports.push_back({ list[index].get<std::uint32_t>(), list[index + 1].get<std::int64_t>(), rate.is_null() ? std::nullopt : std::optional(rate.get<double>()), std::chrono::milliseconds(list[index + 3].get<std::int64_t>()) });
+        }
+        return reports;
+    }
+
+    bool hasValidLimits(const router_digest& digest)
+    {
+        return std::all_of(digest.limits.begin(), digest.limits.end(), [](const upstream_limit_report& report) { return !report.requestsPerSecond || (std::isfinite(*report.requestsPerSecond) && *report.requestsPerSecond >= 0); });
+    }
+
+    json encodeLimits(const std::vector<upstream_limit_report>& reports)
+    {
+        json list = json::array();
+        for (const auto& report : reports)
+            list.insert(list.end(), { report.upstream, report.startedUnixMs, report.requestsPerSecond ? json(*report.requestsPerSecond) : json(), report.age.count() });
+        return list;
+    }
+
     json encodeCrashes(const std::vector<crash_report>& reports)
     {
         json list = json::array();
@@ -116,6 +144,7 @@
         const auto& leavingList = root.at(leaving_upstreams);
         for (std::size_t index = 0; index + valuesPerLeavingUpstream <= leavingList.size(); index += valuesPerLeavingUpstream)
             digest.leavingUpstreams.push_back({ leavingList[index].get<std::string>(), leavingList[index + 1].get<std::int64_t>() });
+        digest.limits = decodeLimits(root.at(limits));
         return digest;
     }
 
@@ -137,7 +166,7 @@
         leavingList.insert(leavingList.end(), { upstream.id, upstream.startedUnixMs });
     const json age = digest.configAge ? json(digest.configAge->count()) : json();
     const json root { formatVersion, digest.scope == digest_scope::data_centre, digest.instance, digest.dataCentre, digest.routers, digest.relayed, digest.incarnation, digest.sequence, digest.leaving, digest.storeEra,
-        digest.configPosition.era, digest.configPosition.revision, age, digest.configVersion, digest.upstreamPosition.era, digest.upstreamPosition.revision, std::move(memberList), digest.slice.index, digest.slice.count, std::move(loadList), std::move(partList), encodeCrashes(digest.crashNews.crashes), encodeSuspects(digest.crashNews.answered), encodeSuspects(digest.crashNews.refused), std::move(leavingList) };
+        digest.configPosition.era, digest.configPosition.revision, age, digest.configVersion, digest.upstreamPosition.era, digest.upstreamPosition.revision, std::move(memberList), digest.slice.index, digest.slice.count, std::move(loadList), std::move(partList), encodeCrashes(digest.crashNews.crashes), encodeSuspects(digest.crashNews.answered), encodeSuspects(digest.crashNews.refused), std::move(leavingList), encodeLimits(digest.limits) };
     std::string bytes;
     json::to_cbor(root, bytes);
     return bytes;
@@ -149,7 +178,10 @@
     if (!root.is_array() || root.size() != field_count || root[version] != formatVersion)
         return error { "datagram of " + std::to_string(bytes.size()) + " bytes is not a router digest of version " + std::to_string(formatVersion) };
     try {
-        return decode(root);
+        auto digest = decode(root);
+        if (!hasValidLimits(digest))
+            return error { "router digest of '" + digest.instance + "' has a limit that is not a rate" };
+        return digest;
     } catch (const json::exception& failure) {
         return error { std::string("router digest cannot be decoded: ") + failure.what() };
     }
--- a/servers/router/crash_news.cpp
+++ b/servers/router/crash_news.cpp
@@ -1,6 +1,5 @@
 #include "servers/router/crash_tracker.h"
-
-#include <algorithm>
+#include "servers/router/rotation.h"
 
 // What routers tell each other about crashes, and what they learn from it.
 
@@ -21,18 +20,6 @@
         return std::chrono::ceil<std::chrono::milliseconds>(now - time);
     }
 
-    // Returns up to maxItems entries, beginning at a position that the rotation selects.
-    template <typename Item>
-    std::vector<Item> takeRotated(std::vector<Item> items, std::size_t maxItems, std::size_t rotation)
-    {
-        if (items.size() <= maxItems)
-            return items;
-        const auto start = rotation * maxItems % items.size();
-        std::rotate(items.begin(), items.begin() + static_cast<std::ptrdiff_t>(start), items.end());
-        items.resize(maxItems);
-        return items;
-    }
-
 } // namespace
 
 void crash_tracker::learn(const crash_news& reported, news_origin origin, instant now)
--- a/servers/router/peer_group.cpp
+++ b/servers/router/peer_group.cpp
@@ -170,6 +170,26 @@
     return result;
 }
 
+std::vector<std::string> peer_group::neighbourNames() const
+{
+    std::vector<std::string> names;
+    for (const auto& [name, peer] : m_peers) {
+        if (isNeighbour(peer))
+            names.push_back(name);
+    }
+    return names;
+}
+
+std::map<std::string, int> peer_group::otherDataCentres() const
+{
+    std::map<std::string, int> counts;
+    for (const auto& [name, peer] : m_peers) {
+        if (!isNeighbour(peer))
+            counts.emplace(peer.dataCentre, peer.routers);
+    }
+    return counts;
+}
+
 std::vector<leaving_upstream> peer_group::leavingInDataCentre() const
 {
     std::vector<leaving_upstream> leaving;
--- a/servers/router/peer_group.h
+++ b/servers/router/peer_group.h
@@ -52,6 +52,10 @@
     // Keeps this router from being the aggregator for a time, since it may have missed which routers live.
     void suspendAggregator(instant now);
 
+    // The names of the routers of this data centre whose digests arrive here.
+    std::vector<std::string> neighbourNames() const;
+    // The number of routers in each other data centre, by its last summary.
+    std::map<std::string, int> otherDataCentres() const;
     // The number of the other routers, in all data centres.
     std::size_t count() const;
     // The number of the other routers in this data centre whose digests arrive here.
--- a/servers/router/placement.cpp
+++ b/servers/router/placement.cpp
@@ -15,6 +15,8 @@
         std::vector<shared_upstream> eligible;
         std::vector<shared_upstream> healthy;
         for (const auto& item : request.upstreams) {
+            if (request.isAdditional && item->quota)
+                continue;
             if (!item->acceptsRequests(request.now) || std::find(request.excluded.begin(), request.excluded.end(), item->record.id) != request.excluded.end())
                 continue;
             eligible.push_back(item);
--- a/servers/router/placement.h
+++ b/servers/router/placement.h
@@ -44,6 +44,8 @@
     // Knows the load of the other routers at each upstream.
     const peer_group& peers;
     instant now;
+    // The attempt is made in addition to another one that is still running, so it uses up no limit of an upstream.
+    bool isAdditional = false;
 };
 
 // The selected upstream, and what the log says of the selection.
--- a/servers/router/router_attempts.cpp
+++ b/servers/router/router_attempts.cpp
@@ -27,7 +27,7 @@
     if (progress.deadline - m_now < minTimeLeft || refuseSuspect(progress))
         return false;
     const placement_policy policy = progress.targetsEngine && progress.matchedRoute->usesPromptCache ? m_options.enginePlacement : least_in_flight {};
-    const auto selected = place(policy, { m_upstreams.ofService(progress.service), *progress.request, progress.triedUpstreams, m_options.settings.dataCentre, m_peers, m_now });
+    const auto selected = place(policy, { m_upstreams.ofService(progress.service), *progress.request, progress.triedUpstreams, m_options.settings.dataCentre, m_peers, m_now, !progress.attempts.empty() });
     if (!selected.upstream) {
         log(log_level::warning, "no_upstream", { { "request", progress.request->requestId }, { "service", progress.service }, { "known", std::to_string(m_upstreams.ofService(progress.service).size()) }, { "tried", std::to_string(progress.triedUpstreams.size()) }, { "records", toString(positionOf(m_upstreamWatcher.revision())) } });
         return false;
@@ -44,6 +44,8 @@
         { { "request", progress.request->requestId }, { "route", progress.matchedRoute->name }, { "organisation", progress.organisation }, { "urgency", std::to_string(progress.urgency) }, { "upstream", upstream.record.id },
             { "cause", cause }, { "by", selected.reason }, { "candidates", std::to_string(selected.candidates) }, { "in_flight", std::to_string(upstream.inFlight) },
             { "record", toString(upstream.position) }, { "record_age_ms", formatMilliseconds(m_now - upstream.readAt) }, { "config", std::to_string(progress.config->version) }, { "left_ms", formatMilliseconds(progress.deadline - m_now) } });
+    if (upstream.quota)
+        upstream.quota->bucket.take(m_now);
     ++upstream.inFlight;
     ++progress.attemptCount;
     progress.triedUpstreams.push_back(upstream.record.id);
--- a/servers/router/router_peers.cpp
+++ b/servers/router/router_peers.cpp
@@ -21,9 +21,11 @@
     constexpr auto refusalListIntervalAlone = std::chrono::seconds(2);
     // After a stall, messages that waited in the sockets are read within this time.
     constexpr auto waitingMessagesTime = std::chrono::milliseconds(500);
-    // So many loads fit in a datagram beside the prompt parts and the news of crashes, which share their space.
+    // So many loads fit in a datagram beside the prompt parts, the news of crashes and the limits, which share their space.
     constexpr std::size_t maxLoadsPerDigest = 36;
-    constexpr std::size_t maxPartsAndCrashNewsPerDigest = 26;
+    constexpr std::size_t maxPartsAndNewsPerDigest = 26;
+    // A limit takes as much space as this many prompt parts.
+    constexpr std::size_t spaceOfLimit = 2;
     constexpr std::size_t maxCrashNewsPerDigest = 18;
 
     // Adds one slice of the loads to a digest, another one for each rotation.
@@ -37,10 +39,11 @@
         digest.loads = std::move(loads);
     }
 
-    // Adds the newest prompt parts to a digest that has its news of crashes: they are the ones that the engines still have cached.
+    // Adds the newest prompt parts to a digest that has its news of crashes and its limits: they are the ones that the engines still have cached.
     void addCachedParts(router_digest& digest, const std::vector<cached_prompt_part>& parts)
     {
-        const auto count = std::min(parts.size(), maxPartsAndCrashNewsPerDigest - digest.crashNews.size());
+        const auto used = std::min(maxPartsAndNewsPerDigest, digest.crashNews.size() + digest.limits.size() * spaceOfLimit);
+        const auto count = std::min(parts.size(), maxPartsAndNewsPerDigest - used);
         digest.cachedParts.assign(parts.end() - static_cast<std::ptrdiff_t>(count), parts.end());
     }
 
@@ -61,6 +64,8 @@
         return;
     if (m_peers.neighbourCount() != previousPeerCount)
         log(log_level::info, digest.leaving ? "peer_left" : "peer_heard", { { "peer", digest.instance }, { "address", received.address }, { "peers", std::to_string(m_peers.count()) } });
+    if (digest.leaving && digest.scope == digest_scope::router)
+        m_census.remove(digest.instance);
     learnFromDigest(digest);
     if (digest.scope == digest_scope::data_centre && !digest.relayed) {
         auto relayed = std::move(received.digest);
@@ -79,6 +84,7 @@
         if (upstream && upstream->record.startedUnixMs == leaving.startedUnixMs && !upstream->announcedLeaving)
             markLeaving(*upstream, digest.instance);
     }
+    learnLimits(digest);
     for (const auto& part : digest.cachedParts) {
         if (const auto upstream = m_upstreams.findByKey(part.upstream))
             upstream->promptCache.recordPart({ part.part, part.tokens }, engineKvCacheTokens(upstream->record.service));
@@ -100,6 +106,7 @@
     log(log_level::warning, "clock_jumped", { { "gap_ms", formatMilliseconds(jumped.gap) } });
     m_peers.discardConfirmations();
     m_peers.suspendAggregator(m_now);
+    m_census.unsettle(m_now);
     cancelRead(store_kind::upstreams);
     cancelRead(store_kind::configuration);
     m_upstreamWatcher.resetAndRelist();
@@ -116,6 +123,7 @@
     log(log_level::warning, "process_stalled", { { "gap_ms", formatMilliseconds(stalled.gap) } });
     m_peers.distrustConfirmations(m_now + waitingMessagesTime);
     m_peers.suspendAggregator(m_now);
+    m_census.unsettle(m_now);
     cancelRead(store_kind::configuration);
     m_configWatcher.relist();
 }
@@ -135,6 +143,7 @@
     if (m_peers.count() != previousPeerCount)
         log(log_level::warning, "peer_lost", { { "peers", std::to_string(m_peers.count()) } });
     m_retryLimiter.setOptions(retryOptions());
+    refreshShares();
     m_upstreamWatcher.setBatchDelay(recordBatchDelay());
     detectStaleWatch();
     confirmConfig();
@@ -168,6 +177,7 @@
     digest.members = m_peers.sampleContacts();
     addLoads(digest, ownLoads(), m_digestSlice++);
     digest.crashNews = m_crashes.ownNews(maxCrashNewsPerDigest, m_now);
+    digest.limits = limitReports(digest_scope::router, m_digestSlice);
     digest.leavingUpstreams = recentLeavingUpstreams();
     m_summaryCachedParts.insert(m_summaryCachedParts.end(), m_recentCachedParts.begin(), m_recentCachedParts.end());
     addCachedParts(digest, std::exchange(m_recentCachedParts, {}));
@@ -227,6 +237,7 @@
     summary.members = m_peers.sampleContacts();
     addLoads(summary, m_peers.sumOfDataCentre(ownLoads()), m_summarySlice++);
     summary.crashNews = m_crashes.dataCentreNews(maxCrashNewsPerDigest, m_now);
+    summary.limits = limitReports(digest_scope::data_centre, m_summarySlice);
     summary.leavingUpstreams = recentLeavingUpstreams();
     const auto others = m_peers.leavingInDataCentre();
     summary.leavingUpstreams.insert(summary.leavingUpstreams.end(), others.begin(), others.end());
--- a/servers/router/router_reducer.cpp
+++ b/servers/router/router_reducer.cpp
@@ -1,13 +1,13 @@
 #include "servers/router/router_reducer.h"
 
+#include <algorithm>
+
 namespace kumquat::router {
 
 namespace {
 
     // The share of the configured retry limit that all routers together use.
     constexpr double retryLimitShare = 0.9;
-    // The number of routers that is assumed while no digest has arrived.
-    constexpr std::size_t assumedRouterCount = 8;
 
 } // namespace
 
@@ -26,8 +26,10 @@
 {
     m_now = now;
     m_effects = &effects;
-    if (!m_startedAt)
+    if (!m_startedAt) {
         m_startedAt = now;
+        m_census.unsettle(now);
+    }
     std::visit([this](auto& item) { on(std::move(item)); }, event);
     readUpstreams();
     readConfig();
@@ -48,6 +50,8 @@
 {
     const auto& settings = m_options.settings;
     m_peers.setSelf(settings.instance, { settings.address, settings.dataCentre }, settings.seeds);
+    const bool expectsOthers = std::any_of(settings.seeds.begin(), settings.seeds.end(), [&settings](const std::string& seed) { return seed != settings.address; });
+    m_census.setSelf(settings.instance, settings.dataCentre, expectsOthers);
 }
 
 std::optional<instant> router_reducer::nextDeadline() const
@@ -64,7 +68,7 @@
 {
     const auto& settings = m_options.settings;
     // Counts the known peers, this router, and one that may have started just now.
-    const auto routers = static_cast<double>(m_peers.count() == 0 ? assumedRouterCount : m_peers.count() + 2);
+    const auto routers = static_cast<double>(m_peers.count() == 0 ? router_census::assumedCount : m_peers.count() + 2);
     return { settings.retryRatio * retryLimitShare, settings.retryAllowance * retryLimitShare / routers, settings.retryWindow };
 }
 
--- a/servers/router/router_reducer.h
+++ b/servers/router/router_reducer.h
@@ -149,13 +149,18 @@
     // What upstreams state about themselves in their answers.
     void acceptStatements(upstream_state&, const upstream_answer&);
     void acceptRetryAfter(upstream_state&, const upstream_answer&);
-    void acceptRateLimit(upstream_state&, const upstream_answer&);
-    // How long until an upstream of the service accepts requests again, if each one in service has asked for a pause;
-    // otherwise nothing.
-    std::optional<std::chrono::milliseconds> timeUntilUnblocked(const std::string& service) const;
     void markLeaving(upstream_state&, const std::string& statedTo);
     std::vector<leaving_upstream> recentLeavingUpstreams();
 
+    // Limits that upstreams name for the requests of all routers together.
+    void acceptRateLimit(upstream_state&, const upstream_answer&);
+    void recordLimit(upstream_state&, const limit_statement&, statement_source, const std::string& statedTo);
+    void applyShare(upstream_state&);
+    // Brings the shares of all limits up to date and drops the limits that are over.
+    void refreshShares();
+    std::vector<upstream_limit_report> limitReports(digest_scope, std::uint32_t rotation) const;
+    void learnLimits(const router_digest&);
+
     // Answers to callers.
     void onStreamHead(request_progress&, active_attempt&);
     void forwardEvents(request_progress&, active_attempt&, std::string events);
@@ -223,6 +228,7 @@
     retry_limiter m_retryLimiter;
     upstream_table m_upstreams;
     peer_group m_peers;
+    router_census m_census;
     crash_tracker m_crashes;
     refusal_store m_refusalStore;
     // The call to the store about refused suspects that is in progress, or 0.
--- a/servers/router/router_statements.cpp
+++ b/servers/router/router_statements.cpp
@@ -11,11 +11,6 @@
     // Digests tell for this long that an upstream is leaving, so that a router that loses some of them still learns of it.
     constexpr auto leavingAnnouncementTime = std::chrono::seconds(5);
 
-    std::string formatRate(const std::optional<double>& requestsPerSecond)
-    {
-        return requestsPerSecond ? std::to_string(*requestsPerSecond) : "none";
-    }
-
 } // namespace
 
 void router_reducer::acceptStatements(upstream_state& upstream, const upstream_answer& answer)
@@ -41,30 +36,6 @@
     emit(count_metric { "kumquat_router_paused_upstreams_total", {} });
 }
 
-void router_reducer::acceptRateLimit(upstream_state& upstream, const upstream_answer& answer)
-{
-    if (const auto* failure = answer.rateLimit ? errorOf(*answer.rateLimit) : nullptr)
-        return log(log_level::warning, "upstream_limit_unreadable", { { "upstream", upstream.record.id }, { "reason", failure->message } });
-    const auto stated = answer.rateLimit ? std::optional(valueOf(*answer.rateLimit)) : std::nullopt;
-    if (stated == upstream.statedRateLimit)
-        return;
-    log(log_level::info, "upstream_limited", { { "upstream", upstream.record.id }, { "requests_per_s", formatRate(stated) }, { "before", formatRate(upstream.statedRateLimit) }, { "in_flight", std::to_string(upstream.inFlight) } });
-    emit(count_metric { "kumquat_router_rate_limit_changes_total", {} });
-    upstream.statedRateLimit = stated;
-}
-
-std::optional<std::chrono::milliseconds> router_reducer::timeUntilUnblocked(const std::string& service) const
-{
-    std::optional<instant> earliest;
-    for (const auto& upstream : m_upstreams.ofService(service)) {
-        if (upstream->inService() && (!earliest || upstream->blockedUntil < *earliest))
-            earliest = upstream->blockedUntil;
-    }
-    if (!earliest || *earliest <= m_now)
-        return std::nullopt;
-    return std::chrono::ceil<std::chrono::milliseconds>(*earliest - m_now);
-}
-
 void router_reducer::markLeaving(upstream_state& upstream, const std::string& statedTo)
 {
     upstream.announcedLeaving = true;
--- a/servers/router/upstream_table.cpp
+++ b/servers/router/upstream_table.cpp
@@ -25,6 +25,15 @@
 
 } // namespace
 
+std::optional<duration> upstream_state::timeUntilAccepting(instant now) const
+{
+    const auto pause = std::max(duration {}, blockedUntil - now);
+    if (!quota)
+        return pause;
+    const auto wait = quota->bucket.timeUntilToken(now);
+    return wait ? std::optional(std::max(pause, *wait)) : std::nullopt;
+}
+
 table_change upstream_table::put(const upstream_record& record, store_position position, instant now)
 {
     std::erase_if(m_removed, [now](const auto& item) { return now - item.second.removedAt > removalRetention; });
@@ -99,6 +108,7 @@
         return;
     added.announcedLeaving = predecessor.announcedLeaving;
     added.blockedUntil = predecessor.blockedUntil;
+    added.quota = predecessor.quota;
 }
 
 void upstream_table::insert(shared_upstream added)
--- a/servers/router/upstream_table.h
+++ b/servers/router/upstream_table.h
@@ -5,6 +5,7 @@
 #include "core/store_position.h"
 #include "core/upstream_record.h"
 #include "servers/router/prompt_cache_model.h"
+#include "servers/router/upstream_quota.h"
 
 #include <memory>
 #include <optional>
@@ -59,14 +60,17 @@
     std::optional<std::uint64_t> leavingEra;
     // No attempt is started here before this time, even if all other upstreams are unavailable.
     instant blockedUntil;
-    // The limit that the upstream named in its last answer to this router, in requests a second from all routers together.
-    std::optional<double> statedRateLimit;
+    // Present while the upstream limits the requests of all routers together.
+    std::optional<upstream_quota> quota;
     // Set if the record expired during an outage of the store: the upstream is removed at this time unless the record has
     // returned.
     std::optional<instant> expiresAt;
 
     bool inService() const { return !record.leaving && !announcedLeaving && !staleAddress; }
-    bool acceptsRequests(instant now) const { return inService() && blockedUntil <= now; }
+    bool acceptsRequests(instant now) const { return inService() && timeUntilAccepting(now) == duration {}; }
+    // How long until the pause that the upstream has asked for is over and its limit leaves this router a request, or nothing
+    // if this router has no share of the limit.
+    std::optional<duration> timeUntilAccepting(instant now) const;
 };
 
 using shared_upstream = std::shared_ptr<upstream_state>;
--- a/tests/servers/router/rate_limit_test.cpp
+++ b/tests/servers/router/rate_limit_test.cpp
@@ -5,11 +5,14 @@
 
 namespace {
 
-// A fleet of four routers, and one of the largest size that is designed for.
+constexpr std::size_t smallFleet = 4;
+constexpr std::size_t largeFleet = 370;
+
+// The sizes that run today, and the largest one that is designed for. Requests arrive faster than small limits allow.
 rate_limit_fixture::options fleetOf(std::size_t routers, unsigned seed = 1)
 {
-    if (routers == 4)
-        return { .routers = 4, .dataCentres = 4, .upstreams = 9, .seed = seed, .requestInterval = milliseconds(30) };
+    if (routers == smallFleet)
+        return { .routers = routers, .dataCentres = 4, .upstreams = 9, .seed = seed, .requestInterval = milliseconds(30) };
     return { .routers = routers, .dataCentres = 7, .upstreams = 40, .seed = seed, .requestInterval = milliseconds(4) };
 }
 
@@ -21,7 +24,7 @@
     CAPTURE(limit);
     for (unsigned seed = 1; seed <= 3; ++seed) {
         CAPTURE(seed);
-        rate_limit_fixture site(fleetOf(4, seed));
+        rate_limit_fixture site(fleetOf(smallFleet, seed));
         site.run(seconds(2));
         site.setLimits(limit);
         site.run(seconds(20));
@@ -31,8 +34,160 @@
 
 TEST_CASE("370 routers stay within an upstream's limit together", "[rate-limit]")
 {
-    rate_limit_fixture site(fleetOf(370));
+    rate_limit_fixture site(fleetOf(largeFleet));
     site.setLimits(1);
-    site.run(seconds(12));
+    const auto from = site.fleet.now();
+    site.run(seconds(16));
+    CHECK(site.worstExcess() <= 0);
+    CHECK(site.arrivalRate(from + seconds(4)) >= 0.5 * 40);
+}
+
+TEST_CASE("every number of routers and data centres uses most of a limit and no more", "[rate-limit]")
+{
+    const auto routers = GENERATE(std::size_t(1), std::size_t(2), std::size_t(7), std::size_t(24));
+    const auto dataCentres = GENERATE(std::size_t(1), std::size_t(3));
+    const auto limit = GENERATE(0.5, 2.0, 6.0);
+    CAPTURE(routers, dataCentres, limit);
+    rate_limit_fixture site({ .routers = routers, .dataCentres = dataCentres, .upstreams = 6, .requestInterval = milliseconds(15) });
+    site.setLimits(limit);
+    site.run(seconds(20));
+    const auto from = site.fleet.now();
+    site.run(seconds(40));
+    CHECK(site.worstExcess() <= 0);
+    CHECK(site.arrivalRate(from) >= 0.5 * 6 * limit);
+}
+
+TEST_CASE("retries, hedges and resumptions count for an upstream's limit", "[rate-limit]")
+{
+    const auto* path = GENERATE("/stream/x", "/look/x", "/pay/x");
+    const auto limit = GENERATE(0.5, 1.0, 4.0);
+    CAPTURE(path, limit);
+    auto options = fleetOf(smallFleet);
+    options.path = path;
+    options.brokenShare = 0.3;
+    options.refusedShare = 0.2;
+    options.answerTime = milliseconds(350);
+    rate_limit_fixture site(options);
+    site.setLimits(limit);
+    site.run(seconds(25));
+    CHECK(site.worstExcess() <= 0);
+}
+
+TEST_CASE("a request that is still running is not hedged at an upstream with a limit", "[rate-limit]")
+{
+    router_fixture fixture;
+    fixture.start();
+    for (caller_id caller = 1; caller <= 2; ++caller) {
+        fixture.request(caller, "/pay/x");
+        auto answer = router_fixture::answer(200);
+        answer.rateLimit = 100.0;
+        fixture.step(answer_started { fixture.only<start_attempt>().attemptNumber, std::move(answer) });
+    }
+    fixture.advance(seconds(4));
+    fixture.request(3, "/look/x");
+    REQUIRE(fixture.all<start_attempt>().size() == 1);
+    CHECK(router_fixture::all<start_attempt>(fixture.advance(milliseconds(900))).empty());
+}
+
+TEST_CASE("routers that join, restart, stand still or are cut off leave the others within a limit", "[rate-limit]")
+{
+    const auto limit = GENERATE(0.5, 1.0, 3.0);
+    CAPTURE(limit);
+    for (unsigned seed = 1; seed <= 4; ++seed) {
+        CAPTURE(seed);
+        rate_limit_fixture site(fleetOf(smallFleet, seed));
+        site.setLimits(limit);
+        site.run(seconds(8));
+        site.addRouter();
+        site.run(seconds(5));
+        site.restartRouter(1);
+        site.run(seconds(5));
+        site.fleet.kill(4);
+        site.run(seconds(5));
+        site.fleet.setSuspended(2, true);
+        site.run(seconds(5));
+        site.fleet.setSuspended(2, false);
+        site.fleet.post(2, process_stalled { seconds(5) });
+        site.run(seconds(5));
+        site.fleet.net.isCut = [&site](const std::string& from, const std::string& to) { return from == site.fleet.address(3) || to == site.fleet.address(3); };
+        site.excuse(3);
+        site.run(seconds(30));
+        site.fleet.net.isCut = [](const std::string&, const std::string&) { return false; };
+        site.run(seconds(10));
+        CHECK(site.worstExcess() <= 0);
+    }
+}
+
+TEST_CASE("routers that all restart at once stay within a limit", "[rate-limit]")
+{
+    for (unsigned seed = 1; seed <= 4; ++seed) {
+        CAPTURE(seed);
+        rate_limit_fixture site(fleetOf(smallFleet, seed));
+        site.setLimits(1);
+        site.run(seconds(8));
+        for (std::size_t number = 0; number < smallFleet; ++number)
+            site.restartRouter(number);
+        site.run(seconds(15));
+        CHECK(site.worstExcess() <= 0);
+    }
+}
+
+TEST_CASE("370 routers stay within a limit while some join, die or stand still", "[rate-limit]")
+{
+    rate_limit_fixture site(fleetOf(largeFleet));
+    site.setLimits(1);
+    site.run(seconds(6));
+    for (std::size_t number = 0; number < 20; ++number) {
+        site.fleet.kill(number * 7);
+        site.addRouter();
+        site.fleet.setSuspended(number * 7 + 3, true);
+    }
+    site.run(seconds(4));
+    for (std::size_t number = 0; number < 20; ++number)
+        site.fleet.setSuspended(number * 7 + 3, false);
+    site.run(seconds(8));
+    CHECK(site.worstExcess() <= 0);
+}
+
+TEST_CASE("an upstream may raise and lower its limit, stop naming it and name it again", "[rate-limit]")
+{
+    for (unsigned seed = 1; seed <= 4; ++seed) {
+        CAPTURE(seed);
+        rate_limit_fixture site(fleetOf(smallFleet, seed));
+        site.setRequestInterval(milliseconds(10));
+        for (const auto limit : { std::optional(1.0), std::optional(6.0), std::optional(0.5), std::optional<double>(), std::optional(2.0), std::optional(20.0), std::optional(0.0), std::optional(1.0) }) {
+            site.setLimits(limit);
+            site.run(seconds(15));
+        }
+        CHECK(site.worstExcess() <= 0);
+    }
+}
+
+TEST_CASE("lost and delayed digests leave routers within a limit", "[rate-limit]")
+{
+    for (unsigned seed = 1; seed <= 4; ++seed) {
+        CAPTURE(seed);
+        rate_limit_fixture site(fleetOf(smallFleet, seed));
+        site.fleet.net.lossShare = 0.3;
+        site.fleet.net.maxDelay = milliseconds(150);
+        for (const auto limit : { 1.0, 4.0, 1.0 }) {
+            site.setLimits(limit);
+            site.run(seconds(12));
+        }
+        CHECK(site.worstExcess() <= 0);
+    }
+}
+
+TEST_CASE("callers are served elsewhere while a part of the upstreams name a limit", "[rate-limit]")
+{
+    const auto routers = GENERATE(smallFleet, largeFleet);
+    CAPTURE(routers);
+    rate_limit_fixture site(fleetOf(routers));
+    const int limited = routers == smallFleet ? 3 : 15;
+    for (int upstream = 0; upstream < limited; ++upstream)
+        site.setLimit(upstream, 1);
+    const auto from = site.fleet.now();
+    site.run(seconds(14));
     CHECK(site.worstExcess() <= 0);
+    CHECK(site.answeredShare(from) == 1);
 }
--- a/tests/support/fleet_fixture.h
+++ b/tests/support/fleet_fixture.h
@@ -30,21 +30,23 @@
     {
     }
 
-    // Adds a router. Its seeds are the first routers of the fleet.
+    // The addresses at which new routers look for others.
+    std::vector<std::string> seeds { "10.0.0.1", "10.0.0.2", "10.0.0.3" };
+    // Adds a router.
     void add(const std::string& dataCentre)
     {
-        const auto number = m_nodes.size() + 1;
-        router_options options;
-        options.settings.instance = "entry-" + std::to_string(number);
-        options.settings.dataCentre = dataCentre;
-        options.settings.address = "10.0.0." + std::to_string(number);
-        options.settings.seeds = { "10.0.0.1", "10.0.0.2", "10.0.0.3" };
-        options.incarnation = 100 + number;
-        m_nodes.push_back(std::make_unique<node>(node { m_nodes.size(), options.settings.address, dataCentre, router_reducer(options), true }));
-        m_numbers[options.settings.address] = m_nodes.size() - 1;
+        m_nodes.push_back(makeNode(m_nodes.size(), dataCentre));
+        m_numbers[m_nodes.back()->address] = m_nodes.size() - 1;
         step(*m_nodes.back(), router_timer_due {});
     }
 
+    // Kills a router and starts its successor on the same instance.
+    void restart(std::size_t number)
+    {
+        m_nodes[number] = makeNode(number, m_nodes[number]->dataCentre);
+        step(*m_nodes[number], router_timer_due {});
+    }
+
     std::size_t size() const { return m_nodes.size(); }
     const std::string& address(std::size_t number) const { return m_nodes[number]->address; }
     const std::string& dataCentre(std::size_t number) const { return m_nodes[number]->dataCentre; }
@@ -142,6 +144,18 @@
         std::uint64_t upstreamWatch = 0;
     };
 
+    std::unique_ptr<node> makeNode(std::size_t position, const std::string& dataCentre)
+    {
+        const auto number = position + 1;
+        router_options options;
+        options.settings.instance = "entry-" + std::to_string(number);
+        options.settings.dataCentre = dataCentre;
+        options.settings.address = "10.0.0." + std::to_string(number);
+        options.settings.seeds = seeds;
+        options.incarnation = 101 + m_starts++;
+        return std::make_unique<node>(node { position, options.settings.address, dataCentre, router_reducer(options), true });
+    }
+
     std::optional<instant> nextTime(instant end) const
     {
         std::optional<instant> next;
@@ -260,6 +274,7 @@
     std::unordered_map<std::string, std::size_t> m_numbers;
     std::multimap<instant, sent_datagram> m_inTransit;
     caller_id m_lastCaller = 0;
+    std::uint64_t m_starts = 0;
     std::uint64_t m_revision = 5;
 };
 
--- a/tests/support/rate_limit_fixture.h
+++ b/tests/support/rate_limit_fixture.h
@@ -39,6 +39,7 @@
         for (int number = 0; number < m_options.upstreams; ++number)
             fleet.records.push_back(router_fixture::makeUpstream(upstreamId(number), isStream ? "llm" : "app", static_cast<std::uint16_t>(1000 + number)));
         fleet.onEffect = [this](std::size_t router, const router_effect& effect) { observe(router, effect); };
+        fleet.seeds.resize(std::min(fleet.seeds.size(), m_options.routers));
         for (std::size_t number = 0; number < m_options.routers; ++number)
             addRouter();
         fleet.run(seconds(4));
@@ -56,6 +57,13 @@
             setLimit(number, requestsPerSecond);
     }
     void setRequestInterval(duration interval) { m_options.requestInterval = interval; }
+    // Restarts a router, which has then been told of no limit.
+    void restartRouter(std::size_t router)
+    {
+        std::erase_if(m_running, [router](const running_attempt& item) { return item.router == router; });
+        std::erase_if(m_toldAt, [router](const auto& item) { return item.first.first == router; });
+        fleet.restart(router);
+    }
     // What is sent from now on by a router counts for no limit, as that router was restarted, suspended or cut off.
     void excuse(std::size_t router) { m_excusedRouters.insert(router); }
 
@@ -102,6 +110,14 @@
         const auto count = std::count_if(m_arrivals.begin(), m_arrivals.end(), [&](const arrival& item) { return item.upstream == upstreamId(upstream) && item.at >= from; });
         return static_cast<double>(count) / std::chrono::duration<double>(fleet.now() - from).count();
     }
+    // The same for all upstreams together.
+    double arrivalRate(instant from) const
+    {
+        double rate = 0;
+        for (int number = 0; number < m_options.upstreams; ++number)
+            rate += arrivalRate(number, from);
+        return rate;
+    }
     // The share of the requests since a time whose answer was complete. `key` selects the requests of one API key.
     double answeredShare(instant from, const std::string& key = "") const
     {
@@ -118,7 +134,7 @@
     bool knowsLimit(std::size_t router, int upstream) const
     {
         const auto known = fleet.reducer(router).upstreams().find(upstreamId(upstream));
-        return known && known->statedRateLimit.has_value();
+        return known && known->quota && known->quota->limit.stated();
     }
 
     // The refusals of routers.
