Serve more urgent requests first from limited upstreams, and spread the returns of the others

Cause: while all upstreams of a service limit their requests, whoever comes first takes what is left. Change: limited_admission, a decision without I/O. It saves up some requests for the more urgent ones that are to be expected, at most at a third of the upstreams, and keeps 0.4 of an equal part for each urgency, so that none starves. Attempts after the first one are not subject to it. A refused caller's Retry-After is the time in which the supply serves those of its urgency that were refused before it, 0.1 to 3 s. Refusals are given at once.

--- a/servers/router/router_admission.cpp
+++ b/servers/router/router_admission.cpp
@@ -76,6 +76,7 @@
     auto& activeRequest = m_requests.insert_or_assign(caller, std::move(progress)).first->second;
     setTimer(timer_kind::deadline, caller, activeRequest.deadline);
     m_retryLimiter.recordRequest(activeRequest.service, m_now);
+    m_limitedAdmissions[activeRequest.service].recordArrival(activeRequest.urgency, m_now);
     if (!dispatch(activeRequest, "first"))
         answerWithFailure(activeRequest);
 }
--- a/servers/router/router_answering.cpp
+++ b/servers/router/router_answering.cpp
@@ -1,4 +1,3 @@
-#include "servers/router/availability.h"
 #include "servers/router/router_reducer.h"
 
 #include <algorithm>
@@ -226,7 +225,7 @@
     const auto suspectRefusal = mayHaveRun ? std::nullopt : refuseSuspect(progress);
     const caller_error refusal = mayHaveRun ? caller_error { error_code::upstream_failed, "the upstream gave no whole answer", ran_state::unknown, std::nullopt }
         : suspectRefusal                    ? *suspectRefusal
-                                            : describeUnavailability(m_upstreams.ofService(progress.service), m_now);
+                                            : describeUnavailability(progress);
     refuse(progress.caller, progress.request->requestId, refusal);
     finish(progress, httpStatus(refusal.code), "failed");
 }
--- a/servers/router/router_attempts.cpp
+++ b/servers/router/router_attempts.cpp
@@ -32,6 +32,10 @@
         log(log_level::warning, "no_upstream", { { "request", progress.request->requestId }, { "service", progress.service }, { "known", std::to_string(m_upstreams.ofService(progress.service).size()) }, { "tried", std::to_string(progress.triedUpstreams.size()) }, { "records", toString(positionOf(m_upstreamWatcher.revision())) } });
         return false;
     }
+    if (!admitToLimited(progress, selected)) {
+        log(log_level::info, "request_yields", { { "request", progress.request->requestId }, { "service", progress.service }, { "urgency", std::to_string(progress.urgency) } });
+        return false;
+    }
     startAttempt(progress, selected, cause);
     return true;
 }
--- a/servers/router/router_reducer.h
+++ b/servers/router/router_reducer.h
@@ -3,6 +3,7 @@
 #include "core/caller_error.h"
 #include "core/timer_queue.h"
 #include "servers/router/crash_tracker.h"
+#include "servers/router/limited_admission.h"
 #include "servers/router/peer_group.h"
 #include "servers/router/placement.h"
 #include "servers/router/refusal_store.h"
@@ -149,6 +150,9 @@
     // What upstreams state about themselves in their answers.
     void acceptStatements(upstream_state&, const upstream_answer&);
     void acceptRetryAfter(upstream_state&, const upstream_answer&);
+    // How long until an upstream of the service accepts requests again, if each one in service has asked for a pause;
+    // otherwise nothing.
+    std::optional<std::chrono::milliseconds> timeUntilUnblocked(const std::string& service) const;
     void markLeaving(upstream_state&, const std::string& statedTo);
     std::vector<leaving_upstream> recentLeavingUpstreams();
 
@@ -158,6 +162,12 @@
     void applyShare(upstream_state&);
     // Brings the shares of all limits up to date and drops the limits that are over.
     void refreshShares();
+    // Whether a request may be started at a limited upstream, or is left to more urgent ones.
+    bool admitToLimited(const request_progress&, const placement&);
+    // What the limits leave to this router, if they limit each upstream of the service that is in service.
+    std::optional<limited_supply> limitedSupply(const std::string& service) const;
+    // Why no upstream has accepted a request that has not run, and when its caller may come back.
+    caller_error describeUnavailability(const request_progress&);
     std::vector<upstream_limit_report> limitReports(digest_scope, std::uint32_t rotation) const;
     void learnLimits(const router_digest&);
 
@@ -226,6 +236,8 @@
 
     router_options m_options;
     retry_limiter m_retryLimiter;
+    // By service.
+    std::unordered_map<std::string, limited_admission> m_limitedAdmissions;
     upstream_table m_upstreams;
     peer_group m_peers;
     router_census m_census;
--- a/tests/servers/router/rate_limit_test.cpp
+++ b/tests/servers/router/rate_limit_test.cpp
@@ -191,3 +191,44 @@
     CHECK(site.worstExcess() <= 0);
     CHECK(site.answeredShare(from) == 1);
 }
+
+TEST_CASE("more urgent requests are served first from limited upstreams, and none starves", "[rate-limit]")
+{
+    const auto urgentShare = GENERATE(0.1, 0.4, 0.9);
+    CAPTURE(urgentShare);
+    rate_limit_fixture site(fleetOf(smallFleet));
+    site.drawPath = [urgentShare](std::mt19937_64& random) { return std::uniform_real_distribution<>(0, 1)(random) < urgentShare ? "/stream/x" : "/oneshot/x"; };
+    site.setLimits(1.5);
+    site.run(seconds(10));
+    const auto from = site.fleet.now();
+    site.run(seconds(60));
+    const double supplyShare = 9 * 1.5 / (1000.0 / 30);
+    const auto urgent = site.answeredShare(from, "/stream/x");
+    const auto others = site.answeredShare(from, "/oneshot/x");
+    const auto all = site.answeredShare(from);
+    CHECK(site.worstExcess() <= 0);
+    CHECK(urgent >= 2 * others);
+    // Others get at least two fifths of what they would get if all were treated alike.
+    const double leftForUrgent = supplyShare * (1 - 0.4 * (1 - urgentShare));
+    CHECK(urgent >= 2.0 / 3 * std::min(1.0, leftForUrgent / urgentShare));
+    CHECK(others >= all / 4);
+    CHECK(all >= 2.0 / 3 * supplyShare);
+}
+
+TEST_CASE("requests beyond the limits are refused at once as not run, with a time to come back", "[rate-limit]")
+{
+    const auto routers = GENERATE(smallFleet, largeFleet);
+    CAPTURE(routers);
+    rate_limit_fixture site(fleetOf(routers));
+    site.setLimits(1);
+    site.run(seconds(8));
+    REQUIRE_FALSE(site.refusals.empty());
+    for (const auto& refusal : site.refusals) {
+        CHECK(refusal.code == error_code::no_upstream);
+        CHECK(refusal.ran == ran_state::no);
+        REQUIRE(refusal.retryAfter.has_value());
+        CHECK(*refusal.retryAfter > milliseconds(0));
+        CHECK(*refusal.retryAfter <= seconds(3));
+    }
+    CHECK(site.longestWaitForRefusal == duration {});
+}
--- a/tests/support/rate_limit_fixture.h
+++ b/tests/support/rate_limit_fixture.h
@@ -32,7 +32,7 @@
         , m_options(fleetOptions)
         , m_random(fleetOptions.seed)
     {
-        const bool isStream = m_options.path.starts_with("/stream/");
+        const bool isStream = isStreamPath(m_options.path);
         fleet.records.clear();
         fleet.recordsSent = false;
         fleet.net.resolution = milliseconds(5);
@@ -118,13 +118,13 @@
             rate += arrivalRate(number, from);
         return rate;
     }
-    // The share of the requests since a time whose answer was complete. `key` selects the requests of one API key.
-    double answeredShare(instant from, const std::string& key = "") const
+    // The share of the requests since a time whose answer was complete; of those for one path, if one is given.
+    double answeredShare(instant from, const std::string& path = "") const
     {
         int sent = 0;
         int answered = 0;
         for (const auto& [id, request] : m_requests) {
-            const bool counts = request.sentAt >= from && fleet.now() - request.sentAt > seconds(2) && (key.empty() || request.key == key);
+            const bool counts = request.sentAt >= from && fleet.now() - request.sentAt > seconds(2) && (path.empty() || request.path == path);
             sent += counts ? 1 : 0;
             answered += counts && request.answered ? 1 : 0;
         }
@@ -139,8 +139,9 @@
 
     // The refusals of routers.
     std::vector<caller_error> refusals;
-    // Draws the key of each request.
-    std::function<std::string()> drawKey = [] { return std::string("key-a"); };
+    duration longestWaitForRefusal {};
+    // Draws the path of each request.
+    std::function<std::string(std::mt19937_64&)> drawPath = [this](std::mt19937_64&) { return m_options.path; };
     // Draws the router that a request reaches.
     std::function<std::size_t(std::mt19937_64&)> drawRouter = [this](std::mt19937_64& random) { return random() % fleet.size(); };
 
@@ -174,12 +175,14 @@
     };
     struct sent_request {
         instant sentAt;
-        std::string key;
+        std::string path;
         bool answered = false;
         // The events of its stream so far.
         int events = 0;
     };
 
+    static bool isStreamPath(const std::string& path) { return path.starts_with("/stream/") || path.starts_with("/oneshot/"); }
+
     std::optional<double> limitAt(const std::string& upstream, instant time) const
     {
         std::optional<double> limit;
@@ -223,8 +226,10 @@
         }
         if (const auto* cancelled = std::get_if<cancel_attempt>(&effect))
             std::erase_if(m_running, [&](const running_attempt& item) { return item.router == router && item.number == cancelled->attemptNumber; });
-        if (const auto* refused = std::get_if<refuse_reply>(&effect))
+        if (const auto* refused = std::get_if<refuse_reply>(&effect)) {
             refusals.push_back(refused->refusal);
+            longestWaitForRefusal = std::max(longestWaitForRefusal, fleet.now() - m_requests[refused->requestId].sentAt);
+        }
     }
 
     void sendDue()
@@ -236,14 +241,14 @@
             proxied_request item;
             item.requestId = "request-" + std::to_string(++m_lastRequest);
             item.method = "POST";
-            item.target = m_options.path;
+            item.target = drawPath(m_random);
             item.path = item.target;
             item.host = "host";
-            item.apiKey = drawKey();
+            item.apiKey = "key-a";
             item.callerTimeout = seconds(10);
             item.prompt.parts = { { 100 + m_random() % 20, 1000 }, { hashBytes(item.requestId), 200 } };
             item.prompt.inputTokens = 1200;
-            m_requests[item.requestId] = { fleet.now(), item.apiKey };
+            m_requests[item.requestId] = { fleet.now(), item.path };
             fleet.request(router, std::move(item));
         }
     }
@@ -267,7 +272,7 @@
         const double draw = std::uniform_real_distribution<>(0, 1)(m_random);
         const bool isRefused = draw < m_options.refusedShare;
         const bool isBroken = !isRefused && draw < m_options.refusedShare + m_options.brokenShare;
-        const bool isStream = item.request->path.starts_with("/stream/");
+        const bool isStream = isStreamPath(item.request->path);
         auto answer = isRefused ? router_fixture::refusal() : router_fixture::answer(200, true, isStream);
         if (const auto limit = limitAt(item.upstream, fleet.now())) {
             answer.rateLimit = *limit;
