--- a/tests/servers/router/rate_limit_test.cpp
+++ b/tests/servers/router/rate_limit_test.cpp
@@ -22,7 +22,7 @@
 {
     const auto limit = GENERATE(0.25, 1.0, 5.0);
     CAPTURE(limit);
-    for (unsigned seed = 1; seed <= 3; ++seed) {
+    for (unsigned seed = 1; seed <= seedCount(3); ++seed) {
         CAPTURE(seed);
         rate_limit_fixture site(fleetOf(smallFleet, seed));
         site.run(seconds(2));
@@ -93,7 +93,7 @@
 {
     const auto limit = GENERATE(0.5, 1.0, 3.0);
     CAPTURE(limit);
-    for (unsigned seed = 1; seed <= 4; ++seed) {
+    for (unsigned seed = 1; seed <= seedCount(4); ++seed) {
         CAPTURE(seed);
         rate_limit_fixture site(fleetOf(smallFleet, seed));
         site.setLimits(limit);
@@ -120,7 +120,7 @@
 
 TEST_CASE("routers that all restart at once stay within a limit", "[rate-limit]")
 {
-    for (unsigned seed = 1; seed <= 4; ++seed) {
+    for (unsigned seed = 1; seed <= seedCount(4); ++seed) {
         CAPTURE(seed);
         rate_limit_fixture site(fleetOf(smallFleet, seed));
         site.setLimits(1);
@@ -151,7 +151,7 @@
 
 TEST_CASE("an upstream may raise and lower its limit, stop naming it and name it again", "[rate-limit]")
 {
-    for (unsigned seed = 1; seed <= 4; ++seed) {
+    for (unsigned seed = 1; seed <= seedCount(4); ++seed) {
         CAPTURE(seed);
         rate_limit_fixture site(fleetOf(smallFleet, seed));
         site.setRequestInterval(milliseconds(10));
@@ -165,7 +165,7 @@
 
 TEST_CASE("lost and delayed digests leave routers within a limit", "[rate-limit]")
 {
-    for (unsigned seed = 1; seed <= 4; ++seed) {
+    for (unsigned seed = 1; seed <= seedCount(4); ++seed) {
         CAPTURE(seed);
         rate_limit_fixture site(fleetOf(smallFleet, seed));
         site.fleet.net.lossShare = 0.3;
--- a/tests/support/rate_limit_fixture.h
+++ b/tests/support/rate_limit_fixture.h
@@ -2,12 +2,20 @@
 
 #include "tests/support/fleet_fixture.h"
 
+#include <cstdlib>
 #include <limits>
 #include <map>
 #include <set>
 
 namespace kumquat::router {
 
+// How many seeds a test runs: the usual number, or that of KUMQUAT_TEST_SEEDS for a longer run by hand.
+inline unsigned seedCount(unsigned usual)
+{
+    const auto* text = std::getenv("KUMQUAT_TEST_SEEDS");
+    return text ? static_cast<unsigned>(std::strtoul(text, nullptr, 10)) : usual;
+}
+
 // A fleet of routers before upstreams that name limits in their answers. Upstreams, callers and the network run in virtual time,
 // and each attempt that reaches an upstream is recorded.
 class rate_limit_fixture {
