Count neighbours instead of walking all of them for each digest

Change: peer_group keeps the number and the addresses of the neighbours; the era is compared with that of the digest that arrived.

--- a/servers/router/peer_group.cpp
+++ b/servers/router/peer_group.cpp
@@ -52,17 +52,18 @@
         removePeer(name);
         return true;
     }
+    const bool isNewNeighbour = known == m_peers.end() && digest.scope == digest_scope::router;
+    m_neighbourCount += isNewNeighbour ? 1 : 0;
     auto& sender = m_peers[name];
     sender.scope = digest.scope;
     sender.dataCentre = digest.dataCentre;
     // A summary that was passed on arrives from a neighbour; its aggregator's address is not known.
     if (!digest.relayed)
-        sender.address = address;
+        setAddress(sender, address);
     sender.routers = digest.routers;
     sender.incarnation = digest.incarnation;
     sender.sequence = digest.sequence;
     sender.lastSeen = now;
-    sender.storeEra = digest.storeEra;
     sender.configPosition = digest.configPosition;
     sender.configVersion = digest.configVersion;
     sender.configConfirmedAt.reset();
@@ -92,12 +93,20 @@
         m_contacts.add(member, now);
         if (member.dataCentre != m_self.dataCentre || member.address == m_self.address)
             continue;
-        const bool isKnown = std::any_of(m_peers.begin(), m_peers.end(), [&](const auto& item) { return isNeighbour(item.second) && item.second.address == member.address; });
-        if (!isKnown)
+        if (!m_neighbourAddresses.contains(member.address))
             m_candidates.emplace(member.address, now + candidateTimeout);
     }
 }
 
+void peer_group::setAddress(peer_state& peer, const std::string& address)
+{
+    if (isNeighbour(peer) && peer.address != address) {
+        m_neighbourAddresses.erase(peer.address);
+        m_neighbourAddresses.insert(address);
+    }
+    peer.address = address;
+}
+
 void peer_group::replaceLoads(peer_state& peer, const router_digest& digest)
 {
     const auto isInSlice = [&digest](const outstanding_load& load) { return load.upstream % digest.slice.count == digest.slice.index; };
@@ -121,6 +130,10 @@
         return;
     for (const auto& load : found->second.loads)
         addLoad(m_totalLoads[load.upstream], load, -1);
+    if (isNeighbour(found->second)) {
+        --m_neighbourCount;
+        m_neighbourAddresses.erase(found->second.address);
+    }
     m_peers.erase(found);
 }
 
@@ -222,14 +235,6 @@
     return newest;
 }
 
-std::uint64_t peer_group::newestStoreEra() const
-{
-    std::uint64_t newest = 0;
-    for (const auto& [instance, peer] : m_peers)
-        newest = std::max(newest, peer.storeEra);
-    return newest;
-}
-
 bool peer_group::knowsLostConfig(store_position config, std::uint64_t version) const
 {
     return std::any_of(m_peers.begin(), m_peers.end(), [&](const auto& item) { return item.second.configVersion > version && item.second.configPosition <= config; });
--- a/servers/router/peer_group.h
+++ b/servers/router/peer_group.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace kumquat::router {
@@ -59,7 +60,7 @@
     // The number of the other routers, in all data centres.
     std::size_t count() const;
     // The number of the other routers in this data centre whose digests arrive here.
-    std::size_t neighbourCount() const;
+    std::size_t neighbourCount() const { return m_neighbourCount; }
     // The time between two digests. It grows with the number of routers in the data centre, so that the total traffic grows
     // no faster than that number.
     duration digestInterval() const;
@@ -77,8 +78,6 @@
     store_position newestConfigPosition() const;
     // The newest position of an upstream record that another router has read.
     store_position newestUpstreamPosition() const;
-    // The newest era in which the store has answered another router.
-    std::uint64_t newestStoreEra() const;
     // The latest time at which another router confirmed with the store that the configuration at the position, with that
     // version, was the newest one.
     std::optional<instant> confirmedAt(store_position config, std::uint64_t version) const;
@@ -101,7 +100,6 @@
         std::uint64_t incarnation = 0;
         std::uint64_t sequence = 0;
         instant lastSeen;
-        std::uint64_t storeEra = 0;
         store_position configPosition;
         std::uint64_t configVersion = 0;
         std::optional<instant> configConfirmedAt;
@@ -118,6 +116,7 @@
     bool isNeighbour(const peer_state& peer) const { return peer.scope == digest_scope::router; }
     bool isSuperseded(const peer_state& known, const router_digest&, instant now) const;
     void removePeer(const std::string& name);
+    void setAddress(peer_state&, const std::string& address);
     void replaceLoads(peer_state&, const router_digest&);
     void addCandidates(const std::vector<router_contact>&, instant now);
 
@@ -126,6 +125,9 @@
     std::vector<std::string> m_seeds;
     // By instance name, or by name of the data centre for its summary. Ordered, so that all routers draw the same samples.
     std::map<std::string, peer_state> m_peers;
+    std::size_t m_neighbourCount = 0;
+    // The addresses of the neighbours.
+    std::unordered_set<std::string> m_neighbourAddresses;
     contact_book m_contacts;
     // Addresses in this data centre that other routers named but that have sent nothing here, with the time of their expiry.
     std::unordered_map<std::string, instant> m_candidates;
--- a/servers/router/peer_group_targets.cpp
+++ b/servers/router/peer_group_targets.cpp
@@ -99,11 +99,6 @@
     return routers;
 }
 
-std::size_t peer_group::neighbourCount() const
-{
-    return static_cast<std::size_t>(std::count_if(m_peers.begin(), m_peers.end(), [this](const auto& item) { return isNeighbour(item.second); }));
-}
-
 duration peer_group::digestInterval() const
 {
     const auto interval = digestIntervalPerPeer * static_cast<int>(neighbourCount());
--- a/servers/router/router_peers.cpp
+++ b/servers/router/router_peers.cpp
@@ -76,7 +76,7 @@
 
 void router_reducer::learnFromDigest(const router_digest& digest)
 {
-    checkPeerEra();
+    checkPeerEra(digest.storeEra);
     m_crashes.learn(digest.crashNews, digest.scope == digest_scope::router ? news_origin::own_data_centre : news_origin::other_data_centre, m_now);
     actOnNewRefusals();
     for (const auto& leaving : digest.leavingUpstreams) {
--- a/servers/router/router_reducer.h
+++ b/servers/router/router_reducer.h
@@ -206,7 +206,7 @@
     bool followEra(std::optional<std::uint64_t> era);
     void enterEra(std::uint64_t era);
     // Reads the store again if another router has seen a newer era.
-    void checkPeerEra();
+    void checkPeerEra(std::uint64_t reported);
     // Adds the era of the store to a revision that it gave out.
     store_position positionOf(std::uint64_t revision) const { return { m_storeEra.value_or(0), revision }; }
     // False if the store is known to have lost a configuration that is newer than the one in force.
--- a/servers/router/router_restores.cpp
+++ b/servers/router/router_restores.cpp
@@ -54,10 +54,9 @@
 }
 
 // The era is adopted only from the store's own answer, so that a damaged digest can't make this router reject the store.
-void router_reducer::checkPeerEra()
+void router_reducer::checkPeerEra(std::uint64_t reported)
 {
-    const auto reported = m_peers.newestStoreEra();
-    if (!m_storeEra || reported <= *m_storeEra || reported == m_reportedEra)
+    if (!m_storeEra || reported <= std::max(*m_storeEra, m_reportedEra))
         return;
     m_reportedEra = reported;
     log(log_level::warning, "store_restore_reported", { { "era", std::to_string(reported) }, { "current_era", std::to_string(*m_storeEra) } });
