Name limits in the soak's workers, and test more at 370 routers

A test with 370 routers lets limits rise, fall and end while attempts fail and a data centre is cut off.

--- a/tests/servers/router/rate_limit_test.cpp
+++ b/tests/servers/router/rate_limit_test.cpp
@@ -149,6 +149,26 @@
     CHECK(site.worstExcess() <= 0);
 }
 
+TEST_CASE("370 routers follow limits that rise, fall and end while attempts fail and a data centre is cut off", "[rate-limit]")
+{
+    auto options = fleetOf(largeFleet);
+    options.brokenShare = 0.2;
+    options.refusedShare = 0.2;
+    rate_limit_fixture site(options);
+    site.setLimits(1);
+    site.run(seconds(6));
+    site.setLimits(4);
+    site.run(seconds(3));
+    site.setLimits(0.5);
+    site.fleet.net.isCut = [&site](const std::string& from, const std::string& to) { return site.isIn(from, "dc-3") != site.isIn(to, "dc-3"); };
+    site.run(seconds(6));
+    site.setLimits(std::nullopt);
+    site.run(seconds(4));
+    site.setLimits(2);
+    site.run(seconds(4));
+    CHECK(site.worstExcess() <= 0);
+}
+
 TEST_CASE("an upstream may raise and lower its limit, stop naming it and name it again", "[rate-limit]")
 {
     for (unsigned seed = 1; seed <= seedCount(4); ++seed) {
--- a/tests/soak/router_world_main.cpp
+++ b/tests/soak/router_world_main.cpp
@@ -270,7 +270,7 @@
     std::vector<std::unique_ptr<soak_worker>> workers;
     workers.reserve(workerCount);
     for (int number = 0; number < workerCount; ++number)
-        workers.push_back(std::make_unique<soak_worker>(soak_worker::options { .number = number, .port = options.workerPort + number, .seed = options.seed + 1000 + static_cast<unsigned>(number), .injectsFaults = !options.plannedWorkOnly && !options.crashesWorkers, .onRestart = [&store, number] { store.restart(number); }, .checksPauses = options.restoresStore }, record));
+        workers.push_back(std::make_unique<soak_worker>(soak_worker::options { .number = number, .port = options.workerPort + number, .seed = options.seed + 1000 + static_cast<unsigned>(number), .injectsFaults = !options.plannedWorkOnly && !options.crashesWorkers, .onRestart = [&store, number] { store.restart(number); }, .checksPauses = options.restoresStore, .namesLimits = options.restoresStore }, record));
     std::this_thread::sleep_for(seconds(1));
     std::vector<std::thread> threads;
     threads.reserve(callerCount + 2);
--- a/tests/soak/soak_worker.h
+++ b/tests/soak/soak_worker.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "tests/soak/soak_rate_limit.h"
 #include "tests/soak/soak_record.h"
 
 #include <atomic>
@@ -43,6 +44,8 @@
         std::function<void()> onRestart = [] {};
         // Whether routers that send requests during a pause that the worker asked for violate a guarantee.
         bool checksPauses = false;
+        // Whether the worker names limits, and routers that exceed them violate a guarantee.
+        bool namesLimits = false;
     };
 
     soak_worker(const options& workerOptions, soak_record& record)
@@ -51,6 +54,8 @@
         , m_onRestart(workerOptions.onRestart)
         , m_injectsFaults(workerOptions.injectsFaults)
         , m_checksPauses(workerOptions.checksPauses)
+        , m_namesLimits(workerOptions.namesLimits)
+        , m_limit(workerOptions.seed)
         , m_record(record)
         , m_random(workerOptions.seed)
     {
@@ -82,6 +87,7 @@
         m_leavingGrace = grace;
         m_noRequestsAfter.reset();
         m_pauses.clear();
+        m_limit.forget();
     }
 
 private:
@@ -159,6 +165,26 @@
             m_record.recordViolation("a paused upstream received", id);
     }
 
+    void checkLimit(const std::string& id)
+    {
+        const int router = m_record.routerOf(id);
+        const std::lock_guard lock(m_mutex);
+        if (m_namesLimits && m_limit.recordArrival(router, std::chrono::steady_clock::now()))
+            m_record.recordViolation("more arrived than an upstream's limit allows,", id);
+    }
+
+    void nameLimit(const std::string& id, httplib::Response& response)
+    {
+        const int router = m_record.routerOf(id);
+        const std::lock_guard lock(m_mutex);
+        const auto now = std::chrono::steady_clock::now();
+        const auto limit = m_namesLimits ? m_limit.current(now) : std::nullopt;
+        if (!limit)
+            return;
+        response.set_header("Server-Limit", std::to_string(*limit));
+        m_limit.recordStatement(router, now);
+    }
+
     // Asks the router that sent the request for a pause.
     void requestPause(const std::string& id, httplib::Response& response)
     {
@@ -196,7 +222,9 @@
             m_record.recordViolation("a draining upstream received", id);
         stateLeaving(response);
         checkPause(id);
+        checkLimit(id);
         if (shouldFail(10)) {
+            nameLimit(id, response);
             response.status = 503;
             response.set_header("X-Not-Executed", "1");
             if (randomBelow(4) == 0)
@@ -209,6 +237,7 @@
             m_crashed = true;
         }
         std::this_thread::sleep_for(std::chrono::milliseconds(randomBelow(20) == 0 ? 400 : randomBelow(20)));
+        nameLimit(id, response);
         response.set_header("X-Response-Seal", "seal-" + id);
         const bool isTruncated = m_crashed || shouldFail(12);
         if (request.path.starts_with("/stream/"))
@@ -244,6 +273,8 @@
     std::function<void()> m_onRestart;
     bool m_injectsFaults;
     bool m_checksPauses;
+    bool m_namesLimits;
+    soak_rate_limit m_limit;
     bool m_isLeaving = false;
     std::chrono::milliseconds m_leavingGrace { 0 };
     // By the port of the router.
--- a/tests/support/fleet_fixture.h
+++ b/tests/support/fleet_fixture.h
@@ -50,6 +50,7 @@
     std::size_t size() const { return m_nodes.size(); }
     const std::string& address(std::size_t number) const { return m_nodes[number]->address; }
     const std::string& dataCentre(std::size_t number) const { return m_nodes[number]->dataCentre; }
+    const std::string& dataCentreOf(const std::string& address) const { return m_nodes[m_numbers.at(address)]->dataCentre; }
     // The reducer of a router, for what it has concluded.
     const router_reducer& reducer(std::size_t number) const { return m_nodes[number]->reducer; }
     const peer_group& peers(std::size_t number) const { return m_nodes[number]->reducer.peers(); }
--- a/tests/support/rate_limit_fixture.h
+++ b/tests/support/rate_limit_fixture.h
@@ -65,6 +65,8 @@
             setLimit(number, requestsPerSecond);
     }
     void setRequestInterval(duration interval) { m_options.requestInterval = interval; }
+    // Whether the router with an address is in a data centre.
+    bool isIn(const std::string& address, const std::string& dataCentre) const { return fleet.dataCentreOf(address) == dataCentre; }
     // Restarts a router, which has then been told of no limit.
     void restartRouter(std::size_t router)
     {
