Pace organisations by the same token bucket as limits of upstreams, and split the router's header

Change: organisation_limiter uses core/token_bucket; timers and availability have files of their own. The behaviour is as before, except that a changed share takes effect from the change on, not for the time before it.

--- a/servers/entry/organisation_limiter.cpp
+++ b/servers/entry/organisation_limiter.cpp
@@ -10,6 +10,8 @@
 
     constexpr std::chrono::seconds idleTimeout { 30 };
     constexpr std::chrono::milliseconds retryAfterInFlight { 1000 };
+    // For an organisation whose share admits no request at all.
+    constexpr duration retryAfterWithoutRate = std::chrono::seconds(1000);
     // Weight of the newest sample in the smoothed arrival rate.
     constexpr double rateSmoothing = 0.5;
 
@@ -37,19 +39,16 @@
     if (!hasLimits(caller))
         return std::nullopt;
     auto& account = accountFor(caller, entryCount, now);
-    refill(account, now);
     account.arrivals++;
     account.lastArrival = now;
     if (limits.concurrency > 0 && account.inFlight >= account.share.concurrency) {
         account.concurrencyRefusals++;
         return rejection(error_code::too_many_in_flight, caller.name, retryAfterInFlight);
     }
-    if (limits.requestsPerSecond > 0 && account.tokens < 1) {
-        const double wait = (1 - account.tokens) / std::max(account.share.requestsPerSecond, 1e-3);
-        return rejection(error_code::rate_limited, caller.name, std::chrono::milliseconds { static_cast<std::int64_t>(wait * 1000) + 1 });
-    }
+    if (limits.requestsPerSecond > 0 && !account.bucket.hasToken(now))
+        return rejection(error_code::rate_limited, caller.name, std::chrono::ceil<std::chrono::milliseconds>(account.bucket.timeUntilToken(now).value_or(retryAfterWithoutRate)));
     if (limits.requestsPerSecond > 0)
-        account.tokens -= 1;
+        account.bucket.take(now);
     account.inFlight++;
     return std::nullopt;
 }
@@ -60,10 +59,10 @@
     auto& account = position->second;
     reduceExpiredShare(account, equalShare(caller, entryCount), now);
     if (isNew) {
-        account.tokens = account.share.burst;
-        account.refilledAt = now;
+        account.bucket = token_bucket(account.share.burst, now);
         account.demandedAt = now;
     }
+    account.bucket.setRate(account.share.requestsPerSecond, account.share.burst, now);
     return account;
 }
 
@@ -80,12 +79,6 @@
     account.share.concurrency = std::min(account.share.concurrency, equalPart.concurrency);
 }
 
-void organisation_limiter::refill(account& account, instant now)
-{
-    account.tokens = std::min(account.share.burst, account.tokens + account.share.requestsPerSecond * seconds(now - account.refilledAt));
-    account.refilledAt = now;
-}
-
 void organisation_limiter::release(const std::string& organisation)
 {
     const auto found = m_accounts.find(organisation);
@@ -98,8 +91,8 @@
     const auto found = m_accounts.find(share.organisation);
     if (found == m_accounts.end())
         return;
-    refill(found->second, now);
     found->second.share = share;
+    found->second.bucket.setRate(share.requestsPerSecond, share.burst, now);
     // The allocating entry counts the validity from its answer. Counting from the demand, which was earlier, ensures that the
     // lease expires here first.
     found->second.leaseExpiresAt = found->second.demandedAt + validFor;
--- a/servers/entry/organisation_limiter.h
+++ b/servers/entry/organisation_limiter.h
@@ -4,6 +4,7 @@
 #include "core/clock.h"
 #include "core/document.h"
 #include "core/peer_message.h"
+#include "core/token_bucket.h"
 
 #include <chrono>
 #include <map>
@@ -37,9 +38,8 @@
         lease_share share;
         // Empty until the first lease is granted.
         std::optional<instant> leaseExpiresAt;
-        // Requests that the token bucket currently admits, at most the burst of the share.
-        double tokens = 0;
-        instant refilledAt;
+        // Paces the requests at the rate of the share.
+        token_bucket bucket { 0, {} };
         std::uint32_t inFlight = 0;
         // Requests refused since the last demand because too many were in flight.
         std::uint32_t concurrencyRefusals = 0;
@@ -56,7 +56,6 @@
     // Sets the share to the equal part while no lease has been granted, and reduces it to at most that part after the lease
     // has expired.
     static void reduceExpiredShare(account&, const lease_share& equalPart, instant now);
-    static void refill(account&, instant now);
 
     std::map<std::string, account> m_accounts;
 };
--- a/servers/router/router_limits.cpp
+++ b/servers/router/router_limits.cpp
@@ -1,6 +1,7 @@
 #include "servers/router/router_reducer.h"
 
 #include "core/hash.h"
+#include "servers/router/availability.h"
 #include "servers/router/rotation.h"
 
 #include <algorithm>
@@ -94,40 +95,23 @@
     }
 }
 
-std::optional<limited_supply> router_reducer::limitedSupply(const std::string& service) const
-{
-    limited_supply supply;
-    bool isLimited = false;
-    for (const auto& upstream : m_upstreams.ofService(service)) {
-        if (!upstream->inService())
-            continue;
-        if (!upstream->quota)
-            return std::nullopt;
-        isLimited = true;
-        supply.requestsPerSecond += upstream->quota->share.requestsPerSecond;
-        supply.available += upstream->acceptsRequests(m_now) ? 1 : 0;
-        supply.capacity += upstream->quota->share.requestsPerSecond > 0 ? 1 : 0;
-    }
-    return isLimited ? std::optional(supply) : std::nullopt;
-}
-
 bool router_reducer::admitToLimited(const request_progress& progress, const placement& selected)
 {
     // A request that was sent before is not left alone in favour of others.
     if (!selected.upstream->quota || progress.attemptCount > 0)
         return true;
-    const auto supply = limitedSupply(progress.service);
+    const auto supply = supplyOfLimited(m_upstreams.ofService(progress.service), m_now);
     return !supply || m_limitedAdmissions[progress.service].admit(progress.urgency, *supply, m_now);
 }
 
 caller_error router_reducer::describeUnavailability(const request_progress& progress)
 {
-    const auto supply = limitedSupply(progress.service);
+    const auto supply = supplyOfLimited(m_upstreams.ofService(progress.service), m_now);
     if (supply && supply->requestsPerSecond > 0)
         return { error_code::no_upstream, "the upstreams limit their requests, and this router has used up its share", ran_state::no, m_limitedAdmissions[progress.service].nextReturn(progress.urgency, *supply, m_now) };
     if (supply)
         return { error_code::no_upstream, "the upstreams limit their requests, and this router has no share", ran_state::no, retryWithoutShare };
-    return { error_code::no_upstream, "no upstream accepted the request", ran_state::no, timeUntilUnblocked(progress.service).value_or(retryAfterFailure) };
+    return { error_code::no_upstream, "no upstream accepted the request", ran_state::no, timeUntilUnblocked(m_upstreams.ofService(progress.service), m_now).value_or(retryAfterFailure) };
 }
 
 std::vector<upstream_limit_report> router_reducer::limitReports(digest_scope scope, std::uint32_t rotation) const
--- a/servers/router/router_reducer.h
+++ b/servers/router/router_reducer.h
@@ -10,6 +10,7 @@
 #include "servers/router/request_progress.h"
 #include "servers/router/retry_limiter.h"
 #include "servers/router/router_effect.h"
+#include "servers/router/router_timer.h"
 #include "servers/router/store_watcher.h"
 #include "servers/router/urgency_order.h"
 
@@ -45,20 +46,6 @@
     const peer_group& peers() const { return m_peers; }
 
 private:
-    enum class timer_kind { deadline,
-        hedge,
-        upstream_reads,
-        config_reads,
-        first_read,
-        read_timeout,
-        refusal_call,
-        record_expiry,
-        digest,
-        summary,
-        close_idle,
-        stop };
-    using timer_key = std::pair<timer_kind, std::uint64_t>;
-
     // How an attempt ended that produced no answer for the caller, by whether the upstream may have run the request.
     enum class attempt_end { never_sent,
         not_run,
@@ -150,9 +137,6 @@
     // What upstreams state about themselves in their answers.
     void acceptStatements(upstream_state&, const upstream_answer&);
     void acceptRetryAfter(upstream_state&, const upstream_answer&);
-    // How long until an upstream of the service accepts requests again, if each one in service has asked for a pause;
-    // otherwise nothing.
-    std::optional<std::chrono::milliseconds> timeUntilUnblocked(const std::string& service) const;
     void markLeaving(upstream_state&, const std::string& statedTo);
     std::vector<leaving_upstream> recentLeavingUpstreams();
 
@@ -164,8 +148,6 @@
     void refreshShares();
     // Whether a request may be started at a limited upstream, or is left to more urgent ones.
     bool admitToLimited(const request_progress&, const placement&);
-    // What the limits leave to this router, if they limit each upstream of the service that is in service.
-    std::optional<limited_supply> limitedSupply(const std::string& service) const;
     // Why no upstream has accepted a request that has not run, and when its caller may come back.
     caller_error describeUnavailability(const request_progress&);
     std::vector<upstream_limit_report> limitReports(digest_scope, std::uint32_t rotation) const;
--- a/servers/router/router_statements.cpp
+++ b/servers/router/router_statements.cpp
@@ -36,18 +36,6 @@
     emit(count_metric { "kumquat_router_paused_upstreams_total", {} });
 }
 
-std::optional<std::chrono::milliseconds> router_reducer::timeUntilUnblocked(const std::string& service) const
-{
-    std::optional<instant> earliest;
-    for (const auto& upstream : m_upstreams.ofService(service)) {
-        if (upstream->inService() && (!earliest || upstream->blockedUntil < *earliest))
-            earliest = upstream->blockedUntil;
-    }
-    if (!earliest || *earliest <= m_now)
-        return std::nullopt;
-    return std::chrono::ceil<std::chrono::milliseconds>(*earliest - m_now);
-}
-
 void router_reducer::markLeaving(upstream_state& upstream, const std::string& statedTo)
 {
     upstream.announcedLeaving = true;
--- /dev/null
+++ b/servers/router/router_timer.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <cstdint>
+#include <utility>
+
+namespace kumquat::router {
+
+// What the router does when a timer is due.
+enum class timer_kind { deadline,
+    hedge,
+    upstream_reads,
+    config_reads,
+    first_read,
+    read_timeout,
+    refusal_call,
+    record_expiry,
+    digest,
+    summary,
+    close_idle,
+    stop };
+
+// The kind of a timer, and the caller or the call to which it belongs.
+using timer_key = std::pair<timer_kind, std::uint64_t>;
+
+} // namespace kumquat::router
