--- a/tests/servers/router/rate_share_test.cpp
+++ b/tests/servers/router/rate_share_test.cpp
@@ -42,6 +42,7 @@
     const auto limit = GENERATE(0.1, 1.0, 2.5, 40.0, 1000.0);
     CAPTURE(routers, dataCentres, limit);
     std::vector<router_census> censuses;
+    censuses.reserve(static_cast<std::size_t>(routers));
     for (int router = 0; router < routers; ++router)
         censuses.push_back(censusOf(router, routers, dataCentres));
     censuses.front().setSelf(routerName(0), "dc-0", routers > 1);
--- a/tests/support/rate_limit_fixture.h
+++ b/tests/support/rate_limit_fixture.h
@@ -35,7 +35,7 @@
         duration answerTime = milliseconds(200);
     };
 
-    explicit rate_limit_fixture(options fleetOptions)
+    explicit rate_limit_fixture(const options& fleetOptions)
         : fleet(fleetOptions.seed)
         , m_options(fleetOptions)
         , m_random(fleetOptions.seed)
