--- a/review/stand_ins/pipelining_main.cc
+++ b/review/stand_ins/pipelining_main.cc
@@ -11,14 +11,14 @@
 constexpr const char* prefix = "/cufi504/";
 constexpr const char* key = "n2ctnfzs989anu6wsjnb";
 constexpr int consumerCount = 4;
-constexpr std::size_t longAnswerBytes = 900'000;
+constexpr std::size_t longAnswerBytes = 400'000;
 constexpr int workMs = 300;
 constexpr int deadlineMs = 12000;
 // A slow consumer reads the long answer evenly in this time.
 constexpr int readMs = 4000;
 constexpr int readIntervalMs = 20;
 // When the third request follows.
-constexpr int pauseMs = 1500;
+constexpr int pauseMs = 800;
 constexpr int segmentBytes = 1448;
 constexpr int windowBytes = 4096;
 
--- a/review/stand_ins/slow_reader_main.cc
+++ b/review/stand_ins/slow_reader_main.cc
@@ -11,7 +11,7 @@
 constexpr const char* prefix = "/puxa403/";
 constexpr const char* key = "n2ctnfzs989anu6wsjnb";
 constexpr int consumerCount = 6;
-constexpr std::size_t answerBytes = 600'000;
+constexpr std::size_t answerBytes = 400'000;
 // The answer takes four seconds to read.
 constexpr int readMs = 4000;
 constexpr int readIntervalMs = 20;
