--- a/review/stand_ins/stand_in.hpp
+++ b/review/stand_ins/stand_in.hpp
@@ -98,20 +98,26 @@
     return address;
 }
 
-// Returns a port that is free at all loopback addresses. It lies below the range from which the kernel takes ports of outgoing
-// connections, so that it stays free while a server that uses it starts again.
+inline bool isFreePort(const char* host, int port, int type)
+{
+    const int socket = ::socket(AF_INET, type | SOCK_CLOEXEC, 0);
+    const auto address = socketAddress(host, port);
+    const bool isFree = ::bind(socket, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0;
+    ::close(socket);
+    return isFree;
+}
+
+// Returns a port that is free at the loopback addresses of the stand-ins and the routers. It lies below the range from which the
+// kernel takes ports of outgoing connections, so that it stays free while a server that uses it starts again.
 inline int findFreePort(int type = SOCK_STREAM)
 {
     constexpr int firstPort = 12000;
     constexpr int portCount = 7400;
+    constexpr const char* hosts[] = { "127.0.0.1", "127.0.1.1", "127.0.1.2", "127.0.1.3" };
     static int next = static_cast<int>((static_cast<std::int64_t>(::getpid()) * 7919 + unixMs()) % portCount);
     for (int tries = 0; tries < 1000; ++tries) {
         const int port = firstPort + (next += 7) % portCount;
-        const int socket = ::socket(AF_INET, type | SOCK_CLOEXEC, 0);
-        const auto address = socketAddress("0.0.0.0", port);
-        const bool isFree = ::bind(socket, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0;
-        ::close(socket);
-        if (isFree)
+        if (std::all_of(std::begin(hosts), std::end(hosts), [&](const char* host) { return isFreePort(host, port, type); }))
             return port;
     }
     cannotRun("no free port");
