--- /dev/null
+++ b/tests/servers/router/crashing_request_test.cpp
@@ -0,0 +1,71 @@
+#include "tests/support/crashing_part_fixture.h"
+
+using namespace kumquat;
+using namespace kumquat::router;
+
+namespace {
+
+// After a request has crashed the third upstream, routers have this long to stop sending it, and may send it a few times more.
+constexpr auto reactionTime = seconds(3);
+constexpr int maxLateArrivals = 3;
+constexpr std::size_t crashesBeforeRefusal = 3;
+constexpr auto playedTime = seconds(25);
+
+// How a caller repeats a request that crashes engines, and how many routers and engines there are.
+struct repeat_pattern {
+    std::size_t routers;
+    int dataCentres;
+    int engines;
+    int atOnce;
+    duration interval;
+};
+
+crashing_part_fixture::options optionsOf(const repeat_pattern& pattern, unsigned seed)
+{
+    return {
+        .routers = pattern.routers,
+        .engines = pattern.engines,
+        .seed = seed,
+        .badRequestInterval = pattern.interval,
+        .badRequestsAtOnce = pattern.atOnce,
+        .repeatsRequest = true,
+        .dataCentres = pattern.dataCentres,
+    };
+}
+
+int lateArrivals(crashing_part_fixture& site)
+{
+    return site.badArrivalsAfter(site.timeOfCrash(crashesBeforeRefusal) + reactionTime);
+}
+
+// The greatest number of late arrivals over some seeds. Change is called with each site before it is played.
+template <typename Change>
+int worstLateArrivals(crashing_part_fixture::options options, unsigned seeds, Change change)
+{
+    int worst = 0;
+    for (unsigned seed = 1; seed <= seeds; ++seed) {
+        options.seed = seed;
+        crashing_part_fixture site(options);
+        change(site);
+        site.run(playedTime);
+        worst = std::max(worst, lateArrivals(site));
+    }
+    return worst;
+}
+
+int worstLateArrivals(const crashing_part_fixture::options& options, unsigned seeds)
+{
+    return worstLateArrivals(options, seeds, [](crashing_part_fixture&) {});
+}
+
+} // namespace
+
+TEST_CASE("a request that crashes upstreams and is repeated many times at once reaches few more after the third crash", "[crashing-request][slow]")
+{
+    const auto pattern = GENERATE(
+        repeat_pattern { 4, 2, 12, 1, milliseconds(200) }, repeat_pattern { 4, 2, 12, 1, milliseconds(3500) }, repeat_pattern { 4, 2, 12, 2, milliseconds(1000) },
+        repeat_pattern { 4, 2, 12, 3, milliseconds(2000) }, repeat_pattern { 4, 2, 12, 4, milliseconds(3000) }, repeat_pattern { 4, 2, 12, 6, milliseconds(4000) },
+        repeat_pattern { 4, 2, 12, 10, milliseconds(5000) }, repeat_pattern { 4, 2, 3, 3, milliseconds(4000) }, repeat_pattern { 4, 2, 3, 6, milliseconds(1500) });
+    CAPTURE(pattern.routers, pattern.engines, pattern.atOnce, pattern.interval.count());
+    CHECK(worstLateArrivals(optionsOf(pattern, 1), 60) <= maxLateArrivals);
+}
--- a/tests/support/crashing_part_fixture.h
+++ b/tests/support/crashing_part_fixture.h
@@ -7,8 +7,8 @@
 
 namespace kumquat::router {
 
-// A fleet of routers before model engines that crash when they begin to answer a request whose prompt has a bad part. The
-// engines, the callers and the network run in virtual time.
+// A fleet of routers before model engines that crash when they begin to answer a bad request: one whose prompt has a bad part, or one
+// request that its caller repeats. The engines, the callers and the network run in virtual time.
 class crashing_part_fixture {
 public:
     struct options {
@@ -16,6 +16,15 @@
         int engines = 9;
         unsigned seed = 1;
         duration badRequestInterval = milliseconds(700);
+        // How many bad requests are sent at a time, each to a router drawn by itself.
+        int badRequestsAtOnce = 1;
+        // The bad requests are repeats of one, whose prompt has no bad part.
+        bool repeatsRequest = false;
+        // The share of the routers' connection checks that have an outcome.
+        double answeredCheckShare = 1;
+        // How long an engine that has crashed is away.
+        duration engineDownTime = seconds(4);
+        int dataCentres = 2;
         duration soundRequestInterval = milliseconds(40);
         // Where the bad part stands in the prompts that have it.
         bool badPartIsFirst = false;
@@ -37,7 +46,7 @@
             fleet.records.push_back(makeEngine());
         fleet.onEffect = [this](std::size_t router, const router_effect& effect) { observe(router, effect); };
         for (std::size_t number = 0; number < m_options.routers; ++number)
-            fleet.add("dc-" + std::to_string(number % 2));
+            fleet.add("dc-" + std::to_string(number % static_cast<std::size_t>(m_options.dataCentres)));
         fleet.run(seconds(3));
         m_nextBad = fleet.now();
         m_nextSound = fleet.now();
@@ -77,7 +86,7 @@
     int crashes() const { return static_cast<int>(m_crashTimes.size()); }
     // When the crash with that number, from 1, took place; far in the future if there was none.
     instant timeOfCrash(std::size_t number) const { return number <= m_crashTimes.size() ? m_crashTimes[number - 1] : fleet.now() + std::chrono::hours(1); }
-    // How many attempts of requests with the bad part were started after a time.
+    // How many attempts of bad requests were started after a time.
     int badAttemptsAfter(instant time) const
     {
         return static_cast<int>(std::count_if(m_badAttempts.begin(), m_badAttempts.end(), [time](instant sentAt) { return sentAt > time; }));
@@ -118,7 +127,6 @@
     static constexpr auto prefillTime = milliseconds(200);
     static constexpr auto eventInterval = milliseconds(50);
     static constexpr int eventCount = 20;
-    static constexpr auto restartTime = seconds(4);
 
     struct running_attempt {
         std::size_t router = 0;
@@ -149,8 +157,21 @@
         }
     }
 
+    static constexpr const char* repeatedBody = "repeated";
+
+    // Each repeat has a request id of its own.
+    proxied_request makeRepeatedRequest()
+    {
+        auto request = makeRequest({ commonPart, firstSubject });
+        request.body = repeatedBody;
+        request.prompt.parts.back().id = hashBytes(repeatedBody);
+        return request;
+    }
+
     proxied_request makeBadRequest()
     {
+        if (m_options.repeatsRequest)
+            return makeRepeatedRequest();
         const auto subject = subjectPart();
         return makeRequest(m_options.badPartIsFirst ? std::vector<std::uint64_t> { badPart, subject } : std::vector<std::uint64_t> { commonPart, badPart });
     }
@@ -159,7 +180,7 @@
 
     bool isBad(const proxied_request& request) const
     {
-        return std::any_of(request.prompt.parts.begin(), request.prompt.parts.end(), [](const prompt_part& part) { return part.id == badPart; });
+        return request.body == repeatedBody || std::any_of(request.prompt.parts.begin(), request.prompt.parts.end(), [](const prompt_part& part) { return part.id == badPart; });
     }
 
     void observe(std::size_t router, const router_effect& effect)
@@ -211,7 +232,7 @@
     {
         if (!m_dead.insert(engine).second)
             return;
-        m_restarts.emplace(fleet.now() + restartTime, engine);
+        m_restarts.emplace(fleet.now() + m_options.engineDownTime, engine);
         for (auto& item : m_running)
             item.broken = item.broken || item.engine == engine;
     }
@@ -236,7 +257,7 @@
             fleet.request(livingRouter(), std::move(request));
         }
         for (; m_nextBad <= fleet.now(); m_nextBad += m_options.badRequestInterval) {
-            if (sendsBadRequests)
+            for (int number = 0; sendsBadRequests && number < m_options.badRequestsAtOnce; ++number)
                 fleet.request(livingRouter(), makeBadRequest());
         }
     }
@@ -254,6 +275,10 @@
     void answerChecks()
     {
         for (const auto& pending : std::exchange(m_checks, {})) {
+            if (m_options.answeredCheckShare < 1 && std::uniform_real_distribution<>(0, 1)(m_random) >= m_options.answeredCheckShare) {
+                fleet.post(pending.first, connection_checked { pending.second.check, connection_outcome::unknown });
+                continue;
+            }
             const auto port = pending.second.target.port;
             const bool isDead = std::any_of(m_dead.begin(), m_dead.end(), [port](const std::string& engine) { return portOf(engine) == port; });
             fleet.post(pending.first, connection_checked { pending.second.check, isDead ? connection_outcome::refused : connection_outcome::accepted });
