Log requests that are sent although upstreams have crashed with them, and checks that find no crash

Change: suspected_request_sent names the crashes seen and counted; upstream_checked names a check that was not refused.

--- a/servers/router/crash_tracker.cpp
+++ b/servers/router/crash_tracker.cpp
@@ -260,6 +260,12 @@
     return found == m_crashes.end() ? 0 : countIndependent(suspect.kind, found->second);
 }
 
+int crash_tracker::crashesSeen(const crash_suspect& suspect) const
+{
+    const auto found = m_crashes.find(suspect);
+    return found == m_crashes.end() ? 0 : static_cast<int>(found->second.size());
+}
+
 void crash_tracker::expire(instant now)
 {
     for (auto& [suspect, crashes] : m_crashes)
--- a/servers/router/crash_tracker.h
+++ b/servers/router/crash_tracker.h
@@ -48,6 +48,8 @@
     std::optional<duration> refusedFor(const crash_suspect&, instant now) const;
     // How many crashes count against the suspect.
     int crashCount(const crash_suspect&) const;
+    // How many upstreams have crashed with the suspect, whether or not each of them counts.
+    int crashesSeen(const crash_suspect&) const;
 
     // Merges what another router or the aggregator of another data centre reports.
     void learn(const crash_news&, news_origin, instant now);
--- a/servers/router/router_attempts.cpp
+++ b/servers/router/router_attempts.cpp
@@ -55,6 +55,7 @@
     auto& upstream = *selected.upstream;
     const auto number = ++m_lastId;
     logResumption(progress);
+    logSuspectedRequest(progress, upstream);
     log(log_level::info, "request_sent",
         { { "request", progress.request->requestId }, { "route", progress.matchedRoute->name }, { "organisation", progress.organisation }, { "urgency", std::to_string(progress.urgency) }, { "upstream", upstream.record.id },
             { "version", upstream.record.version }, { "cause", cause }, { "by", selected.reason }, { "candidates", std::to_string(selected.candidates) }, { "in_flight", std::to_string(upstream.inFlight) },
--- a/servers/router/router_crashes.cpp
+++ b/servers/router/router_crashes.cpp
@@ -108,6 +108,17 @@
     return std::any_of(suspects.begin(), suspects.end(), [this](const crash_suspect& suspect) { return m_crashes.crashCount(suspect) >= crashesBeforeNoRetry; });
 }
 
+void router_reducer::logSuspectedRequest(const request_progress& progress, const upstream_state& upstream)
+{
+    if (m_crashes.empty())
+        return;
+    const auto suspect = suspectsOf(progress).front();
+    const auto seen = m_crashes.crashesSeen(suspect);
+    if (seen == 0)
+        return;
+    log(log_level::warning, "suspected_request_sent", { { "request", progress.request->requestId }, { "suspect", formatHex(suspect.id) }, { "upstream", upstream.record.id }, { "crashes_seen", std::to_string(seen) }, { "crashes_counted", std::to_string(m_crashes.crashCount(suspect)) } });
+}
+
 void router_reducer::recordBrokenAttempt(const request_progress& progress, const active_attempt& attempt)
 {
     auto& upstream = *attempt.upstream;
@@ -143,7 +154,9 @@
     const auto upstream = found->second;
     m_connectionChecks.erase(found);
     if (checked.outcome == connection_outcome::refused)
-        recordCrash(*upstream);
+        return recordCrash(*upstream);
+    static constexpr const char* outcomeNames[] = { "accepted", "refused", "unknown" };
+    log(log_level::info, "upstream_checked", { { "upstream", upstream->record.id }, { "outcome", outcomeNames[static_cast<int>(checked.outcome)] }, { "broken_requests", std::to_string(upstream->brokenAttempts.size()) } });
 }
 
 // Called when an upstream refuses connections. If attempts there broke shortly before, it has crashed, and what they asked for is
--- a/servers/router/router_reducer.h
+++ b/servers/router/router_reducer.h
@@ -184,6 +184,8 @@
     std::optional<caller_error> refuseSuspect(const request_progress&) const;
     // Whether a request that has broken off is likely enough to crash upstreams that it is not sent to another one.
     bool mayCrashUpstream(const request_progress&) const;
+    // Logs that a request is sent although upstreams have crashed with it.
+    void logSuspectedRequest(const request_progress&, const upstream_state&);
     // An attempt has ended without a complete answer.
     void recordBrokenAttempt(const request_progress&, const active_attempt&);
     void checkConnection(const shared_upstream&);
--- a/tests/servers/router/crash_test.cpp
+++ b/tests/servers/router/crash_test.cpp
@@ -125,3 +125,17 @@
     INFO((fixture.all<refuse_reply>().empty() ? "" : fixture.all<refuse_reply>().front().refusal.message));
     CHECK(fixture.all<start_attempt>().size() == 1);
 }
+
+TEST_CASE("a request that is sent although upstreams have crashed with it is logged with the crashes seen", "[router]")
+{
+    router_fixture fixture;
+    fixture.start();
+    fixture.request(1, "/oneshot/x");
+    CHECK_FALSE(fixture.hasLog("suspected_request_sent"));
+    fixture.step(attempt_aborted { fixture.only<start_attempt>().attemptNumber, true, "reset" });
+    fixture.step(connection_checked { fixture.only<check_connection>().check, connection_outcome::refused });
+    fixture.request(1, "/oneshot/x");
+    CHECK(fixture.hasLog("suspected_request_sent"));
+    fixture.request(2, "/oneshot/other");
+    CHECK_FALSE(fixture.hasLog("suspected_request_sent"));
+}
