Count each upstream that crashes at one moment with a request that was never answered

What callers saw: a request under which three upstreams had ended was sent on, and ended more. Cause: crashes less than 250 ms apart count as one, since upstreams of one rack fail together. A request that is repeated at once, or retried at the moment of a crash, ends several upstreams for each one that counts. Change: what tells a common failure from a bad request is not the time between crashes but what else is known. A suspect that no upstream has answered in five minutes, and that was at most of the upstreams that crashed at that moment, has each of them count; judged 500 ms after a crash, when the reports of all routers are there. What was answered before is counted as until now. Answers are therefore remembered for all suspects (answer_history, bounded), and reported to the others when a suspect is at two crashes. A prompt part counts so only at a router that has seen 20 answers. crash_evidence has what counts; crash_tracker decides. The test 'upstreams that crash at one moment count as one crash' demanded what the rule forbids for a request: three upstreams that end under it are three. Four tests replace it: it still holds for what was answered before, for a request that was not at most of the upstreams, and for a prompt part at a router that knows few answers; and each counts otherwise.

--- a/servers/router/crash_news.cpp
+++ b/servers/router/crash_news.cpp
@@ -30,15 +30,15 @@
     for (const auto& [suspect, age] : reported.refused) {
         const auto lastCrashAt = now - age;
         const auto answer = m_answers.find(suspect);
-        const bool wasAnswered = answer != m_answers.end() && answer->second.at >= lastCrashAt;
+        const bool wasAnswered = answer != m_answers.end() && answer->second.answer.at >= lastCrashAt;
         // A refusal that is known keeps its time, since the reported one includes the time that the report took.
         if (!wasAnswered && !m_refusals.contains(suspect))
             refuse(suspect, lastCrashAt, 0);
     }
     for (const auto& [suspect, age] : reported.answered)
-        recordAnswer({ suspect }, now - age, origin);
+        recordAnswer({ suspect }, now - age, origin, now);
     for (const auto& crash : reported.crashes) {
-        if (addCrash(crash, now - crash.age, origin))
+        if (addCrash(crash, origin, now))
             judge(crash.suspect);
     }
 }
@@ -64,8 +64,11 @@
         if (refusedFor(suspect, now).value_or(duration::zero()) > minReportedRefusal)
             result.refused.push_back({ suspect, ageOf(state.lastCrashAt, now) });
     }
-    for (const auto& [suspect, answer] : m_answers) {
-        if (answer.origin <= widest && now - answer.at < reportTime)
+    for (const auto& [suspect, reported] : m_answers) {
+        const auto& answer = reported.answer;
+        // That a suspect was answered before its only crash is of no use to others.
+        const bool isOfUse = answer.at >= reported.reportedSince - reportTime || crashesSeen(suspect) > 1;
+        if (answer.origin <= widest && now - reported.reportedSince < reportTime && isOfUse)
             result.answered.push_back({ suspect, ageOf(answer.at, now) });
     }
     for (const auto& [suspect, crashes] : m_crashes) {
--- a/servers/router/crash_tracker.cpp
+++ b/servers/router/crash_tracker.cpp
@@ -1,8 +1,6 @@
 #include "servers/router/crash_tracker.h"
 
 #include <algorithm>
-#include <iterator>
-#include <unordered_set>
 
 namespace kumquat::router {
 
@@ -18,10 +16,6 @@
     constexpr double explainedShare = 0.5;
     // Crashes of other suspects in this time before the last one are compared with those of a suspect.
     constexpr auto comparisonTime = std::chrono::seconds(10);
-    // Upstreams that fail within this time of each other may have failed for one reason outside the requests.
-    constexpr auto independenceTime = std::chrono::milliseconds(250);
-    // Routers notice one crash of an upstream within this time of each other.
-    constexpr auto sameCrashTime = std::chrono::milliseconds(1500);
     // Within this time after a crash, the reports of all routers about it have arrived.
     constexpr auto settlingTime = std::chrono::milliseconds(500);
     constexpr auto evidenceTime = std::chrono::minutes(5);
@@ -29,73 +23,32 @@
     constexpr auto refusalTime = std::chrono::minutes(10);
     // How long a refusal that has lapsed is renewed by a single crash.
     constexpr auto probationTime = std::chrono::hours(1);
+    // A router that has seen fewer answers than this since its start can't tell that a prompt part is never answered.
+    constexpr std::size_t minObservedAnswers = 20;
     constexpr std::size_t maxSuspects = 4096;
     constexpr std::size_t maxCrashesPerSuspect = 16;
     constexpr std::size_t maxKnownCrashes = 512;
 
-    template <typename Crash>
-    bool isSameCrash(const Crash& crash, std::uint32_t upstream, instant at)
-    {
-        return crash.upstream == upstream && crash.at - at < sameCrashTime && at - crash.at < sameCrashTime;
-    }
-
-    // Counts crashes that are apart in time; those of one request count once for a prompt part.
-    template <typename Crashes>
-    int countIndependent(suspect_kind kind, const Crashes& crashes)
-    {
-        std::unordered_set<std::uint32_t> requests;
-        std::optional<instant> last;
-        int count = 0;
-        for (const auto& crash : crashes) {
-            if (last && crash.at - *last < independenceTime)
-                continue;
-            if (kind == suspect_kind::prompt_part && !requests.insert(crash.request).second)
-                continue;
-            last = crash.at;
-            ++count;
-        }
-        return count;
-    }
-
-    template <typename Crash>
-    bool contains(const std::vector<Crash>& crashes, const Crash& crash)
-    {
-        return std::any_of(crashes.begin(), crashes.end(), [&crash](const Crash& item) { return isSameCrash(item, crash.upstream, crash.at); });
-    }
-
-    template <typename Crash>
-    bool containsAll(const std::vector<Crash>& all, const std::vector<Crash>& some)
-    {
-        return std::all_of(some.begin(), some.end(), [&all](const Crash& crash) { return contains(all, crash); });
-    }
-
-    // The crashes of the first list that the second one has too.
-    template <typename Crash>
-    std::vector<Crash> sharedCrashes(const std::vector<Crash>& first, const std::vector<Crash>& second)
-    {
-        std::vector<Crash> shared;
-        std::copy_if(first.begin(), first.end(), std::back_inserter(shared), [&second](const Crash& crash) { return contains(second, crash); });
-        return shared;
-    }
-
 } // namespace
 
 void crash_tracker::recordCrash(const crash_report& report, news_origin origin, instant now)
 {
     expire(now);
-    if (addCrash(report, now - report.age, origin))
+    if (addCrash(report, origin, now))
         judge(report.suspect);
 }
 
-bool crash_tracker::addCrash(const crash_report& report, instant at, news_origin origin)
+bool crash_tracker::addCrash(const crash_report& report, news_origin origin, instant now)
 {
+    const auto at = now - report.age;
+    recallAnswer(report.suspect, now);
     auto& crash = findOrAddCrash(report.upstream, at);
     if (report.suspect.kind == suspect_kind::prompt_part && m_refusals.contains(report.suspect))
         explainCrash(crash);
     else if (crash.explained)
         return false;
     const auto answer = m_answers.find(report.suspect);
-    if (answer != m_answers.end() && answer->second.at >= at)
+    if (answer != m_answers.end() && answer->second.answer.at >= at)
         return false;
     auto& crashes = m_crashes[report.suspect];
     const auto known = std::find_if(crashes.begin(), crashes.end(), [&](const observed_crash& item) { return isSameCrash(item, report.upstream, at); });
@@ -131,31 +84,42 @@
         refuse(suspect, lastCrashAt, count);
 }
 
-void crash_tracker::judgePromptParts(instant now)
+void crash_tracker::judgeSettled(instant now)
 {
-    // Reports of one crash arrive one after the other. A part that is only beside the reason must not be judged without it.
+    // Reports of one crash arrive one after the other. A suspect that is only beside the reason must not be judged without it.
     const auto settledBefore = now - settlingTime;
     std::vector<std::pair<crash_suspect, observed_crashes>> candidates;
     for (const auto& [suspect, crashes] : m_crashes) {
-        if (suspect.kind != suspect_kind::prompt_part || m_refusals.contains(suspect))
+        if (m_refusals.contains(suspect))
             continue;
         const auto end = std::find_if(crashes.begin(), crashes.end(), [settledBefore](const observed_crash& item) { return item.at > settledBefore; });
-        if (end - crashes.begin() >= partCrashLimit)
+        if (end - crashes.begin() >= std::min(requestCrashLimit, partCrashLimit))
             candidates.emplace_back(suspect, observed_crashes(crashes.begin(), end));
     }
     for (const auto& [suspect, crashes] : candidates) {
         if (isReason(suspect, crashes))
-            refuse(suspect, m_crashes.at(suspect).back().at, countIndependent(suspect.kind, crashes));
+            refuse(suspect, m_crashes.at(suspect).back().at, count(suspect, crashes));
     }
 }
 
+int crash_tracker::count(const crash_suspect& suspect, const observed_crashes& crashes) const
+{
+    const bool isUntried = suspect.kind == suspect_kind::request || m_history.recordedCount() >= minObservedAnswers;
+    return isUntried && !wasAnswered(suspect) ? countCoinciding(suspect.kind, crashes, m_knownCrashes) : countIndependent(suspect.kind, crashes);
+}
+
 bool crash_tracker::isReason(const crash_suspect& suspect, const observed_crashes& crashes) const
 {
     // Another part may have been found to be the reason of some of these crashes just now.
     if (std::any_of(crashes.begin(), crashes.end(), [this](const observed_crash& item) { return isExplained(item); }))
         return false;
-    const int count = countIndependent(suspect.kind, crashes);
-    const bool isLikely = count >= doubtfulPartCrashLimit || (count >= partCrashLimit && explainsMostCrashes(crashes));
+    return suspect.kind == suspect_kind::request ? count(suspect, crashes) >= requestCrashLimit : isReasonablePart(suspect, crashes);
+}
+
+bool crash_tracker::isReasonablePart(const crash_suspect& suspect, const observed_crashes& crashes) const
+{
+    const int counted = count(suspect, crashes);
+    const bool isLikely = counted >= doubtfulPartCrashLimit || (counted >= partCrashLimit && explainsMostCrashes(crashes));
     return isLikely && std::none_of(m_crashes.begin(), m_crashes.end(), [&](const auto& other) { return isBetterReason(other.first, other.second, suspect, crashes); });
 }
 
@@ -185,8 +149,8 @@
     const auto otherPosition = otherCrashes.back().position;
     // To refuse a part that begins many prompts does the most harm, so a deeper one that may be the reason goes first.
     if (otherPosition > position)
-        return countIndependent(other.kind, sharedCrashes(otherCrashes, crashes)) >= partCrashLimit;
-    const bool isDoubtful = countIndependent(suspect.kind, crashes) < doubtfulPartCrashLimit;
+        return count(other, sharedCrashes(otherCrashes, crashes)) >= partCrashLimit;
+    const bool isDoubtful = count(suspect, crashes) < doubtfulPartCrashLimit;
     return otherPosition == position && isDoubtful && containsAll(otherCrashes, crashes);
 }
 
@@ -201,7 +165,7 @@
         explainCrash(findOrAddCrash(crash.upstream, crash.at));
 }
 
-crash_tracker::known_crash& crash_tracker::findOrAddCrash(std::uint32_t upstream, instant at)
+known_crash& crash_tracker::findOrAddCrash(std::uint32_t upstream, instant at)
 {
     const auto found = std::find_if(m_knownCrashes.begin(), m_knownCrashes.end(), [&](const known_crash& item) { return isSameCrash(item, upstream, at); });
     if (found != m_knownCrashes.end())
@@ -222,16 +186,27 @@
     std::erase_if(m_crashes, [](const auto& item) { return item.second.empty(); });
 }
 
-void crash_tracker::recordAnswer(const std::vector<crash_suspect>& suspects, instant answeredAt, news_origin origin)
+void crash_tracker::recallAnswer(const crash_suspect& suspect, instant now)
+{
+    const auto answer = m_history.find(suspect);
+    if (!answer || now - answer->at > evidenceTime)
+        return;
+    auto& latest = m_answers[suspect];
+    if (latest.answer.at < answer->at)
+        latest = { *answer, now };
+}
+
+void crash_tracker::recordAnswer(const std::vector<crash_suspect>& suspects, instant answeredAt, news_origin origin, instant now)
 {
     for (const auto& suspect : suspects) {
+        m_history.record(suspect, { answeredAt, origin });
         const auto found = m_crashes.find(suspect);
         const auto refused = m_refusals.find(suspect);
         if (found == m_crashes.end() && refused == m_refusals.end())
             continue;
-        auto& answer = m_answers[suspect];
-        if (answer.at < answeredAt)
-            answer = { answeredAt, origin };
+        auto& latest = m_answers[suspect];
+        if (latest.answer.at < answeredAt)
+            latest = { { answeredAt, origin }, now };
         if (found != m_crashes.end()) {
             std::erase_if(found->second, [answeredAt](const observed_crash& item) { return item.at <= answeredAt; });
             if (found->second.empty())
@@ -257,7 +232,7 @@
 int crash_tracker::crashCount(const crash_suspect& suspect) const
 {
     const auto found = m_crashes.find(suspect);
-    return found == m_crashes.end() ? 0 : countIndependent(suspect.kind, found->second);
+    return found == m_crashes.end() ? 0 : count(suspect, found->second);
 }
 
 int crash_tracker::crashesSeen(const crash_suspect& suspect) const
@@ -272,7 +247,7 @@
         std::erase_if(crashes, [now](const observed_crash& crash) { return now - crash.at > evidenceTime; });
     std::erase_if(m_crashes, [](const auto& item) { return item.second.empty(); });
     std::erase_if(m_knownCrashes, [now](const known_crash& item) { return now - item.at > evidenceTime; });
-    std::erase_if(m_answers, [now](const auto& item) { return now - item.second.at > evidenceTime; });
+    std::erase_if(m_answers, [now](const auto& item) { return now - item.second.answer.at > evidenceTime; });
     std::erase_if(m_refusals, [now](const auto& item) { return now - item.second.lastCrashAt > refusalTime + probationTime; });
 }
 
--- a/servers/router/crash_tracker.h
+++ b/servers/router/crash_tracker.h
@@ -2,6 +2,8 @@
 
 #include "core/clock.h"
 #include "core/crash_report.h"
+#include "servers/router/answer_history.h"
+#include "servers/router/crash_evidence.h"
 
 #include <cstdint>
 #include <optional>
@@ -11,11 +13,6 @@
 
 namespace kumquat::router {
 
-// From whom a router knows of a crash or of an answer.
-enum class news_origin { own,
-    own_data_centre,
-    other_data_centre };
-
 // Finds out which requests crash upstreams, and which requests are refused for it.
 //
 // Whatever an upstream had not begun to answer when it crashed is a suspect: each request by itself, and each part of a prompt that
@@ -33,9 +30,9 @@
     // A request with the suspect was at the upstream with this key when it crashed. For what the other fields mean see crash_report.
     void recordCrash(const crash_report&, news_origin, instant now);
     // An upstream began to answer a request with the suspects at the given time, and did not crash on it.
-    void recordAnswer(const std::vector<crash_suspect>&, instant answeredAt, news_origin = news_origin::own);
-    // Refuses the prompt parts that are found to be the reason of crashes. To be called several times a second.
-    void judgePromptParts(instant now);
+    void recordAnswer(const std::vector<crash_suspect>&, instant answeredAt, news_origin, instant now);
+    // Refuses the requests and prompt parts that are found to be the reason of crashes. To be called several times a second.
+    void judgeSettled(instant now);
     // The refusals that began since the last call.
     std::vector<refusal> takeNewRefusals() { return std::exchange(m_newRefusals, {}); }
 
@@ -60,38 +57,31 @@
     crash_news dataCentreNews(std::size_t maxItems, instant now);
 
 private:
-    struct observed_crash {
-        std::uint32_t upstream = 0;
-        std::uint32_t request = 0;
-        int position = 0;
-        instant at;
-        news_origin origin = news_origin::own;
-    };
-    // A crash, whatever is suspected of it.
-    struct known_crash {
-        std::uint32_t upstream = 0;
-        instant at;
-        // A refused prompt part was there.
-        bool explained = false;
-    };
-    struct observed_answer {
-        instant at;
-        news_origin origin = news_origin::own;
+    // An answer to a suspect, and since when this router reports it.
+    struct reported_answer {
+        observed_answer answer;
+        instant reportedSince;
     };
     // A refusal that has lapsed is kept for a time: one more crash renews it.
     struct refusal_state {
         instant lastCrashAt;
     };
-    using observed_crashes = std::vector<observed_crash>;
 
     void expire(instant now);
     void evictOldestSuspect();
     // Adds the crash, or completes what is known of it. Returns false if it was known.
-    bool addCrash(const crash_report&, instant at, news_origin);
+    bool addCrash(const crash_report&, news_origin, instant now);
     // Refuses a request if the crashes that count against it suffice, and prolongs or renews the refusal of any suspect.
     void judge(const crash_suspect&);
-    // Whether the crashes suffice to refuse a prompt part for them.
+    // How many of the crashes count against a suspect: those at one moment only if no upstream has answered it before.
+    int count(const crash_suspect&, const observed_crashes&) const;
+    // Whether an answer to the suspect is known.
+    bool wasAnswered(const crash_suspect& suspect) const { return m_answers.contains(suspect); }
+    // Takes over what is remembered of answers to a suspect when it is found at a crash.
+    void recallAnswer(const crash_suspect&, instant now);
+    // Whether the crashes suffice to refuse a suspect for them.
     bool isReason(const crash_suspect&, const observed_crashes&) const;
+    bool isReasonablePart(const crash_suspect&, const observed_crashes&) const;
     bool isExplained(const observed_crash&) const;
     void refuse(const crash_suspect&, instant lastCrashAt, int crashes);
     // Returns what is known of the crash of an upstream at about that time.
@@ -106,7 +96,10 @@
     // The crashes that count against each suspect, in the order of their times.
     std::unordered_map<crash_suspect, observed_crashes, crash_suspect_hash> m_crashes;
     std::vector<known_crash> m_knownCrashes;
-    std::unordered_map<crash_suspect, observed_answer, crash_suspect_hash> m_answers;
+    // The answers to suspects that were at crashes.
+    std::unordered_map<crash_suspect, reported_answer, crash_suspect_hash> m_answers;
+    // The answers to all others.
+    answer_history m_history;
     std::unordered_map<crash_suspect, refusal_state, crash_suspect_hash> m_refusals;
     std::vector<refusal> m_newRefusals;
     std::vector<crash_suspect> m_liftedRefusals;
--- a/servers/router/router_crashes.cpp
+++ b/servers/router/router_crashes.cpp
@@ -185,9 +185,7 @@
 void router_reducer::recordSoundAnswer(request_progress& progress, active_attempt& attempt)
 {
     attempt.answersSoundly = true;
-    if (m_crashes.empty())
-        return;
-    m_crashes.recordAnswer(promptSuspects(progress), *attempt.firstEventAt);
+    m_crashes.recordAnswer(promptSuspects(progress), *attempt.firstEventAt, news_origin::own, m_now);
     actOnNewRefusals();
 }
 
@@ -201,13 +199,11 @@
 
 void router_reducer::recordCompletion(request_progress& progress, const active_attempt& attempt)
 {
-    if (m_crashes.empty())
-        return;
-    m_crashes.recordAnswer({ suspectsOf(progress).front() }, m_now);
+    m_crashes.recordAnswer({ suspectsOf(progress).front() }, m_now, news_origin::own, m_now);
     // What ends with its connection may have been cut off by a crash.
     const bool isSurelyComplete = !attempt.answer || attempt.answer->head.keepAlive;
     if (isSurelyComplete || attempt.answersSoundly)
-        m_crashes.recordAnswer(promptSuspects(progress), attempt.firstEventAt.value_or(m_now));
+        m_crashes.recordAnswer(promptSuspects(progress), attempt.firstEventAt.value_or(m_now), news_origin::own, m_now);
 }
 
 void router_reducer::actOnNewRefusals()
--- a/servers/router/router_peers.cpp
+++ b/servers/router/router_peers.cpp
@@ -155,7 +155,7 @@
     setTimer(timer_kind::digest, 0, m_now + m_peers.digestInterval());
     if (m_peers.count() == 0)
         m_refusalStore.requestListOlderThan(refusalListIntervalAlone, m_now);
-    m_crashes.judgePromptParts(m_now);
+    m_crashes.judgeSettled(m_now);
     actOnNewRefusals();
     const bool idle = m_requests.empty() && m_recentCachedParts.empty() && !m_terminating;
     m_idleDigests = idle ? m_idleDigests + 1 : 0;
--- a/tests/servers/router/crash_tracker_test.cpp
+++ b/tests/servers/router/crash_tracker_test.cpp
@@ -53,7 +53,7 @@
 // Whether the suspect is refused a settling time after the given time.
 bool isRefused(crash_tracker& tracker, const crash_suspect& suspect, instant time)
 {
-    tracker.judgePromptParts(time + settlingTime);
+    tracker.judgeSettled(time + settlingTime);
     return tracker.refusedFor(suspect, time + settlingTime).has_value();
 }
 
@@ -67,7 +67,7 @@
     reports.crash({ part }, start + seconds(1));
     CHECK_FALSE(isRefused(tracker, part, start + seconds(1)));
     reports.crash({ part }, start + seconds(2));
-    tracker.judgePromptParts(start + seconds(2));
+    tracker.judgeSettled(start + seconds(2));
     CHECK_FALSE(tracker.refusedFor(part, start + seconds(2)));
     CHECK(isRefused(tracker, part, start + seconds(2)));
     REQUIRE(tracker.takeNewRefusals().size() == 1);
@@ -84,28 +84,61 @@
     CHECK_FALSE(isRefused(tracker, part, start + seconds(2)));
 }
 
-TEST_CASE("upstreams that crash at one moment count as one crash", "[crash-tracker]")
+TEST_CASE("upstreams that crash at one moment count as one crash for what was answered before", "[crash-tracker]")
 {
     crash_tracker tracker;
     crash_reports reports(tracker);
+    tracker.recordAnswer({ request, part }, start - seconds(1), news_origin::own, start - seconds(1));
     for (int number = 0; number < 20; ++number)
         reports.crash({ request, part }, start + milliseconds(number));
     CHECK_FALSE(isRefused(tracker, request, start + seconds(1)));
     CHECK_FALSE(isRefused(tracker, part, start + seconds(1)));
 }
 
+TEST_CASE("upstreams that crash at one moment count as one crash for a request that was not at most of them", "[crash-tracker]")
+{
+    crash_tracker tracker;
+    crash_reports reports(tracker);
+    for (int number = 0; number < 10; ++number) {
+        reports.crash({ request }, start + milliseconds(number));
+        reports.crash({ otherPart }, start + milliseconds(number));
+    }
+    CHECK_FALSE(isRefused(tracker, request, start + seconds(1)));
+}
+
+TEST_CASE("upstreams that crash at one moment count as one crash for a prompt part while few answers are known", "[crash-tracker]")
+{
+    crash_tracker tracker;
+    crash_reports reports(tracker);
+    for (int number = 0; number < 20; ++number)
+        reports.crash({ part }, start + milliseconds(number));
+    CHECK_FALSE(isRefused(tracker, part, start + seconds(1)));
+}
+
+TEST_CASE("each upstream that crashes at one moment counts against a request that was never answered", "[crash-tracker]")
+{
+    crash_tracker tracker;
+    crash_reports reports(tracker);
+    reports.crashWith(9, { request }, start);
+    reports.crashWith(9, { request }, start + milliseconds(1));
+    CHECK(tracker.crashCount(request) == 2);
+    CHECK_FALSE(isRefused(tracker, request, start + seconds(1)));
+    reports.crashWith(9, { request }, start + milliseconds(2));
+    CHECK(isRefused(tracker, request, start + seconds(1)));
+}
+
 TEST_CASE("an answer to a request with the part discards the crashes before it", "[crash-tracker]")
 {
     crash_tracker tracker;
     crash_reports reports(tracker);
     reports.crash({ part }, start);
     reports.crash({ part }, start + seconds(1));
-    tracker.recordAnswer({ part }, start + milliseconds(1500));
+    tracker.recordAnswer({ part }, start + milliseconds(1500), news_origin::own, start + milliseconds(1500));
     reports.crash({ part }, start + seconds(2));
     CHECK(tracker.crashCount(part) == 1);
     CHECK_FALSE(isRefused(tracker, part, start + seconds(2)));
     // A stream that began before the crash says nothing about requests that begin after it.
-    tracker.recordAnswer({ part }, start + milliseconds(1900));
+    tracker.recordAnswer({ part }, start + milliseconds(1900), news_origin::own, start + milliseconds(1900));
     CHECK(tracker.crashCount(part) == 1);
 }
 
@@ -116,7 +149,7 @@
     reports.crash({ otherPart }, start);
     for (int number = 1; number <= 2; ++number)
         reports.crash({ otherPart, part }, start + seconds(number));
-    tracker.recordAnswer({ otherPart }, start + milliseconds(1500));
+    tracker.recordAnswer({ otherPart }, start + milliseconds(1500), news_origin::own, start + milliseconds(1500));
     reports.crash({ otherPart, part }, start + seconds(3));
     REQUIRE(isRefused(tracker, part, start + seconds(3)));
     CHECK(tracker.crashCount(otherPart) == 0);
@@ -163,7 +196,7 @@
         CHECK_FALSE(isRefused(tracker, part, start + seconds(3)));
         CHECK_FALSE(isRefused(tracker, otherPart, start + seconds(3)));
         if (isCleared) {
-            tracker.recordAnswer({ otherPart }, start + milliseconds(3100));
+            tracker.recordAnswer({ otherPart }, start + milliseconds(3100), news_origin::own, start + milliseconds(3100));
             CHECK(isRefused(tracker, part, start + milliseconds(3100)));
             CHECK_FALSE(isRefused(tracker, otherPart, start + milliseconds(3100)));
             continue;
@@ -240,7 +273,7 @@
     REQUIRE(isRefused(first, part, now - settlingTime));
     second.learn(first.ownNews(18, now), news_origin::own_data_centre, now);
     REQUIRE(isRefused(second, part, now));
-    second.recordAnswer({ part }, now);
+    second.recordAnswer({ part }, now, news_origin::own, now);
     CHECK_FALSE(isRefused(second, part, now));
     first.learn(second.ownNews(18, now), news_origin::own_data_centre, now);
     CHECK_FALSE(isRefused(first, part, now));
