Tell the router which answers end with their connection

What callers saw: a stream without a length that a crashing upstream cut off after an event counted as complete, so the request and the parts of its prompt were cleared of the crash, again and again. Cause: the router took 'ends with its connection' from the head's keepAlive, which the platform's adapter sets to true in every answer before the router sees it, so the rule of never held outside the unit tests. And an answer with a length and 'Connection: close' would have counted as one without. Change: the head has endsWithConnection, set by the parser from the framing alone. Looked for elsewhere: nothing else in servers/router reads keepAlive of an answer. Tests: the parser's flag for each framing; the adapter keeps it; the two tests of streams use it. They fail to compile before, as the field is new; with keepAlive in its place the adapter's test fails by what line 72 of answer_codec.cpp does.

--- a/core/http_message.h
+++ b/core/http_message.h
@@ -34,6 +34,8 @@
     // Absent if the body is sent in chunks or is terminated by the end of the connection.
     std::optional<std::uint64_t> contentLength;
     bool keepAlive = true;
+    // The body has neither a length nor chunks, so that its end can't be told from that of its sender.
+    bool endsWithConnection = false;
 };
 
 // An IPv4 address and port to connect to.
--- a/drivers/http_parser/answer_reader.cpp
+++ b/drivers/http_parser/answer_reader.cpp
@@ -36,6 +36,14 @@
 
 namespace {
 
+    constexpr int statusNoContent = 204;
+    constexpr int statusNotModified = 304;
+
+    bool hasBody(int status)
+    {
+        return status != statusNoContent && status != statusNotModified;
+    }
+
     template <typename Implementation>
     http_parser_settings makeCallbacks()
     {
@@ -63,8 +71,11 @@
                 return 0;
             reader.answerHead.status = static_cast<int>(parser->status_code);
             reader.answerHead.keepAlive = http_should_keep_alive(parser) != 0;
-            if (parser->content_length != ULLONG_MAX && !(parser->flags & F_CHUNKED))
+            const bool hasLength = parser->content_length != ULLONG_MAX;
+            const bool isChunked = (parser->flags & F_CHUNKED) != 0;
+            if (hasLength && !isChunked)
                 reader.answerHead.contentLength = parser->content_length;
+            reader.answerHead.endsWithConnection = !hasLength && !isChunked && hasBody(reader.answerHead.status) && !reader.isHeadRequest;
             reader.parts->emplace_back(std::move(reader.answerHead));
             return reader.isHeadRequest ? 1 : 0;
         };
--- a/servers/router/router_answering.cpp
+++ b/servers/router/router_answering.cpp
@@ -164,7 +164,7 @@
     auto& attempt = *findAttempt(progress, number);
     const bool isIncomplete = progress.stream.hasPartialEvent() || !progress.replyStarted;
     // The end of the connection may be the end of the stream or a crash of the upstream.
-    const bool endedByConnection = !attempt.answer->head.keepAlive;
+    const bool endedByConnection = attempt.answer->head.endsWithConnection;
     if (isIncomplete || (endedByConnection && !attempt.answersSoundly))
         recordBrokenAttempt(progress, attempt);
     if (!findByAttempt(number))
--- a/servers/router/router_crashes.cpp
+++ b/servers/router/router_crashes.cpp
@@ -201,7 +201,7 @@
 {
     m_crashes.recordAnswer({ suspectsOf(progress).front() }, m_now, news_origin::own, m_now);
     // What ends with its connection may have been cut off by a crash.
-    const bool isSurelyComplete = !attempt.answer || attempt.answer->head.keepAlive;
+    const bool isSurelyComplete = !attempt.answer || !attempt.answer->head.endsWithConnection;
     if (isSurelyComplete || attempt.answersSoundly)
         m_crashes.recordAnswer(promptSuspects(progress), attempt.firstEventAt.value_or(m_now), news_origin::own, m_now);
 }
--- a/tests/drivers/answer_reader_test.cpp
+++ b/tests/drivers/answer_reader_test.cpp
@@ -87,3 +87,20 @@
     ambiguous.feed("HTTP/1.1 200 OK\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", parts);
     CHECK(ambiguous.malformed());
 }
+
+TEST_CASE("only an answer that has neither a length nor chunks is told to end with its connection", "[http]")
+{
+    const auto endsWithConnection = [](const std::string& text, bool isHeadRequest = false) {
+        answer_reader reader;
+        reader.restart(isHeadRequest);
+        std::vector<answer_part> parts;
+        reader.feed(text, parts);
+        return std::get<http_answer_head>(parts.at(0)).endsWithConnection;
+    };
+    CHECK(endsWithConnection("HTTP/1.1 200 OK\r\n\r\n"));
+    CHECK(endsWithConnection("HTTP/1.0 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"));
+    CHECK_FALSE(endsWithConnection("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 4\r\n\r\n"));
+    CHECK_FALSE(endsWithConnection("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"));
+    CHECK_FALSE(endsWithConnection("HTTP/1.1 204 No Content\r\n\r\n"));
+    CHECK_FALSE(endsWithConnection("HTTP/1.1 200 OK\r\n\r\n", true));
+}
--- a/tests/platform/answer_codec_test.cpp
+++ b/tests/platform/answer_codec_test.cpp
@@ -72,3 +72,14 @@
         CHECK(findHeader(answer.head.headers, "Server-Limit") == nullptr);
     }
 }
+
+TEST_CASE("that an answer ends with its connection is kept, although the caller's connection stays open", "[platform]")
+{
+    http_answer_head head;
+    head.status = 200;
+    head.keepAlive = false;
+    head.endsWithConnection = true;
+    const auto answer = decodeAnswer(std::move(head));
+    CHECK(answer.head.keepAlive);
+    CHECK(answer.head.endsWithConnection);
+}
--- a/tests/servers/router/stream_test.cpp
+++ b/tests/servers/router/stream_test.cpp
@@ -117,7 +117,7 @@
     fixture.request(1, "/oneshot/x");
     const auto number = fixture.only<start_attempt>().attemptNumber;
     auto answer = router_fixture::answer(200, true, true);
-    answer.head.keepAlive = false;
+    answer.head.endsWithConnection = true;
     fixture.step(answer_started { number, answer });
     fixture.step(answer_continued { number, events(1, 2) });
     fixture.step(answer_ended { number });
@@ -131,7 +131,7 @@
     fixture.request(1, "/stream/x");
     const auto first = fixture.only<start_attempt>();
     auto answer = router_fixture::answer(200, true, true);
-    answer.head.keepAlive = false;
+    answer.head.endsWithConnection = true;
     fixture.step(answer_started { first.attemptNumber, answer });
     fixture.step(answer_continued { first.attemptNumber, events(1, 2) + "id: 3\nda" });
     fixture.step(answer_ended { first.attemptNumber });
