Don't clear a request of a crash by an answer that may have been cut off

What callers saw: a request that crashes upstreams after the first event of an answer without a length is sent on for ever. Cause: such an answer counts as complete, as it has to for its caller, and a complete answer clears the request of the crash that ended it. Change: only an answer with a length or chunks clears the request. The simulation's fixture plays requests with a bad part beside the repeated one, repeats of a sound one, and crashes after an event.

--- a/servers/router/router_answering.cpp
+++ b/servers/router/router_answering.cpp
@@ -167,6 +167,8 @@
     const bool endedByConnection = attempt.answer->head.endsWithConnection;
     if (isIncomplete || (endedByConnection && !attempt.answersSoundly))
         recordBrokenAttempt(progress, attempt);
+    else if (endedByConnection)
+        addBrokenAttempt(*attempt.upstream, describeBroken(progress, attempt));
     if (!findByAttempt(number))
         return;
     if (isIncomplete)
@@ -200,6 +202,10 @@
     if (progress.replyStarted)
         return failAttempt(progress, number, attempt_end::may_have_run, "status " + std::to_string(status) + " in answer to the resumption of a stream");
     attempt.upstream->consecutiveFailures = 0;
+    const auto upstream = attempt.upstream;
+    std::optional<broken_attempt> uncertainEnd;
+    if (answer.head.endsWithConnection)
+        uncertainEnd = describeBroken(progress, attempt);
     if (isSuccess(status))
         recordCompletion(progress, attempt);
     removeAttempt(progress, number);
@@ -207,6 +213,9 @@
     answer.head.contentLength = body.size();
     emit(send_reply { progress.caller, std::move(answer.head), std::move(body) });
     finish(progress, status, "answered");
+    // Only now, since a refusal of the request must not take back the answer that it has.
+    if (uncertainEnd)
+        addBrokenAttempt(*upstream, std::move(*uncertainEnd));
 }
 
 void router_reducer::answerWithFailure(request_progress& progress)
--- a/servers/router/router_crashes.cpp
+++ b/servers/router/router_crashes.cpp
@@ -119,20 +119,31 @@
     log(log_level::warning, "suspected_request_sent", { { "request", progress.request->requestId }, { "suspect", formatHex(suspect.id) }, { "upstream", upstream.record.id }, { "crashes_seen", std::to_string(seen) }, { "crashes_counted", std::to_string(m_crashes.crashCount(suspect)) } });
 }
 
-void router_reducer::recordBrokenAttempt(const request_progress& progress, const active_attempt& attempt)
+broken_attempt router_reducer::describeBroken(const request_progress& progress, const active_attempt& attempt) const
 {
-    auto& upstream = *attempt.upstream;
-    std::erase_if(upstream.brokenAttempts, [this](const broken_attempt& item) { return m_now - item.brokenAt > crashAttributionWindow; });
     broken_attempt broken;
     broken.suspects = attempt.answersSoundly ? std::vector { suspectsOf(progress).front() } : suspectsOf(progress);
     // Requests may differ only in the part of the prompt that is their own.
     const auto& parts = progress.request->prompt.parts;
     broken.request = static_cast<std::uint32_t>(hashPart(std::to_string(broken.suspects.front().id), parts.empty() ? 0 : parts.back().id));
     broken.brokenAt = m_now;
+    return broken;
+}
+
+void router_reducer::addBrokenAttempt(upstream_state& upstream, broken_attempt&& broken)
+{
+    std::erase_if(upstream.brokenAttempts, [this](const broken_attempt& item) { return m_now - item.brokenAt > crashAttributionWindow; });
     upstream.brokenAttempts.push_back(std::move(broken));
     if (upstream.crashedAt && m_now - *upstream.crashedAt <= crashAttributionWindow)
-        return recordCrash(upstream);
-    checkConnection(attempt.upstream);
+        recordCrash(upstream);
+}
+
+void router_reducer::recordBrokenAttempt(const request_progress& progress, const active_attempt& attempt)
+{
+    const auto upstream = attempt.upstream;
+    addBrokenAttempt(*upstream, describeBroken(progress, attempt));
+    if (!upstream->brokenAttempts.empty())
+        checkConnection(upstream);
 }
 
 // A connection that ends is no proof of a crash. An upstream that also refuses new ones has no process any more.
@@ -199,9 +210,10 @@
 
 void router_reducer::recordCompletion(request_progress& progress, const active_attempt& attempt)
 {
-    m_crashes.recordAnswer({ suspectsOf(progress).front() }, m_now, news_origin::own, m_now);
     // What ends with its connection may have been cut off by a crash.
     const bool isSurelyComplete = !attempt.answer || !attempt.answer->head.endsWithConnection;
+    if (isSurelyComplete)
+        m_crashes.recordAnswer({ suspectsOf(progress).front() }, m_now, news_origin::own, m_now);
     if (isSurelyComplete || attempt.answersSoundly)
         m_crashes.recordAnswer(promptSuspects(progress), attempt.firstEventAt.value_or(m_now), news_origin::own, m_now);
 }
--- a/servers/router/router_reducer.h
+++ b/servers/router/router_reducer.h
@@ -186,8 +186,11 @@
     bool mayCrashUpstream(const request_progress&) const;
     // Logs that a request is sent although upstreams have crashed with it.
     void logSuspectedRequest(const request_progress&, const upstream_state&);
-    // An attempt has ended without a complete answer.
+    // An attempt has ended without an answer that is surely complete.
     void recordBrokenAttempt(const request_progress&, const active_attempt&);
+    broken_attempt describeBroken(const request_progress&, const active_attempt&) const;
+    // Blames the attempt if the upstream is known to have crashed at that time, or turns out to have.
+    void addBrokenAttempt(upstream_state&, broken_attempt&&);
     void checkConnection(const shared_upstream&);
     void recordCrash(upstream_state&);
     // Clears the request's prompt parts once its stream has gone on for a time.
--- a/tests/servers/router/crash_test.cpp
+++ b/tests/servers/router/crash_test.cpp
@@ -139,3 +139,23 @@
     fixture.request(2, "/oneshot/other");
     CHECK_FALSE(fixture.hasLog("suspected_request_sent"));
 }
+
+TEST_CASE("a request whose answer ended with its connection is suspected if the upstream turns out to have crashed", "[router]")
+{
+    router_fixture fixture;
+    fixture.answerConfigList(router_fixture::sampleConfig(), 5);
+    fixture.answerUpstreamList({ router_fixture::makeUpstream("app-1", "app", 1003) }, 5);
+    fixture.request(1, "/pay/x");
+    const auto first = fixture.only<start_attempt>().attemptNumber;
+    auto answer = router_fixture::answer(200);
+    answer.head.endsWithConnection = true;
+    fixture.step(answer_started { first, answer });
+    fixture.step(answer_continued { first, "half of an ans" });
+    fixture.step(answer_ended { first });
+    CHECK(fixture.replyStatus() == 200);
+    fixture.request(2, "/pay/y");
+    fixture.step(attempt_aborted { fixture.only<start_attempt>().attemptNumber, false, "refused", connection_outcome::refused });
+    CHECK(fixture.hasLog("upstream_crashed"));
+    fixture.request(3, "/pay/x");
+    CHECK(fixture.hasLog("suspected_request_sent"));
+}
--- a/tests/servers/router/crashing_request_test.cpp
+++ b/tests/servers/router/crashing_request_test.cpp
@@ -69,3 +69,12 @@
     CAPTURE(pattern.routers, pattern.engines, pattern.atOnce, pattern.interval.count());
     CHECK(worstLateArrivals(optionsOf(pattern, 1), 60) <= maxLateArrivals);
 }
+
+TEST_CASE("a request that crashes upstreams after the first event of a stream that ends with its connection is refused", "[crashing-request][slow]")
+{
+    const auto pattern = GENERATE(repeat_pattern { 4, 2, 12, 1, milliseconds(200) }, repeat_pattern { 4, 2, 12, 1, milliseconds(3500) }, repeat_pattern { 4, 2, 12, 6, milliseconds(4000) }, repeat_pattern { 4, 2, 3, 2, milliseconds(700) });
+    CAPTURE(pattern.engines, pattern.atOnce, pattern.interval.count());
+    auto options = optionsOf(pattern, 1);
+    options.crashesAfterFirstEvent = true;
+    CHECK(worstLateArrivals(options, 60) <= maxLateArrivals);
+}
--- a/tests/support/crashing_part_fixture.h
+++ b/tests/support/crashing_part_fixture.h
@@ -20,6 +20,12 @@
         int badRequestsAtOnce = 1;
         // The bad requests are repeats of one, whose prompt has no bad part.
         bool repeatsRequest = false;
+        // How often requests with the bad part are sent beside those repeats; never if it is zero.
+        duration besideInterval {};
+        // How engines crash on a bad request: before an answer, or after the first event of a stream that ends with its connection.
+        bool crashesAfterFirstEvent = false;
+        // The share of the sound requests that are repeats of one.
+        double hotShare = 0;
         // The share of the routers' connection checks that have an outcome.
         double answeredCheckShare = 1;
         // How long an engine that has crashed is away.
@@ -50,6 +56,7 @@
         fleet.run(seconds(3));
         m_nextBad = fleet.now();
         m_nextSound = fleet.now();
+        m_nextBeside = fleet.now();
     }
 
     void run(duration elapsed)
@@ -83,18 +90,23 @@
         return item;
     }
 
-    int crashes() const { return static_cast<int>(m_crashTimes.size()); }
+    // The bad requests that the functions below count are the repeats where the options have them, otherwise those with the bad part.
+    int crashes() const { return static_cast<int>(counted().crashTimes.size()); }
     // When the crash with that number, from 1, took place; far in the future if there was none.
-    instant timeOfCrash(std::size_t number) const { return number <= m_crashTimes.size() ? m_crashTimes[number - 1] : fleet.now() + std::chrono::hours(1); }
+    instant timeOfCrash(std::size_t number) const
+    {
+        const auto& times = counted().crashTimes;
+        return number <= times.size() ? times[number - 1] : fleet.now() + std::chrono::hours(1);
+    }
     // How many attempts of bad requests were started after a time.
     int badAttemptsAfter(instant time) const
     {
-        return static_cast<int>(std::count_if(m_badAttempts.begin(), m_badAttempts.end(), [time](instant sentAt) { return sentAt > time; }));
+        return countAfter(counted().attempts, time);
     }
     // How many of these reached an engine.
     int badArrivalsAfter(instant time) const
     {
-        return static_cast<int>(std::count_if(m_badArrivals.begin(), m_badArrivals.end(), [time](instant sentAt) { return sentAt > time; }));
+        return countAfter(counted().arrivals, time);
     }
     // The share of the sound requests with a shared part, sent after a time, of which an answer began.
     double answeredShare(std::uint64_t part, instant from) const
@@ -141,6 +153,14 @@
         bool refused = false;
     };
 
+    // What became of the bad requests of one kind.
+    struct bad_requests {
+        std::vector<instant> crashTimes;
+        std::vector<instant> attempts;
+        // The attempts that reached a living engine.
+        std::vector<instant> arrivals;
+    };
+
     struct sound_request {
         std::set<std::uint64_t> parts;
         instant sentAt;
@@ -158,6 +178,15 @@
     }
 
     static constexpr const char* repeatedBody = "repeated";
+    static constexpr const char* hotBody = "hot";
+
+    static int countAfter(const std::vector<instant>& times, instant time)
+    {
+        return static_cast<int>(std::count_if(times.begin(), times.end(), [time](instant sentAt) { return sentAt > time; }));
+    }
+
+    const bad_requests& counted() const { return m_options.repeatsRequest ? m_repeats : m_withBadPart; }
+    bad_requests& kindOf(const proxied_request& request) { return request.body == repeatedBody ? m_repeats : m_withBadPart; }
 
     // Each repeat has a request id of its own.
     proxied_request makeRepeatedRequest()
@@ -170,8 +199,6 @@
 
     proxied_request makeBadRequest()
     {
-        if (m_options.repeatsRequest)
-            return makeRepeatedRequest();
         const auto subject = subjectPart();
         return makeRequest(m_options.badPartIsFirst ? std::vector<std::uint64_t> { badPart, subject } : std::vector<std::uint64_t> { commonPart, badPart });
     }
@@ -210,9 +237,9 @@
         running_attempt item { router, attempt.attemptNumber, attempt.upstreamId, attempt.request, fleet.now() + prefillTime };
         item.refused = m_dead.contains(item.engine);
         if (isBad(*item.request))
-            m_badAttempts.push_back(fleet.now());
+            kindOf(*item.request).attempts.push_back(fleet.now());
         if (isBad(*item.request) && !item.refused)
-            m_badArrivals.push_back(fleet.now());
+            kindOf(*item.request).arrivals.push_back(fleet.now());
         m_running.push_back(std::move(item));
     }
 
@@ -248,18 +275,27 @@
 
     void sendDue()
     {
-        for (; m_nextSound <= fleet.now(); m_nextSound += m_options.soundRequestInterval) {
-            auto request = makeRequest({ commonPart, subjectPart() });
-            auto& record = m_soundRequests[request.requestId];
-            record.sentAt = fleet.now();
-            for (std::size_t index = 0; index + 1 < request.prompt.parts.size(); ++index)
-                record.parts.insert(request.prompt.parts[index].id);
-            fleet.request(livingRouter(), std::move(request));
-        }
+        for (; m_nextSound <= fleet.now(); m_nextSound += m_options.soundRequestInterval)
+            sendSound();
         for (; m_nextBad <= fleet.now(); m_nextBad += m_options.badRequestInterval) {
             for (int number = 0; sendsBadRequests && number < m_options.badRequestsAtOnce; ++number)
-                fleet.request(livingRouter(), makeBadRequest());
+                fleet.request(livingRouter(), m_options.repeatsRequest ? makeRepeatedRequest() : makeBadRequest());
         }
+        for (; m_options.besideInterval > duration {} && m_nextBeside <= fleet.now(); m_nextBeside += m_options.besideInterval)
+            fleet.request(livingRouter(), makeBadRequest());
+    }
+
+    void sendSound()
+    {
+        auto request = makeRequest({ commonPart, subjectPart() });
+        const bool isHot = m_options.hotShare > 0 && std::uniform_real_distribution<>(0, 1)(m_random) < m_options.hotShare;
+        if (isHot)
+            request.body = hotBody;
+        auto& record = m_soundRequests[request.requestId];
+        record.sentAt = fleet.now();
+        for (std::size_t index = 0; index + 1 < request.prompt.parts.size(); ++index)
+            record.parts.insert(request.prompt.parts[index].id);
+        fleet.request(livingRouter(), std::move(request));
     }
 
     void runEngines()
@@ -287,17 +323,28 @@
 
     void advance(running_attempt& item)
     {
+        // An answer without a length ends with its connection, also if the engine is gone.
+        if (item.broken && item.started && m_options.crashesAfterFirstEvent)
+            return endAnswer(item);
         if (item.refused || item.broken)
             return end(item, item.refused ? attempt_aborted { item.number, false, "Connection refused", connection_outcome::refused } : attempt_aborted { item.number, true, "End of file" });
         if (fleet.now() < item.nextAt)
             return;
-        if (!item.started && partIsBad && isBad(*item.request)) {
-            m_crashTimes.push_back(fleet.now());
+        if (partIsBad && isBad(*item.request) && item.started == m_options.crashesAfterFirstEvent) {
+            kindOf(*item.request).crashTimes.push_back(fleet.now());
             return crash(item.engine);
         }
         answer(item);
     }
 
+    void endAnswer(const running_attempt& item)
+    {
+        const auto router = item.router;
+        const auto number = item.number;
+        remove(router, number);
+        fleet.post(router, answer_ended { number });
+    }
+
     void answer(running_attempt& item)
     {
         const auto router = item.router;
@@ -310,8 +357,11 @@
             sound->second.answered = true;
         if (isLast)
             remove(router, number);
-        if (isFirst)
-            fleet.post(router, answer_started { number, router_fixture::answer(200, true, true) });
+        if (isFirst) {
+            auto head = router_fixture::answer(200, true, true);
+            head.head.endsWithConnection = m_options.crashesAfterFirstEvent;
+            fleet.post(router, answer_started { number, std::move(head) });
+        }
         fleet.post(router, answer_continued { number, event });
         if (isLast)
             fleet.post(router, answer_ended { number });
@@ -335,12 +385,12 @@
     std::vector<std::pair<std::size_t, check_connection>> m_checks;
     std::set<std::string> m_dead;
     std::multimap<instant, std::string> m_restarts;
-    std::vector<instant> m_crashTimes;
-    std::vector<instant> m_badAttempts;
-    std::vector<instant> m_badArrivals;
+    bad_requests m_withBadPart;
+    bad_requests m_repeats;
     std::map<std::string, sound_request> m_soundRequests;
     instant m_nextSound;
     instant m_nextBad;
+    instant m_nextBeside;
     int m_lastRequest = 0;
     int m_lastEngine = 0;
 };
