Count crashes against a request also if a refused prompt part was there

What callers saw: beside a prompt part that crashes upstreams, a request that does so too reaches more of them. Cause: the crashes that a refused part explains are taken from all other suspects, a repeated request among them, so its count begins anew; and a crash of the part within 250 ms left the request at only half of the crashes of that moment, which did not count as most. Change: a refused part explains crashes to other parts only, since refusing a request refuses nothing else. At one moment half is enough, as for prompt parts (explainedShare).

--- a/servers/router/crash_evidence.cpp
+++ b/servers/router/crash_evidence.cpp
@@ -59,12 +59,12 @@
         return last == end ? end : std::next(last);
     }
 
-    bool isMostOf(observed_crashes::const_iterator first, observed_crashes::const_iterator end, const std::vector<known_crash>& known)
+    bool isHalfOf(observed_crashes::const_iterator first, observed_crashes::const_iterator end, const std::vector<known_crash>& known)
     {
         const auto from = first->at - independenceTime;
         const auto to = std::prev(end)->at + independenceTime;
         const auto all = std::count_if(known.begin(), known.end(), [from, to](const known_crash& crash) { return !crash.explained && crash.at > from && crash.at < to; });
-        return 2 * (end - first) > all;
+        return 2 * (end - first) >= all;
     }
 
 } // namespace
@@ -81,7 +81,7 @@
     crash_counter counter(kind);
     for (auto first = crashes.begin(); first != crashes.end();) {
         const auto end = endOfMoment(first, crashes.end());
-        if (isMostOf(first, end, known))
+        if (isHalfOf(first, end, known))
             counter.countAll(first, end);
         else
             counter.countApart(first, end);
--- a/servers/router/crash_evidence.h
+++ b/servers/router/crash_evidence.h
@@ -49,7 +49,7 @@
 // Counts crashes that are apart in time; those of one request count once for a prompt part.
 int countIndependent(suspect_kind, const observed_crashes&);
 
-// Counts also crashes at one moment, if the suspect was at most of the upstreams that crashed then. Upstreams that fail together for
+// Counts also crashes at one moment, if the suspect was at half or more of the upstreams that crashed then. Upstreams that fail together for
 // another reason, as in a rack without power, fail whatever they run.
 int countCoinciding(suspect_kind, const observed_crashes&, const std::vector<known_crash>&);
 
--- a/servers/router/crash_tracker.cpp
+++ b/servers/router/crash_tracker.cpp
@@ -45,7 +45,7 @@
     auto& crash = findOrAddCrash(report.upstream, at);
     if (report.suspect.kind == suspect_kind::prompt_part && m_refusals.contains(report.suspect))
         explainCrash(crash);
-    else if (crash.explained)
+    else if (report.suspect.kind == suspect_kind::prompt_part && crash.explained)
         return false;
     const auto answer = m_answers.find(report.suspect);
     if (answer != m_answers.end() && answer->second.answer.at >= at)
@@ -110,10 +110,11 @@
 
 bool crash_tracker::isReason(const crash_suspect& suspect, const observed_crashes& crashes) const
 {
+    if (suspect.kind == suspect_kind::request)
+        return count(suspect, crashes) >= requestCrashLimit;
     // Another part may have been found to be the reason of some of these crashes just now.
-    if (std::any_of(crashes.begin(), crashes.end(), [this](const observed_crash& item) { return isExplained(item); }))
-        return false;
-    return suspect.kind == suspect_kind::request ? count(suspect, crashes) >= requestCrashLimit : isReasonablePart(suspect, crashes);
+    const bool isExplainedInPart = std::any_of(crashes.begin(), crashes.end(), [this](const observed_crash& item) { return isExplained(item); });
+    return !isExplainedInPart && isReasonablePart(suspect, crashes);
 }
 
 bool crash_tracker::isReasonablePart(const crash_suspect& suspect, const observed_crashes& crashes) const
@@ -180,7 +181,7 @@
     if (std::exchange(crash.explained, true))
         return;
     for (auto& [suspect, crashes] : m_crashes) {
-        if (!m_refusals.contains(suspect))
+        if (suspect.kind == suspect_kind::prompt_part && !m_refusals.contains(suspect))
             std::erase_if(crashes, [&crash](const observed_crash& item) { return isSameCrash(item, crash.upstream, crash.at); });
     }
     std::erase_if(m_crashes, [](const auto& item) { return item.second.empty(); });
--- a/servers/router/crash_tracker.h
+++ b/servers/router/crash_tracker.h
@@ -86,7 +86,8 @@
     void refuse(const crash_suspect&, instant lastCrashAt, int crashes);
     // Returns what is known of the crash of an upstream at about that time.
     known_crash& findOrAddCrash(std::uint32_t upstream, instant at);
-    // Removes a crash that a refused prompt part explains from the other suspects.
+    // Removes a crash that a refused prompt part explains from the other parts. It still counts against requests: it takes three
+    // crashes without an answer to refuse one, and that refuses nothing else.
     void explainCrash(known_crash&);
     bool explainsMostCrashes(const observed_crashes&) const;
     // Whether the first suspect, with its crashes, is a better reason for the crashes of the second one, a prompt part, than that.
--- a/tests/servers/router/crashing_request_test.cpp
+++ b/tests/servers/router/crashing_request_test.cpp
@@ -78,3 +78,13 @@
     options.crashesAfterFirstEvent = true;
     CHECK(worstLateArrivals(options, 60) <= maxLateArrivals);
 }
+
+TEST_CASE("a request that crashes upstreams is refused beside a prompt part that crashes them too", "[crashing-request][slow]")
+{
+    const auto pattern = GENERATE(repeat_pattern { 4, 2, 12, 1, milliseconds(1000) }, repeat_pattern { 4, 2, 12, 6, milliseconds(4000) }, repeat_pattern { 4, 2, 3, 4, milliseconds(4000) });
+    const auto besideInterval = GENERATE(milliseconds(100), milliseconds(700));
+    CAPTURE(pattern.engines, pattern.atOnce, pattern.interval.count(), besideInterval.count());
+    auto options = optionsOf(pattern, 1);
+    options.besideInterval = besideInterval;
+    CHECK(worstLateArrivals(options, 60) <= maxLateArrivals);
+}
