Take the part that leaves the fewest crashes without a reason for the reason of them

Cause: a deeper part with three of the crashes always went before one that begins the prompt, however many crashes it left without a reason. While all upstreams are down no answer clears the deeper ones, so each of them in turn stood before the bad part, or was refused in its place. Change: a deeper part goes first only if it was at three quarters of the crashes. A part that no upstream has answered goes before one that was; of two that were never answered, the one at all crashes of the other and many more. Crashes at one moment decide nothing between parts that were at all of them. Deeper parts are judged first, so that what they explain doesn't count against the first ones.

--- a/servers/router/crash_evidence.cpp
+++ b/servers/router/crash_evidence.cpp
@@ -107,7 +107,7 @@
     return shared;
 }
 
-observed_crashes otherCrashes(const observed_crashes& first, const observed_crashes& second)
+observed_crashes unsharedCrashes(const observed_crashes& first, const observed_crashes& second)
 {
     observed_crashes others;
     std::copy_if(first.begin(), first.end(), std::back_inserter(others), [&second](const observed_crash& crash) { return !contains(second, crash); });
--- a/servers/router/crash_evidence.h
+++ b/servers/router/crash_evidence.h
@@ -57,6 +57,6 @@
 bool containsAll(const observed_crashes& all, const observed_crashes& some);
 // The crashes of the first list that the second one has too, or that it has not.
 observed_crashes sharedCrashes(const observed_crashes& first, const observed_crashes& second);
-observed_crashes otherCrashes(const observed_crashes& first, const observed_crashes& second);
+observed_crashes unsharedCrashes(const observed_crashes& first, const observed_crashes& second);
 
 } // namespace kumquat::router
--- a/servers/router/crash_tracker.cpp
+++ b/servers/router/crash_tracker.cpp
@@ -14,6 +14,8 @@
     constexpr int doubtfulPartCrashLimit = 5;
     // The share of crashes that counts as most: routers that are cut off cause some that the others can't explain.
     constexpr double explainedShare = 0.5;
+    // A part is not the reason of another one's crashes if it was at less than this share of them.
+    constexpr double dominantShare = 0.75;
     // Crashes of other suspects in this time before the last one are compared with those of a suspect.
     constexpr auto comparisonTime = std::chrono::seconds(10);
     // Within this time after a crash, the reports of all routers about it have arrived.
@@ -96,6 +98,8 @@
         if (end - crashes.begin() >= std::min(requestCrashLimit, partCrashLimit))
             candidates.emplace_back(suspect, observed_crashes(crashes.begin(), end));
     }
+    // What a deeper part explains no longer counts against one that begins the prompt.
+    std::stable_sort(candidates.begin(), candidates.end(), [](const auto& left, const auto& right) { return left.second.back().position > right.second.back().position; });
     for (const auto& [suspect, crashes] : candidates) {
         if (isReason(suspect, crashes))
             refuse(suspect, m_crashes.at(suspect).back().at, count(suspect, crashes));
@@ -104,8 +108,13 @@
 
 int crash_tracker::count(const crash_suspect& suspect, const observed_crashes& crashes) const
 {
-    const bool isUntried = suspect.kind == suspect_kind::request || m_history.recordedCount() >= minObservedAnswers;
-    return isUntried && !wasAnswered(suspect) ? countCoinciding(suspect.kind, crashes, m_knownCrashes) : countIndependent(suspect.kind, crashes);
+    return isNeverAnswered(suspect) ? countCoinciding(suspect.kind, crashes, m_knownCrashes) : countIndependent(suspect.kind, crashes);
+}
+
+bool crash_tracker::isNeverAnswered(const crash_suspect& suspect) const
+{
+    const bool wouldBeKnown = suspect.kind == suspect_kind::request || m_history.recordedCount() >= minObservedAnswers;
+    return wouldBeKnown && !m_answers.contains(suspect);
 }
 
 bool crash_tracker::isReason(const crash_suspect& suspect, const observed_crashes& crashes) const
@@ -146,11 +155,20 @@
         return containsAll(otherCrashes, crashes);
     if (m_refusals.contains(other))
         return false;
+    const auto shared = sharedCrashes(otherCrashes, crashes);
+    if (isNeverAnswered(other) != isNeverAnswered(suspect))
+        return isNeverAnswered(other) && count(other, shared) >= partCrashLimit;
+    // What was at all of these crashes and many more leaves fewer without a reason.
+    if (isNeverAnswered(other) && shared.size() == crashes.size() && static_cast<double>(crashes.size()) < dominantShare * static_cast<double>(otherCrashes.size()))
+        return true;
+    // Crashes at one moment don't tell two parts apart that were at all of them.
+    if (countIndependent(suspect.kind, crashes) < partCrashLimit && shared.size() == crashes.size())
+        return true;
     const auto position = crashes.back().position;
     const auto otherPosition = otherCrashes.back().position;
     // To refuse a part that begins many prompts does the most harm, so a deeper one that may be the reason goes first.
     if (otherPosition > position)
-        return count(other, sharedCrashes(otherCrashes, crashes)) >= partCrashLimit;
+        return count(other, shared) >= partCrashLimit && static_cast<double>(shared.size()) >= dominantShare * static_cast<double>(crashes.size());
     const bool isDoubtful = count(suspect, crashes) < doubtfulPartCrashLimit;
     return otherPosition == position && isDoubtful && containsAll(otherCrashes, crashes);
 }
--- a/servers/router/crash_tracker.h
+++ b/servers/router/crash_tracker.h
@@ -75,8 +75,8 @@
     void judge(const crash_suspect&);
     // How many of the crashes count against a suspect: those at one moment only if no upstream has answered it before.
     int count(const crash_suspect&, const observed_crashes&) const;
-    // Whether an answer to the suspect is known.
-    bool wasAnswered(const crash_suspect& suspect) const { return m_answers.contains(suspect); }
+    // Whether no upstream has answered the suspect lately, as far as this router would know.
+    bool isNeverAnswered(const crash_suspect&) const;
     // Takes over what is remembered of answers to a suspect when it is found at a crash.
     void recallAnswer(const crash_suspect&, instant now);
     // Whether the crashes suffice to refuse a suspect for them.
--- a/tests/servers/router/crashing_part_test.cpp
+++ b/tests/servers/router/crashing_part_test.cpp
@@ -40,6 +40,23 @@
     CHECK(site.badAttemptsAfter(site.timeOfCrash(5) + reactionTime) <= maxLateAttempts);
 }
 
+TEST_CASE("a prompt part that crashes all of a few upstreams is refused in every draw, and sound requests are served on", "[crashing-part][slow]")
+{
+    const auto routers = GENERATE(std::size_t(2), std::size_t(12));
+    const auto engines = GENERATE(4, 9, 40);
+    CAPTURE(routers, engines);
+    double sound = 0;
+    for (unsigned seed = 1; seed <= 60; ++seed) {
+        CAPTURE(seed);
+        crashing_part_fixture site({ .routers = routers, .engines = engines, .seed = seed, .badRequestInterval = milliseconds(100), .badPartIsFirst = true });
+        site.run(milliseconds(10800));
+        CHECK(site.badAttemptsAfter(site.timeOfCrash(5) + reactionTime) <= maxLateAttempts);
+        CHECK(site.refusedParts <= static_cast<int>(routers));
+        sound += site.answeredShare(crashing_part_fixture::commonPart, site.timeOfCrash(5) + 2 * reactionTime);
+    }
+    CHECK(sound > 0.9 * 60);
+}
+
 TEST_CASE("requests that differ only in the last part of their prompts count as different ones", "[crashing-part]")
 {
     crashing_part_fixture site({ .routers = 1, .hasBodies = false });
