Notice crashes whose first check of the connections shows nothing

What callers saw: a request under which upstreams ended was sent on, since their ends were not counted. Cause: a crash is known only by one check of the upstream's connections. It is left out within 300 ms of another one, and a check without an answer is the last. Evidence that comes later, the record that lapses or is replaced by that of another start, is not used. Change: a check that falls into the pause is made after it, one without an answer is repeated, for 1.5 s after a request broke off; one that is accepted ends it. If the record of an upstream that wasn't leaving disappears within 6 s after it broke off requests, it has crashed. Crashes are told to the others for 5 s after they were noticed, not after they happened.

--- a/servers/router/crash_evidence.h
+++ b/servers/router/crash_evidence.h
@@ -24,6 +24,8 @@
     int position = 0;
     instant at;
     news_origin origin = news_origin::own;
+    // When this router learned of it.
+    instant knownSince;
 };
 
 // In the order of their times.
--- a/servers/router/crash_news.cpp
+++ b/servers/router/crash_news.cpp
@@ -73,7 +73,7 @@
     }
     for (const auto& [suspect, crashes] : m_crashes) {
         for (const auto& crash : crashes) {
-            if (crash.origin <= widest && now - crash.at < reportTime)
+            if (crash.origin <= widest && now - crash.knownSince < reportTime)
                 result.crashes.push_back({ suspect, crash.upstream, crash.request, crash.position, ageOf(crash.at, now) });
         }
     }
--- a/servers/router/crash_tracker.cpp
+++ b/servers/router/crash_tracker.cpp
@@ -61,7 +61,7 @@
     if (crashes.size() == maxCrashesPerSuspect)
         crashes.erase(crashes.begin());
     const auto position = std::find_if(crashes.begin(), crashes.end(), [at](const observed_crash& item) { return item.at > at; });
-    crashes.insert(position, { report.upstream, report.request, report.position, at, origin });
+    crashes.insert(position, { report.upstream, report.request, report.position, at, origin, now });
     if (m_crashes.size() > maxSuspects)
         evictOldestSuspect();
     return true;
--- a/servers/router/router_attempts.cpp
+++ b/servers/router/router_attempts.cpp
@@ -224,7 +224,7 @@
     if (aborted.requestSent)
         recordBrokenAttempt(*progress, *findAttempt(*progress, aborted.attemptNumber));
     if (aborted.outcome == connection_outcome::refused)
-        recordCrash(*upstream);
+        recordRefusedConnection(*upstream);
     // The crash may have ended the request as a refused one.
     if (!findByAttempt(aborted.attemptNumber))
         return;
--- a/servers/router/router_crashes.cpp
+++ b/servers/router/router_crashes.cpp
@@ -5,23 +5,16 @@
 #include <algorithm>
 #include <cstdio>
 
-// How a router notices that an upstream has crashed, and which requests it refuses because they crash upstreams.
+// Which requests a router suspects of crashing upstreams, and which it refuses for it.
 
 namespace kumquat::router {
 
 namespace {
 
-    // If an upstream refuses connections within this time after the connection of a request broke, the request may have crashed it.
-    constexpr auto crashAttributionWindow = std::chrono::milliseconds(1500);
-    // An upstream whose answers break off often without a crash is checked no more often than this.
-    constexpr auto connectionCheckInterval = std::chrono::milliseconds(300);
-    constexpr auto connectionCheckTimeout = std::chrono::milliseconds(500);
     // A stream that still delivers events this long after its first one has not crashed its upstream.
     constexpr auto survivalTime = std::chrono::milliseconds(100);
     // A request whose suspects have this many crashes against them, not yet enough to refuse it, is not retried.
     constexpr int crashesBeforeNoRetry = 2;
-    // Requests are not sent to an upstream that has just crashed, unless there is no other.
-    constexpr auto crashBackoff = std::chrono::milliseconds(1000);
 
     // A caller that repeats a request uses a new request id, so the hash covers target, organisation and body instead.
     std::uint64_t hashRequest(const request_progress& progress)
@@ -130,69 +123,6 @@
     return broken;
 }
 
-void router_reducer::addBrokenAttempt(upstream_state& upstream, broken_attempt&& broken)
-{
-    std::erase_if(upstream.brokenAttempts, [this](const broken_attempt& item) { return m_now - item.brokenAt > crashAttributionWindow; });
-    upstream.brokenAttempts.push_back(std::move(broken));
-    if (upstream.crashedAt && m_now - *upstream.crashedAt <= crashAttributionWindow)
-        recordCrash(upstream);
-}
-
-void router_reducer::recordBrokenAttempt(const request_progress& progress, const active_attempt& attempt)
-{
-    const auto upstream = attempt.upstream;
-    addBrokenAttempt(*upstream, describeBroken(progress, attempt));
-    if (!upstream->brokenAttempts.empty())
-        checkConnection(upstream);
-}
-
-// A connection that ends is no proof of a crash. An upstream that also refuses new ones has no process any more.
-void router_reducer::checkConnection(const shared_upstream& upstream)
-{
-    if (upstream->checkedAt && m_now - *upstream->checkedAt < connectionCheckInterval)
-        return;
-    upstream->checkedAt = m_now;
-    const auto check = ++m_lastId;
-    m_connectionChecks.emplace(check, upstream);
-    emit(check_connection { check, upstream->record.address, connectionCheckTimeout });
-}
-
-void router_reducer::on(connection_checked&& checked)
-{
-    const auto found = m_connectionChecks.find(checked.check);
-    if (found == m_connectionChecks.end())
-        return;
-    const auto upstream = found->second;
-    m_connectionChecks.erase(found);
-    if (checked.outcome == connection_outcome::refused)
-        return recordCrash(*upstream);
-    static constexpr const char* outcomeNames[] = { "accepted", "refused", "unknown" };
-    log(log_level::info, "upstream_checked", { { "upstream", upstream->record.id }, { "outcome", outcomeNames[static_cast<int>(checked.outcome)] }, { "broken_requests", std::to_string(upstream->brokenAttempts.size()) } });
-}
-
-// Called when an upstream refuses connections. If attempts there broke shortly before, it has crashed, and what they asked for is
-// suspected.
-void router_reducer::recordCrash(upstream_state& upstream)
-{
-    auto brokenAttempts = std::exchange(upstream.brokenAttempts, {});
-    std::erase_if(brokenAttempts, [this](const broken_attempt& broken) { return m_now - broken.brokenAt > crashAttributionWindow; });
-    if (brokenAttempts.empty())
-        return;
-    upstream.crashedAt = m_now;
-    upstream.backoffUntil = std::max(upstream.backoffUntil, m_now + crashBackoff);
-    log(log_level::warning, "upstream_crashed", { { "upstream", upstream.record.id }, { "service", upstream.record.service }, { "broken_requests", std::to_string(brokenAttempts.size()) } });
-    emit(count_metric { "kumquat_router_upstream_crashes_total", { { "service", upstream.record.service } } });
-    const auto key = static_cast<std::uint32_t>(hashBytes(upstream.record.id, static_cast<std::uint64_t>(upstream.record.startedUnixMs)));
-    for (const auto& broken : brokenAttempts) {
-        const auto age = std::chrono::floor<std::chrono::milliseconds>(m_now - broken.brokenAt);
-        for (std::size_t index = 0; index < broken.suspects.size(); ++index)
-            m_crashes.recordCrash({ broken.suspects[index], key, broken.request, std::max(static_cast<int>(index) - 1, 0), age }, news_origin::own, m_now);
-    }
-    // Another router, which this one can't hear, may know the reason already.
-    m_refusalStore.requestList();
-    actOnNewRefusals();
-}
-
 void router_reducer::recordSoundAnswer(request_progress& progress, active_attempt& attempt)
 {
     attempt.answersSoundly = true;
--- a/servers/router/router_reducer.cpp
+++ b/servers/router/router_reducer.cpp
@@ -158,6 +158,8 @@
     case timer_kind::first_read:
         // step() starts reads that are due and admits pending requests after each event, so these timers only trigger it.
         return;
+    case timer_kind::connection_check:
+        return checkConnectionAgain(static_cast<std::uint32_t>(id));
     case timer_kind::record_expiry:
         return removeExpiredUpstreams();
     case timer_kind::digest:
--- a/servers/router/router_reducer.h
+++ b/servers/router/router_reducer.h
@@ -191,8 +191,16 @@
     broken_attempt describeBroken(const request_progress&, const active_attempt&) const;
     // Blames the attempt if the upstream is known to have crashed at that time, or turns out to have.
     void addBrokenAttempt(upstream_state&, broken_attempt&&);
+    // Checks whether the upstream accepts connections, now or when the pause since the last check is over, if it has broken off
+    // requests since it last did.
     void checkConnection(const shared_upstream&);
-    void recordCrash(upstream_state&);
+    void checkConnectionAgain(std::uint32_t upstreamKey);
+    // The upstream has refused a connection.
+    void recordRefusedConnection(upstream_state&);
+    // The record of the upstream is gone from the store or is that of another process.
+    void recordDisappearance(upstream_state&);
+    // The upstream has crashed. What the attempts asked for that broke within the window before is suspected.
+    void recordCrash(upstream_state&, duration window);
     // Clears the request's prompt parts once its stream has gone on for a time.
     void noteEvents(request_progress&, active_attempt&);
     void recordSoundAnswer(request_progress&, active_attempt&);
--- a/servers/router/router_store.cpp
+++ b/servers/router/router_store.cpp
@@ -151,8 +151,10 @@
             [&](const upstream_record& record) {
                 const auto known = m_upstreams.find(record.id);
                 const auto change = m_upstreams.put(record, position, m_now);
-                if (change == table_change::restarted)
+                if (change == table_change::restarted) {
                     distrustVersion(known);
+                    recordDisappearance(*known);
+                }
                 versionsMayDiffer |= change == table_change::added || change == table_change::restarted;
                 if (change == table_change::none)
                     return;
@@ -218,6 +220,7 @@
         return;
     log(log_level::info, "upstream_removed", { { "upstream", id }, { "cause", cause }, { "in_flight", std::to_string(removed->inFlight) }, { "record", toString(removed->position) } });
     emit(close_upstream_connections { removed->record.address });
+    recordDisappearance(*removed);
 }
 
 void router_reducer::applyConfig(store_update<shared_config>&& update)
--- a/servers/router/router_timer.h
+++ b/servers/router/router_timer.h
@@ -15,13 +15,14 @@
     first_read,
     read_timeout,
     refusal_call,
+    connection_check,
     record_expiry,
     digest,
     summary,
     close_idle,
     stop };
 
-// The kind of a timer, and the caller or the call to which it belongs.
+// The kind of a timer, and the caller, the call or the upstream to which it belongs.
 using timer_key = std::pair<timer_kind, std::uint64_t>;
 
 } // namespace kumquat::router
--- a/servers/router/upstream_table.h
+++ b/servers/router/upstream_table.h
@@ -48,6 +48,8 @@
     std::optional<instant> crashedAt;
     // When this router last checked whether it accepts connections.
     std::optional<instant> checkedAt;
+    // When the last such check was begun that it accepted.
+    std::optional<instant> acceptedAt;
     // Consecutive attempts that failed without an answer.
     int consecutiveFailures = 0;
     // The upstream has stated in an answer, to this or another router, that it is shutting down. Only a successor with another
--- a/tests/servers/router/crash_test.cpp
+++ b/tests/servers/router/crash_test.cpp
@@ -159,3 +159,55 @@
     fixture.request(3, "/pay/x");
     CHECK(fixture.hasLog("suspected_request_sent"));
 }
+
+TEST_CASE("an upstream that breaks off a request just after it was checked is checked once more", "[router]")
+{
+    router_fixture fixture;
+    fixture.answerConfigList(router_fixture::sampleConfig(), 5);
+    fixture.answerUpstreamList({ router_fixture::makeUpstream("llm-1", "llm", 1001) }, 5);
+    fixture.request(1, "/oneshot/x");
+    fixture.step(attempt_aborted { fixture.only<start_attempt>().attemptNumber, true, "reset" });
+    fixture.step(connection_checked { fixture.only<check_connection>().check, connection_outcome::accepted });
+    fixture.advance(milliseconds(100));
+    fixture.request(2, "/oneshot/x");
+    fixture.step(attempt_aborted { fixture.only<start_attempt>().attemptNumber, true, "reset" });
+    CHECK(fixture.all<check_connection>().empty());
+    const auto checks = router_fixture::all<check_connection>(fixture.advance(milliseconds(300)));
+    REQUIRE(checks.size() == 1);
+    fixture.step(connection_checked { checks[0].check, connection_outcome::refused });
+    CHECK(fixture.hasLog("upstream_crashed"));
+    CHECK(router_fixture::all<check_connection>(fixture.advance(seconds(2))).empty());
+}
+
+TEST_CASE("a check of an upstream's connections that has no answer is repeated", "[router]")
+{
+    router_fixture fixture;
+    fixture.start();
+    fixture.request(1, "/oneshot/x");
+    fixture.step(attempt_aborted { fixture.only<start_attempt>().attemptNumber, true, "reset" });
+    fixture.step(connection_checked { fixture.only<check_connection>().check, connection_outcome::unknown });
+    const auto checks = router_fixture::all<check_connection>(fixture.advance(milliseconds(400)));
+    REQUIRE(checks.size() == 1);
+    fixture.step(connection_checked { checks[0].check, connection_outcome::refused });
+    CHECK(fixture.hasLog("upstream_crashed"));
+}
+
+TEST_CASE("an upstream that breaks off requests and whose record disappears has crashed, unless it was leaving", "[router]")
+{
+    const auto isLeaving = GENERATE(false, true);
+    CAPTURE(isLeaving);
+    router_fixture fixture;
+    fixture.answerConfigList(router_fixture::sampleConfig(), 5);
+    auto record = router_fixture::makeUpstream("llm-1", "llm", 1001);
+    fixture.answerUpstreamList({ record }, 5);
+    fixture.request(1, "/oneshot/x");
+    fixture.step(attempt_aborted { fixture.only<start_attempt>().attemptNumber, true, "reset" });
+    fixture.step(connection_checked { fixture.only<check_connection>().check, connection_outcome::unknown });
+    if (isLeaving) {
+        record.leaving = true;
+        fixture.step(upstreams_read { fixture.upstreamRead, store_changes<upstream_record> { { { "llm-1", 6, record } }, 6 } });
+    }
+    fixture.advance(milliseconds(3600));
+    fixture.step(upstreams_read { fixture.upstreamRead, store_changes<upstream_record> { { { "llm-1", 7, removed_object {} } }, 7 } });
+    CHECK(fixture.hasLog("upstream_crashed") == !isLeaving);
+}
--- a/tests/servers/router/crashing_request_test.cpp
+++ b/tests/servers/router/crashing_request_test.cpp
@@ -79,6 +79,15 @@
     CHECK(worstLateArrivals(options, 60) <= maxLateArrivals);
 }
 
+TEST_CASE("a request that crashes upstreams is refused although few connection checks have an answer", "[crashing-request][slow]")
+{
+    const auto pattern = GENERATE(repeat_pattern { 4, 2, 12, 1, milliseconds(1000) }, repeat_pattern { 4, 2, 12, 3, milliseconds(2000) }, repeat_pattern { 4, 2, 12, 6, milliseconds(4000) }, repeat_pattern { 4, 2, 3, 2, milliseconds(700) }, repeat_pattern { 4, 2, 3, 4, milliseconds(4000) });
+    CAPTURE(pattern.engines, pattern.atOnce, pattern.interval.count());
+    auto options = optionsOf(pattern, 1);
+    options.answeredCheckShare = 0.5;
+    CHECK(worstLateArrivals(options, 60) <= maxLateArrivals);
+}
+
 TEST_CASE("a request that crashes upstreams is refused beside a prompt part that crashes them too", "[crashing-request][slow]")
 {
     const auto pattern = GENERATE(repeat_pattern { 4, 2, 12, 1, milliseconds(1000) }, repeat_pattern { 4, 2, 12, 6, milliseconds(4000) }, repeat_pattern { 4, 2, 3, 4, milliseconds(4000) });
