--- a/core/store_object.h
+++ b/core/store_object.h
@@ -58,6 +58,17 @@
     failed
 };
 
+// The name after which the next page of a list starts, or an empty one if the page has no object whose name can be read.
+template <typename Value>
+std::string lastName(const std::vector<store_entry<Value>>& entries)
+{
+    for (auto entry = entries.rbegin(); entry != entries.rend(); ++entry) {
+        if (!entry->name.empty())
+            return entry->name;
+    }
+    return {};
+}
+
 template <typename Value>
 using store_read_outcome = std::variant<store_page<Value>, store_changes<Value>, store_history_lost, store_read_failed>;
 
--- a/servers/router/refusal_store.cpp
+++ b/servers/router/refusal_store.cpp
@@ -78,8 +78,8 @@
         return {};
     }
     m_failures = 0;
-    m_listWanted = page->more && !page->entries.empty();
-    m_listAfter = m_listWanted ? page->entries.back().name : std::string();
+    m_listAfter = page->more ? lastName(page->entries) : std::string();
+    m_listWanted = !m_listAfter.empty();
     m_listedAt = now;
     if (!m_listWanted)
         m_nextListAt = now + listInterval;
--- a/servers/router/store_watcher.h
+++ b/servers/router/store_watcher.h
@@ -128,11 +128,9 @@
         }
         for (const auto& entry : page.entries)
             m_listedNames.insert(entry.name);
-        if (page.more && !page.entries.empty()) {
-            m_listAfter = page.entries.back().name;
+        m_listAfter = page.more ? lastName(page.entries) : std::string();
+        if (!m_listAfter.empty())
             return { std::move(page.entries), std::nullopt, {} };
-        }
-        m_listAfter.clear();
         // Objects of the first pages may have changed while later ones were read, so the watch starts where the list did.
         m_revision = m_listRevision;
         m_watching = true;
--- a/tests/drivers/digest_codec_test.cpp
+++ b/tests/drivers/digest_codec_test.cpp
@@ -1,4 +1,5 @@
 #include "drivers/cbor/digest_codec.h"
+#include "drivers/cbor/stream_codec.h"
 
 #include <catch2/catch.hpp>
 
@@ -79,3 +80,14 @@
     bytes[1] = 2;
     CHECK(errorOf(decodeDigest(bytes)) != nullptr);
 }
+
+TEST_CASE("a datagram that is nested deeply is refused", "[peers]")
+{
+    for (const char opening : { '\x81', '\x9f', '\xa1' }) {
+        for (const std::size_t depth : { 10, 1000, 65'000 }) {
+            const std::string nested(depth, opening);
+            CHECK(std::holds_alternative<error>(decodeDigest(nested)));
+            CHECK(std::holds_alternative<error>(decodeStreamMessage(nested)));
+        }
+    }
+}
