Don't take an answer that names no request for the answer to this one on a connection that has carried others

Cause: an answer on a kept connection is told from a late one by the request's id that it echoes, but one without an id counted as the answer to the request that was sent last. A refusal that a faulty upstream writes once more, without the id, was passed on as a truthful one, and the request sent to a second upstream. Change: on a connection that has carried a call, an answer must name its request; without a name the call fails with an unknown outcome (502, or a retry if the request may be repeated), and the connection is closed. Elsewhere the rule held: bytes on an idle connection close it, an answer that names another request is skipped, a connection is closed after each refusal, since the attempt is cancelled.

--- a/drivers/asio/http_client.cpp
+++ b/drivers/asio/http_client.cpp
@@ -82,6 +82,8 @@
         bool anyBytesSent = false;
         // The connection may carry another call after the current one.
         bool reusable = true;
+        // It has carried an earlier call, so that an answer may be a late one to that.
+        bool hasCarriedCall = false;
         // The answer being read belongs to an earlier call; its body is discarded.
         bool discardingAnswer = false;
         bool paused = false;
@@ -270,6 +272,7 @@
         return connect(std::move(call));
     }
     call.identityCheck = {};
+    connection.hasCarriedCall = true;
     startCall(connection, std::move(call));
 }
 
@@ -407,8 +410,11 @@
         return handleCheckPart(connection, part);
     const auto visitor = overloaded {
         [&](const http_answer_head& head) {
-            const auto* echoed = connection.expectedHeader.header.empty() ? nullptr : findHeader(head.headers, connection.expectedHeader.header);
-            connection.discardingAnswer = echoed && *echoed != connection.expectedHeader.value;
+            const auto& expected = connection.expectedHeader;
+            const auto* echoed = expected.header.empty() ? nullptr : findHeader(head.headers, expected.header);
+            connection.discardingAnswer = echoed && *echoed != expected.value;
+            if (!echoed && !expected.value.empty() && connection.hasCarriedCall)
+                return failCall(connection, "an answer that names no request, on a connection that has carried others");
             if (const auto announced = announcedIdleTimeout(head))
                 connection.idleTimeout = *announced;
             connection.reusable = connection.reusable && head.keepAlive;
@@ -433,6 +439,7 @@
     const auto call = connection.call;
     connectionOfCall.erase(call);
     connection.call = 0;
+    connection.hasCarriedCall = true;
     auto& idleIds = idleConnections[formatEndpoint(connection.target)];
     // If the server answered before it read the complete request, it still expects the remaining bytes: the connection is
     // reusable only when all of the request was written.
--- a/tests/drivers/http_loop_test.cpp
+++ b/tests/drivers/http_loop_test.cpp
@@ -117,6 +117,61 @@
     CHECK(outcome.body == "new");
 }
 
+TEST_CASE("an earlier refusal that is written once more on a kept connection is not taken for the answer to the next request", "[http]")
+{
+    const std::string answer = "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 3\r\n\r\nold";
+    const std::string next = "HTTP/1.1 200 OK\r\nX-Id: 2\r\nContent-Length: 3\r\n\r\nnew";
+    const std::string refusal = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+    const std::string namedRefusal = "HTTP/1.1 503 Service Unavailable\r\nX-Id: 1\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+    SECTION("before the next request goes out, its connection is given up")
+    {
+        for (const auto& stale : { refusal, namedRefusal }) {
+            scripted_server server(basePort + 14, connection_scripts { { { answer + stale }, { next } } });
+            client_fixture fixture;
+            CHECK(fixture.run(1, basePort + 14).body == "old");
+            CHECK(fixture.run(2, basePort + 14).body == "new");
+        }
+    }
+    SECTION("while or after the next request goes out, one that names another request is skipped")
+    {
+        scripted_server server(basePort + 15, { answer, namedRefusal + namedRefusal + next });
+        client_fixture fixture;
+        CHECK(fixture.run(1, basePort + 15).body == "old");
+        const auto outcome = fixture.run(2, basePort + 15);
+        CHECK(outcome.status == 200);
+        CHECK(outcome.body == "new");
+        CHECK(fixture.connections == 1);
+    }
+    SECTION("while or after the next request goes out, one that names no request leaves the outcome unknown")
+    {
+        for (const auto& rest : { std::string(), next }) {
+            scripted_server server(basePort + 16, { answer, refusal + rest });
+            client_fixture fixture;
+            CHECK(fixture.run(1, basePort + 16).body == "old");
+            const auto outcome = fixture.run(2, basePort + 16);
+            CHECK(outcome.status == 0);
+            REQUIRE(outcome.failure);
+            CHECK(outcome.failure->anyBytesSent);
+        }
+    }
+    SECTION("one that names another request and is all that comes leaves the outcome unknown")
+    {
+        scripted_server server(basePort + 17, { answer, namedRefusal });
+        client_fixture fixture;
+        CHECK(fixture.run(1, basePort + 17).body == "old");
+        const auto outcome = fixture.run(2, basePort + 17);
+        CHECK(outcome.status == 0);
+        REQUIRE(outcome.failure);
+        CHECK(outcome.failure->anyBytesSent);
+    }
+    SECTION("on a new connection nothing came before, so that a refusal counts")
+    {
+        scripted_server server(basePort + 18, { refusal });
+        client_fixture fixture;
+        CHECK(fixture.run(1, basePort + 18).status == 503);
+    }
+}
+
 TEST_CASE("a truncated answer fails the call and reports that request bytes were sent", "[http]")
 {
     scripted_server server(basePort + 1, { "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 30\r\n\r\nhalf" });
