Ask an upstream for its start where its connection has broken or the store is silent

Cause: the check of the start is left out while the records name one version alone, and the records are as old as the last answer of the store. Class: acting on a belief whose age isn't asked. Change: an engine must state the start of its record before a resumable stream begins or goes on there if a connection to it has broken or was refused since it last did, and before a stream goes on while no router has had an answer of the store for 2 s.

--- a/servers/router/request_progress.h
+++ b/servers/router/request_progress.h
@@ -19,6 +19,8 @@
     instant startedAt;
     // Prompt tokens that the upstream still has to prefill; 0 once the first event has arrived.
     double uncachedPromptTokens = 0;
+    // The upstream had to state the start of its record before it got the request.
+    bool identifiesUpstream = false;
     // The first event has arrived.
     bool streaming = false;
     // The answer is a successful event stream, whose events are forwarded as they arrive.
--- a/servers/router/router_attempts.cpp
+++ b/servers/router/router_attempts.cpp
@@ -81,6 +81,7 @@
     effect.resumeAfter = progress.stream.lastId();
     effect.targetsEngine = progress.targetsEngine;
     effect.requiredStartUnixMs = requiredStart(progress, upstream);
+    progress.attempts.back().identifiesUpstream = effect.requiredStartUnixMs.has_value();
     emit(std::move(effect));
     if (progress.matchedRoute->repeatable() && !progress.matchedRoute->streaming && progress.attempts.size() == 1)
         setTimer(timer_kind::hedge, progress.caller, m_now + std::chrono::duration_cast<duration>(progress.matchedRoute->latencyTarget * hedgeDelayShare));
@@ -221,6 +222,7 @@
     if (!progress)
         return;
     const auto upstream = findAttempt(*progress, aborted.attemptNumber)->upstream;
+    upstream->mayHaveRestarted = upstream->mayHaveRestarted || aborted.requestSent;
     if (aborted.requestSent)
         recordBrokenAttempt(*progress, *findAttempt(*progress, aborted.attemptNumber));
     if (aborted.outcome == connection_outcome::refused)
--- a/servers/router/router_crash_detection.cpp
+++ b/servers/router/router_crash_detection.cpp
@@ -67,7 +67,7 @@
     const auto upstream = found->second;
     m_connectionChecks.erase(found);
     if (checked.outcome == connection_outcome::refused)
-        return recordCrash(*upstream, crashAttributionWindow);
+        return recordRefusedConnection(*upstream);
     static constexpr const char* outcomeNames[] = { "accepted", "refused", "unknown" };
     log(log_level::info, "upstream_checked", { { "upstream", upstream->record.id }, { "outcome", outcomeNames[static_cast<int>(checked.outcome)] }, { "broken_requests", std::to_string(upstream->brokenAttempts.size()) } });
     if (checked.outcome == connection_outcome::accepted)
@@ -77,6 +77,7 @@
 
 void router_reducer::recordRefusedConnection(upstream_state& upstream)
 {
+    upstream.mayHaveRestarted = true;
     recordCrash(upstream, crashAttributionWindow);
 }
 
--- a/servers/router/router_origins.cpp
+++ b/servers/router/router_origins.cpp
@@ -17,6 +17,8 @@
     // A stream may go on in answer to a second request when the first one has reached the route's timeout.
     constexpr int requestsPerStream = 2;
     constexpr std::size_t maxSoleVersionsPerDigest = 4;
+    // The store answers at least one of the routers within this time, unless it is silent or this router is cut off.
+    constexpr auto maxSilence = std::chrono::milliseconds(2000);
     // Longer than any stream lives.
     constexpr auto maxAdoptedTime = std::chrono::minutes(10);
 
@@ -118,17 +120,20 @@
 }
 
 // A record may be older than its upstream, which may have started again under the same id with another version. While a service
-// has only one version, the start does not matter. Plain services do not state theirs.
+// has only one version and the store answers, the start matters only where a connection has broken. Plain services do not state theirs.
 std::optional<std::int64_t> router_reducer::requiredStart(const request_progress& progress, const upstream_state& upstream) const
 {
     const bool isStated = progress.targetsEngine && upstream.record.startedUnixMs != 0;
-    if (!progress.matchedRoute->resumable || !isStated || onlyVersionOf(progress.service))
+    if (!progress.matchedRoute->resumable || !isStated)
         return std::nullopt;
+    const bool goesOn = progress.requiredVersion.has_value();
+    const auto confirmed = configConfirmedAt();
+    const bool isStoreSilent = !confirmed || m_now - *confirmed > maxSilence;
     // A new stream may begin elsewhere than the record says if other routers have newer records.
     const bool isBehind = m_peers.newestUpstreamPosition() > m_newestRecordPosition;
-    if (!progress.requiredVersion && !isBehind)
-        return std::nullopt;
-    return upstream.record.startedUnixMs;
+    const bool hasSeveralVersions = !onlyVersionOf(progress.service);
+    const bool isUncertain = upstream.mayHaveRestarted || (goesOn && isStoreSilent) || (hasSeveralVersions && (goesOn || isBehind));
+    return isUncertain ? std::optional(upstream.record.startedUnixMs) : std::nullopt;
 }
 
 // The record of another process has arrived while attempts were running, so it may be that process which has written their events.
--- a/servers/router/upstream_table.h
+++ b/servers/router/upstream_table.h
@@ -42,6 +42,8 @@
     // Attempts that have delivered their first event.
     int streams = 0;
     prompt_cache_model promptCache;
+    // A connection broke or was refused since the process there was last known to be that of the record, so that it may be another.
+    bool mayHaveRestarted = false;
     // Attempts that ended without their answer. They are suspects if the upstream turns out to have crashed.
     std::vector<broken_attempt> brokenAttempts;
     // When the upstream was last found to have crashed.
--- a/tests/servers/router/resumption_test.cpp
+++ b/tests/servers/router/resumption_test.cpp
@@ -279,6 +279,77 @@
     checkRefusedAtOnce(site);
 }
 
+TEST_CASE("a router that is out of step while upstreams of a new version join lets no stream go on at another one", "[resumption][slow]")
+{
+    enum class trouble { cut_from_all,
+        cut_from_others,
+        cut_from_store,
+        standing_still };
+    const auto kind = GENERATE(trouble::cut_from_all, trouble::cut_from_others, trouble::cut_from_store, trouble::standing_still);
+    const auto outOfStepFor = GENERATE(milliseconds(900), milliseconds(3000), milliseconds(6000));
+    CAPTURE(static_cast<int>(kind), outOfStepFor.count());
+    for (unsigned seed = 1; seed <= 10; ++seed) {
+        CAPTURE(seed);
+        auto options = fleetOf(smallFleet, seed);
+        options.dataCentres = 1 + seed % 2;
+        resumption_fixture site(options, versions(4, { "v1" }));
+        site.run(seconds(26));
+        constexpr std::size_t odd = 3;
+        bool isOut = true;
+        const auto isCut = [&](bool fromIt) { return isOut && fromIt; };
+        if (kind == trouble::cut_from_all || kind == trouble::cut_from_others)
+            site.fleet.net.isCut = [&](const std::string& from, const std::string& to) { return isCut((from == site.fleet.address(odd)) != (to == site.fleet.address(odd))); };
+        if (kind == trouble::cut_from_all || kind == trouble::cut_from_store)
+            site.fleet.isStoreCut = [&](std::size_t router) { return isCut(router == odd); };
+        site.fleet.setSuspended(odd, kind == trouble::standing_still);
+        for (int number = 0; number < 4; ++number)
+            site.addUpstream("v2");
+        // Half of the callers come to that router.
+        site.drawRouter = [&](std::mt19937_64& random) { return random() % 2 == 0 ? odd : random() % smallFleet; };
+        for (auto left = outOfStepFor; left > milliseconds(0); left -= milliseconds(300)) {
+            site.run(milliseconds(300));
+            site.lose(site.upstreamsOf("v2").front());
+            site.addUpstream("v2");
+        }
+        isOut = false;
+        site.fleet.setSuspended(odd, false);
+        if (kind == trouble::standing_still && outOfStepFor >= seconds(1))
+            site.fleet.post(odd, process_stalled { outOfStepFor });
+        for (int round = 0; round < 4; ++round) {
+            site.lose(site.upstreamsOf("v2").front());
+            site.addUpstream("v2");
+            site.run(milliseconds(500));
+        }
+        CHECK(site.joinedStreams() == 0);
+    }
+}
+
+TEST_CASE("upstreams that start again under their ids with another version while the store is silent get no streams of the version before", "[resumption][slow]")
+{
+    const auto routers = GENERATE(smallFleet, largeFleet);
+    const auto names = GENERATE(std::vector<std::string> { "v1" }, std::vector<std::string> { "v1", "v3" });
+    CAPTURE(routers, names.size());
+    for (unsigned seed = 1; seed <= (routers == smallFleet ? 10U : 1U); ++seed) {
+        CAPTURE(seed);
+        resumption_fixture site(fleetOf(routers, seed), versions(6, names));
+        site.run(seconds(26));
+        bool isSilent = true;
+        site.fleet.isStoreCut = [&](std::size_t) { return isSilent; };
+        const auto before = site.upstreamsOf("v1");
+        for (std::size_t number = 0; number < 2; ++number) {
+            site.crash(before[number]);
+            site.run(milliseconds(200));
+            site.restart(before[number], "v2", false);
+            site.run(milliseconds(700));
+            site.crash(before[number + 2]);
+            site.run(milliseconds(500));
+        }
+        isSilent = false;
+        site.run(seconds(1));
+        CHECK(site.joinedStreams() <= 2);
+    }
+}
+
 TEST_CASE("a version with two upstreams left goes on with its streams, and one with none left refuses them for good", "[resumption]")
 {
     resumption_fixture site(fleetOf(smallFleet), versions(4, { "v1", "v2" }));
