--- a/tests/servers/router/crashing_request_test.cpp
+++ b/tests/servers/router/crashing_request_test.cpp
@@ -70,6 +70,21 @@
     CHECK(worstLateArrivals(optionsOf(pattern, 1), 60) <= maxLateArrivals);
 }
 
+TEST_CASE("at 30 routers in four data centres a request that crashes upstreams reaches few more after the third crash", "[crashing-request][slow]")
+{
+    const auto pattern = GENERATE(repeat_pattern { 30, 4, 12, 1, milliseconds(1000) }, repeat_pattern { 30, 4, 12, 6, milliseconds(4000) }, repeat_pattern { 30, 4, 3, 4, milliseconds(4000) });
+    CAPTURE(pattern.engines, pattern.atOnce, pattern.interval.count());
+    CHECK(worstLateArrivals(optionsOf(pattern, 1), 5) <= maxLateArrivals);
+}
+
+// Takes minutes, so it is run by hand.
+TEST_CASE("at 370 routers in seven data centres a request that crashes upstreams reaches few more after the third crash", "[.][large]")
+{
+    const auto pattern = GENERATE(repeat_pattern { 370, 7, 40, 1, milliseconds(1000) }, repeat_pattern { 370, 7, 40, 6, milliseconds(4000) });
+    CAPTURE(pattern.engines, pattern.atOnce, pattern.interval.count());
+    CHECK(worstLateArrivals(optionsOf(pattern, 1), 1) <= maxLateArrivals);
+}
+
 TEST_CASE("a request that crashes upstreams after the first event of a stream that ends with its connection is refused", "[crashing-request][slow]")
 {
     const auto pattern = GENERATE(repeat_pattern { 4, 2, 12, 1, milliseconds(200) }, repeat_pattern { 4, 2, 12, 1, milliseconds(3500) }, repeat_pattern { 4, 2, 12, 6, milliseconds(4000) }, repeat_pattern { 4, 2, 3, 2, milliseconds(700) });
