Play a request that crashes workers and is repeated in the soak

Change: seeds 9, 19, 29 and so on send the same request up to four times at once, each at a router drawn by itself, every 50 to 550 ms. More than three that reach workers later than 3 s after the third crash are a violation. Even seeds of the kind keep the prompt part.

--- a/tests/process/router_soak_test.sh
+++ b/tests/process/router_soak_test.sh
@@ -5,7 +5,8 @@
 # terminated and reloaded, no fault is injected, and no request may be cut off. In every fifth seed from 3 on, routers are only
 # suspended and reloaded and links are sound, while the store is restored from older copies and workers state in their answers that
 # they are leaving or busy. In every fifth seed from 4 on, some requests have a prompt part that crashes the worker, which the routers
-# reach without the proxy, and have to stop sending.
+# reach without the proxy, and have to stop sending. Of these, the odd seeds have one request that crashes workers in place of the
+# part, and its caller repeats it, several times at once.
 # From seed 1001 on, workers of several versions serve side by side, which the routers reach without the proxy, and callers take up
 # streams that break off; routers are killed, terminated, suspended and reloaded, also all at once.
 # SOAK_SEEDS lists the seeds, SOAK_SECONDS is the duration of each, SOAK_KEEP a folder for the logs of seeds that failed.
@@ -43,7 +44,7 @@
     [ "$1" = planned ] && signal=$((signal % 2 * 3 + 1))
     # A router that restarts excuses that it learns late what crashes upstreams, so these seeds only reload at first. Restarts
     # later on must not make the routers forget it.
-    [ "$1" = crashes ] && signal=$((SECONDS < seed_started + 10 ? 4 : signal))
+    [[ $1 = crashes || $1 = repeats ]] && signal=$((SECONDS < seed_started + 10 ? 4 : signal))
     [ "$1" = restores ] && signal=$((signal % 2 + 3))
     [ "$1" = versions ] && [ $((RANDOM % 8)) -eq 0 ] && kill_all_routers
     case $signal in
@@ -81,6 +82,7 @@
         proxy_seed=0
     elif [ $(($1 % 5)) -eq 4 ]; then
         kind=crashes
+        [ $(($1 % 2)) -eq 1 ] && kind=repeats
         proxy_seed=0
         advertised_worker_port=$worker_port
     fi
@@ -113,7 +115,7 @@
 }
 
 # Seeds 15, 25, 30 and 35 have shown a fault: a router with a grace time of 3 s accepted requests that it then cut off.
-for seed in ${SOAK_SEEDS:-1 2 3 4 15 1001}; do
+for seed in ${SOAK_SEEDS:-1 2 3 4 9 15 1001}; do
     check "soak with seed $seed violates no guarantee" run_soak "$seed"
 done
 summary
--- a/tests/soak/router_world_main.cpp
+++ b/tests/soak/router_world_main.cpp
@@ -2,6 +2,7 @@
 // and callers that check every answer. Prints one line of counts and exits with 1 if a guarantee of the router was violated.
 
 #include "tests/soak/soak_record.h"
+#include "tests/soak/soak_repeating_caller.h"
 #include "tests/soak/soak_store.h"
 #include "tests/soak/soak_stream_caller.h"
 #include "tests/soak/soak_worker.h"
@@ -46,6 +47,8 @@
     bool restoresStore = false;
     // Some requests have a prompt part that crashes the worker, and the routers reach workers directly.
     bool crashesWorkers = false;
+    // As with crashesWorkers, but it is one request, which its caller repeats.
+    bool repeatsCrashingRequest = false;
     // Workers of two and three versions serve side by side, crash and start again with another version, and all callers follow
     // streams over several requests.
     bool changesVersions = false;
@@ -104,7 +107,7 @@
         m_record.recordRouter(id, port);
         const auto path = "/" + kind + "/x";
         auto headers = requestHeaders(id, "key");
-        const bool isBad = m_options.crashesWorkers && kind == "stream" && m_random() % badRequestOneIn == 0;
+        const bool isBad = m_options.crashesWorkers && !m_options.repeatsCrashingRequest && kind == "stream" && m_random() % badRequestOneIn == 0;
         headers.emplace("X-Prompt-Prefix", std::string("c0:1000,") + (isBad ? soakBadPart : "a" + std::to_string(m_random() % 4) + ":") + "500," + std::to_string(m_requestCount) + ":100");
         checkResult(kind, id, kind == "once" ? client->Post(path, headers, id, "text/plain") : client->Get(path, headers));
         if (kind == "once" && m_record.executionCount(id) > 1)
@@ -322,6 +325,12 @@
     if (options.changesVersions)
         threads.emplace_back([&] { changeVersions(options, workers, versions); });
     const auto end = steady::now() + options.duration;
+    if (options.repeatsCrashingRequest) {
+        threads.emplace_back([&options, &record, end] {
+            const httplib::Headers headers { { "Host", "h" }, { "X-Deadline-Ms", std::to_string(requestDeadlineMs) }, { "Authorization", "Bearer key" } };
+            soak_repeating_caller({ options.seed + 900, options.routers, headers }, record).run(end);
+        });
+    }
     for (int number = 0; options.changesVersions && number < streamCallerCount; ++number) {
         const auto seed = options.seed + 800 + static_cast<unsigned>(number);
         const auto idPrefix = "s" + std::to_string(options.seed) + "-" + std::to_string(number) + "-";
@@ -340,6 +349,8 @@
     record.checkRefusals();
     if (options.changesVersions)
         std::cout << "new_streams=" << record.newStreams << " begun=" << record.begunCount << " taken_up=" << record.takeUps << " went_on=" << record.wentOnCount << " joined=" << record.joinedStreams() << std::endl;
+    if (options.repeatsCrashingRequest)
+        std::cout << "repeats_at_workers=" << record.repeatCount() << std::endl;
     std::cout << "answered=" << record.answered << " refused=" << record.refusalCount() << " failed=" << record.failed << " versions=" << store.version() << " broken=" << record.violationCount() << std::endl;
     return record.violationCount() == 0 && record.answered > 0 ? 0 : 1;
 }
@@ -347,11 +358,11 @@
 } // namespace
 
 // Arguments: store port, first worker port, first worker port in the worker records, seed, seconds,
-// all, planned, restores, crashes or versions (kinds of faults), router ports.
+// all, planned, restores, crashes, repeats or versions (kinds of faults), router ports.
 int main(int argumentCount, char** arguments)
 {
     if (argumentCount < 8) {
-        std::cerr << "usage: soak-router-world STORE_PORT WORKER_PORT ADVERTISED_WORKER_PORT SEED SECONDS all|planned|restores|crashes|versions ROUTER_PORT...\n";
+        std::cerr << "usage: soak-router-world STORE_PORT WORKER_PORT ADVERTISED_WORKER_PORT SEED SECONDS all|planned|restores|crashes|repeats|versions ROUTER_PORT...\n";
         return 2;
     }
     soak_options options;
@@ -362,7 +373,8 @@
     options.duration = seconds(std::atoi(arguments[5]));
     options.plannedWorkOnly = std::string(arguments[6]) == "planned";
     options.restoresStore = std::string(arguments[6]) == "restores";
-    options.crashesWorkers = std::string(arguments[6]) == "crashes";
+    options.repeatsCrashingRequest = std::string(arguments[6]) == "repeats";
+    options.crashesWorkers = std::string(arguments[6]) == "crashes" || options.repeatsCrashingRequest;
     options.changesVersions = std::string(arguments[6]) == "versions";
     for (int index = 7; index < argumentCount; ++index)
         options.routers.push_back(std::atoi(arguments[index]));
--- a/tests/soak/soak_record.h
+++ b/tests/soak/soak_record.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "tests/soak/soak_crash_rule.h"
+
 #include <atomic>
 #include <chrono>
 #include <iostream>
@@ -40,16 +42,26 @@
         return found == m_routers.end() ? 0 : found->second;
     }
 
-    // Records that a request with the bad prompt part has reached a worker and crashed it.
+    // Records that a request with the bad prompt part has reached a worker. Each is taken for a crash.
     void recordBadArrival(const std::string& id)
     {
         const std::lock_guard lock(m_mutex);
-        m_badArrivals.push_back(clock::now());
-        const bool isLate = m_badArrivals.size() > crashesBeforeRefusal && clock::now() > m_badArrivals[crashesBeforeRefusal - 1] + refusalDeadline;
-        if (isLate && ++m_lateArrivals > maxLateArrivals) {
-            ++m_violationCount;
-            std::cout << "broken: a request with a part that crashes upstreams was sent on, request " << id << std::endl;
-        }
+        const auto now = clock::now();
+        if (m_badPart.recordArrival(now))
+            countViolation("a request with a part that crashes upstreams was sent on,", id);
+        m_badPart.recordCrash(now);
+    }
+
+    // Records that the request that crashes workers and is repeated has reached a worker, and whether that crashes now.
+    void recordRepeat(const std::string& id, bool crashes)
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto now = clock::now();
+        ++m_repeatCount;
+        if (m_repeatedRequest.recordArrival(now))
+            countViolation("a request that crashes upstreams was sent on,", id);
+        if (crashes)
+            m_repeatedRequest.recordCrash(now);
     }
 
     // Records an answer which guarantees that the request was not executed and will not be.
@@ -62,8 +74,7 @@
     void recordViolation(const std::string& violation, const std::string& id)
     {
         const std::lock_guard lock(m_mutex);
-        ++m_violationCount;
-        std::cout << "broken: " << violation << " request " << id << std::endl;
+        countViolation(violation, id);
     }
 
     // Records a stream whose caller received events of two versions. Two of them are allowed.
@@ -92,6 +103,7 @@
 
     int violationCount() const { return m_violationCount; }
     int joinedStreams() const { return m_joinedStreams; }
+    int repeatCount() const { return m_repeatCount; }
     int refusalCount() const { return static_cast<int>(m_refusedIds.size()); }
 
     std::atomic<int> answered { 0 };
@@ -103,14 +115,19 @@
 
 private:
     using clock = std::chrono::steady_clock;
-    // So long after so many crashes, at most so many more requests with the bad part may reach workers.
-    static constexpr std::size_t crashesBeforeRefusal = 5;
-    static constexpr auto refusalDeadline = std::chrono::seconds(3);
-    static constexpr int maxLateArrivals = 3;
+    static constexpr std::size_t partCrashLimit = 5;
+    static constexpr std::size_t requestCrashLimit = 3;
     static constexpr int maxJoinedStreams = 2;
 
-    std::vector<clock::time_point> m_badArrivals;
-    int m_lateArrivals = 0;
+    void countViolation(const std::string& violation, const std::string& id)
+    {
+        ++m_violationCount;
+        std::cout << "broken: " << violation << " request " << id << std::endl;
+    }
+
+    soak_crash_rule m_badPart { partCrashLimit };
+    soak_crash_rule m_repeatedRequest { requestCrashLimit };
+    std::atomic<int> m_repeatCount { 0 };
     std::mutex m_mutex;
     std::map<std::string, int> m_executions;
     std::map<std::string, int> m_routers;
--- a/tests/soak/soak_worker.h
+++ b/tests/soak/soak_worker.h
@@ -19,6 +19,8 @@
 inline constexpr int soakEventCount = 8;
 // The part of a prompt that crashes workers.
 inline constexpr auto soakBadPart = "bad0:";
+// The body of the request that crashes workers and is repeated.
+inline constexpr auto soakCrashingBody = "crash";
 
 // The complete answer to a request depends only on its id, so that callers can check every byte.
 inline std::string soakBody(const std::string& id)
@@ -259,6 +261,8 @@
             m_record.recordBadArrival(id);
             m_crashed = true;
         }
+        if (request.body == soakCrashingBody)
+            m_record.recordRepeat(id, !m_crashed.exchange(true));
         std::this_thread::sleep_for(std::chrono::milliseconds(randomBelow(20) == 0 ? 400 : randomBelow(20)));
         nameLimit(id, response);
         response.set_header("X-Response-Seal", "seal-" + id);
