Refuse datagrams that are nested deeply before they are decoded

Cause: the library's CBOR decoder calls itself for each nested array, map and chunked string, so a datagram of 65,000 bytes takes 65,000 stack frames. Whether that ends the process depends on the size of a frame, thus on compiler, flags and processor: the release build on arm64 has small frames and passed.

--- a/drivers/cbor/digest_codec.cpp
+++ b/drivers/cbor/digest_codec.cpp
@@ -1,5 +1,7 @@
 #include "drivers/cbor/digest_codec.h"
 
+#include "drivers/cbor/cbor_structure.h"
+
 #include <algorithm>
 #include <cmath>
 #include <nlohmann/json.hpp>
@@ -183,7 +185,7 @@
 
 result<router_digest> decodeDigest(const std::string& bytes)
 {
-    const auto root = json::from_cbor(bytes, true, false);
+    const auto root = isShallowCbor(bytes) ? json::from_cbor(bytes, true, false) : json();
     if (!root.is_array() || root.size() != field_count || root[version] != formatVersion)
         return error { "datagram of " + std::to_string(bytes.size()) + " bytes is not a router digest of version " + std::to_string(formatVersion) };
     try {
--- a/drivers/cbor/stream_codec.cpp
+++ b/drivers/cbor/stream_codec.cpp
@@ -1,6 +1,7 @@
 #include "drivers/cbor/stream_codec.h"
 
 #include "core/overloaded.h"
+#include "drivers/cbor/cbor_structure.h"
 
 #include <nlohmann/json.hpp>
 
@@ -64,8 +65,8 @@
 
 result<stream_message> decodeStreamMessage(const std::string& bytes)
 {
-    const auto root = json::from_cbor(bytes, true, false);
-    if (!isStreamMessage(bytes) || !root.is_array())
+    const auto root = isStreamMessage(bytes) && isShallowCbor(bytes) ? json::from_cbor(bytes, true, false) : json();
+    if (!root.is_array())
         return error { "datagram of " + std::to_string(bytes.size()) + " bytes is not a message about a stream" };
     try {
         return decode(root);
--- a/drivers/json/peer_codec.cpp
+++ b/drivers/json/peer_codec.cpp
@@ -1,5 +1,7 @@
 #include "drivers/json/peer_codec.h"
 
+#include "drivers/cbor/cbor_structure.h"
+
 #include <array>
 #include <nlohmann/json.hpp>
 
@@ -117,6 +119,8 @@
 
 result<peer_message> decodePeerMessage(const std::string& bytes)
 {
+    if (!isShallowCbor(bytes))
+        return error { "peer message of " + std::to_string(bytes.size()) + " bytes is not a CBOR value, or is nested too deeply" };
     try {
         const auto root = json::from_cbor(bytes);
         if (!root.is_array() || root.size() != 2 || !root[0].is_number_unsigned() || !root[1].is_object())
--- a/tests/drivers/digest_codec_test.cpp
+++ b/tests/drivers/digest_codec_test.cpp
@@ -1,5 +1,6 @@
 #include "drivers/cbor/digest_codec.h"
 #include "drivers/cbor/stream_codec.h"
+#include "drivers/json/peer_codec.h"
 
 #include <catch2/catch.hpp>
 
@@ -83,11 +84,13 @@
 
 TEST_CASE("a datagram that is nested deeply is refused", "[peers]")
 {
-    for (const char opening : { '\x81', '\x9f', '\xa1' }) {
+    // Arrays, maps, chunked strings and tags.
+    for (const char opening : { '\x81', '\x9f', '\xa1', '\xbf', '\x5f', '\x7f', '\xc1' }) {
         for (const std::size_t depth : { 10, 1000, 65'000 }) {
             const std::string nested(depth, opening);
             CHECK(std::holds_alternative<error>(decodeDigest(nested)));
             CHECK(std::holds_alternative<error>(decodeStreamMessage(nested)));
+            CHECK(std::holds_alternative<error>(decodePeerMessage(nested)));
         }
     }
 }
