Begin a pipelined request only when the answer before it has been sent

Cause: while an answer was complete but not yet taken by the caller, the connection counted as idle. Bytes that arrived then were parsed at once, in front of those that waited from before. Phase, waiting bytes and unsent bytes were separate variables, and the phase didn't follow from them. Change: server_connection holds a connection without its socket: what waits, which request is in progress, what is unsent. Its phase is computed from these; a new one, sending, stands between the end of an answer and its last byte. All bytes go behind those that wait, and a request is read on only when nothing is in progress or unsent.

--- a/drivers/asio/http_server.cpp
+++ b/drivers/asio/http_server.cpp
@@ -1,14 +1,15 @@
 #include "drivers/asio/http_server.h"
 
-#include "drivers/http_parser/request_reader.h"
+#include "drivers/asio/server_connection.h"
 
+#include <algorithm>
 #include <array>
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
-#include <asio/write.hpp>
 #include <unordered_map>
+#include <utility>
 
 namespace kumquat {
 
@@ -18,7 +19,7 @@
     // When more bytes than this wait for a slow caller, appendAnswer() asks its sender to wait for onWritable.
     constexpr std::size_t maxUnsentBytes = 262144;
     // The server stops reading from a connection on which this many bytes of later requests are buffered.
-    constexpr std::size_t maxPipelinedBytes = 131072;
+    constexpr std::size_t maxWaitingBytes = 131072;
     // How often connections are checked for timeouts.
     constexpr auto timeoutCheckInterval = std::chrono::milliseconds(250);
     // A refused caller may still be sending its request. Closing a socket with unread bytes resets the connection, and the
@@ -27,78 +28,19 @@
     constexpr auto lingerTimeout = std::chrono::seconds(1);
     constexpr int listenBacklog = 1024;
 
-    // What a connection is doing: waiting for a request, reading one, waiting for or sending its answer, or waiting to be
-    // closed after its last answer.
-    enum class phase { idle,
-        reading,
-        answering,
-        closing };
-
-    std::string formatHead(const http_answer_head& head, bool keepAlive)
-    {
-        std::string text = "HTTP/1.1 " + std::to_string(head.status) + " ";
-        text += reasonPhrase(head.status);
-        text += "\r\n";
-        for (const auto& [name, value] : head.headers)
-            text += name + ": " + value + "\r\n";
-        if (head.contentLength)
-            text += "Content-Length: " + std::to_string(*head.contentLength) + "\r\n";
-        else
-            text += "Transfer-Encoding: chunked\r\n";
-        if (!keepAlive)
-            text += "Connection: close\r\n";
-        return text + "\r\n";
-    }
-
-    std::string formatChunk(std::string_view bytes)
-    {
-        std::array<char, 20> size {};
-        const auto length = std::snprintf(size.data(), size.size(), "%zx\r\n", bytes.size());
-        std::string chunk;
-        chunk.reserve(bytes.size() + static_cast<std::size_t>(length) + 2);
-        chunk.append(size.data(), static_cast<std::size_t>(length));
-        chunk.append(bytes);
-        return chunk += "\r\n";
-    }
-
-    // Returns the HTTP status that answers a request which the reader refused.
-    int refusalStatus(request_reader::state state)
-    {
-        switch (state) {
-        case request_reader::state::header_too_large:
-            return 431;
-        case request_reader::state::body_too_large:
-            return 413;
-        case request_reader::state::version_unsupported:
-            return 505;
-        default:
-            return 400;
-        }
-    }
-
     struct caller_connection {
         connection_id id = 0;
         asio::ip::tcp::socket socket;
-        phase currentPhase = phase::idle;
-        // When the current phase began; not updated when an answer starts.
-        instant phaseStart;
-        std::unique_ptr<request_reader> reader;
-        // Bytes received after the end of the request in progress.
-        std::string pipelinedBytes;
-        // Bytes of answers that have not been written to the socket.
-        std::string unsentBytes;
-        bool keepAlive = true;
-        bool isHeadRequest = false;
-        bool chunked = false;
+        server_connection state;
         bool writeWaitPending = false;
         bool readWaitPending = false;
         // appendAnswer() has returned false and onWritable has not been called after that.
         bool throttled = false;
-        // The interim answer 100 (Continue) has been sent for the current request.
-        bool continueSent = false;
 
-        explicit caller_connection(asio::ip::tcp::socket accepted)
-            : socket(std::move(accepted))
+        caller_connection(connection_id number, asio::ip::tcp::socket accepted)
+            : id(number)
+            , socket(std::move(accepted))
+            , state(std::chrono::steady_clock::now())
         {
         }
     };
@@ -119,15 +61,13 @@
     void checkTimeouts(caller_connection&, instant now);
     void awaitReadable(caller_connection&);
     void readSome(caller_connection&);
-    void process(caller_connection&, std::string_view bytes);
-    void refuse(caller_connection&, int status);
-    void deliver(caller_connection&);
-    void write(caller_connection&, std::string_view bytes);
-    void awaitWritable(caller_connection&);
+    void act(connection_id, received_request&&);
     void flush(caller_connection&);
-    void onFlushed(caller_connection&);
+    void awaitWritable(caller_connection&);
+    void onSent(caller_connection&);
     void endAnswer(caller_connection&);
-    void processPipelined(caller_connection&);
+    void readOnLater(connection_id);
+    http_read_limits readLimits() const { return { limits.headerBytes, limits.bodyBytes }; }
     void close(caller_connection&);
     caller_connection* find(connection_id);
 
@@ -165,9 +105,7 @@
     socket.set_option(asio::ip::tcp::no_delay(true), ignored);
     socket.set_option(asio::socket_base::keep_alive(true), ignored);
     socket.non_blocking(true, ignored);
-    auto accepted = std::make_unique<caller_connection>(std::move(socket));
-    accepted->id = ++lastConnectionId;
-    accepted->phaseStart = std::chrono::steady_clock::now();
+    auto accepted = std::make_unique<caller_connection>(++lastConnectionId, std::move(socket));
     auto& added = *accepted;
     connections.emplace(added.id, std::move(accepted));
     awaitReadable(added);
@@ -193,13 +131,21 @@
 
 void http_server::implementation::checkTimeouts(caller_connection& connection, instant now)
 {
-    const auto elapsed = now - connection.phaseStart;
-    if (connection.currentPhase == phase::idle && elapsed > limits.idleTimeout)
+    using phase = server_connection::phase;
+    const auto elapsed = now - connection.state.phaseStart();
+    const auto current = connection.state.current();
+    if (current == phase::idle && elapsed > limits.idleTimeout)
         return close(connection);
     // The complete request, head and body, has to arrive within the sum of both timeouts.
-    if (connection.currentPhase == phase::reading && elapsed > limits.headerTimeout + limits.idleTimeout)
-        return refuse(connection, 408);
-    if (connection.currentPhase == phase::closing && elapsed > lingerTimeout)
+    if (current == phase::reading && elapsed > limits.headerTimeout + limits.idleTimeout) {
+        connection.state.refuse(408, now);
+        callbacks.onRefused(408);
+        return flush(connection);
+    }
+    // The caller has stopped reading its answer.
+    if (current == phase::sending && elapsed > limits.idleTimeout)
+        return close(connection);
+    if (current == phase::closing && elapsed > lingerTimeout)
         return close(connection);
 }
 
@@ -225,86 +171,47 @@
     if (failure == asio::error::would_block || failure == asio::error::try_again)
         return awaitReadable(connection);
     if (failure) {
-        if (connection.currentPhase == phase::answering)
+        if (connection.state.isAnswering())
             callbacks.onDisconnected(connection.id);
         return close(connection);
     }
     const auto id = connection.id;
-    process(connection, { buffer.data(), size });
+    act(id, connection.state.receive({ buffer.data(), size }, readLimits(), std::chrono::steady_clock::now()));
     auto* remaining = find(id);
-    if (remaining && remaining->pipelinedBytes.size() < maxPipelinedBytes)
+    if (remaining && remaining->state.waitingBytes() < maxWaitingBytes)
         awaitReadable(*remaining);
 }
 
-void http_server::implementation::process(caller_connection& connection, std::string_view bytes)
-{
-    if (connection.currentPhase == phase::closing)
-        return;
-    if (connection.currentPhase == phase::answering) {
-        connection.pipelinedBytes.append(bytes);
-        return;
-    }
-    if (connection.currentPhase == phase::idle) {
-        connection.currentPhase = phase::reading;
-        connection.phaseStart = std::chrono::steady_clock::now();
-        connection.continueSent = false;
-        connection.reader = std::make_unique<request_reader>(http_read_limits { limits.headerBytes, limits.bodyBytes });
-    }
-    const auto consumed = connection.reader->feed(bytes);
-    const auto state = connection.reader->current();
-    if (state == request_reader::state::complete) {
-        connection.pipelinedBytes.append(bytes.substr(consumed));
-        return deliver(connection);
-    }
-    if (state != request_reader::state::reading)
-        return refuse(connection, refusalStatus(state));
-    if (!connection.continueSent && connection.reader->awaitsContinue()) {
-        connection.continueSent = true;
-        write(connection, "HTTP/1.1 100 Continue\r\n\r\n");
-    }
-}
-
-void http_server::implementation::refuse(caller_connection& connection, int status)
+void http_server::implementation::act(connection_id id, received_request&& received)
 {
-    callbacks.onRefused(status);
-    connection.reader.reset();
-    connection.keepAlive = false;
-    connection.currentPhase = phase::answering;
-    http_answer_head head { status, {}, 0, false };
-    write(connection, formatHead(head, false));
-    endAnswer(connection);
+    if (const auto* refused = std::get_if<refused_request>(&received))
+        callbacks.onRefused(refused->status);
+    if (auto* request = std::get_if<http_request>(&received))
+        return callbacks.onRequest(id, std::move(*request));
+    if (auto* connection = find(id))
+        flush(*connection);
 }
 
-void http_server::implementation::deliver(caller_connection& connection)
-{
-    auto request = connection.reader->take();
-    connection.reader.reset();
-    connection.keepAlive = request.keepAlive;
-    connection.isHeadRequest = request.method == "HEAD";
-    connection.currentPhase = phase::answering;
-    connection.chunked = false;
-    callbacks.onRequest(connection.id, std::move(request));
-}
-
-void http_server::implementation::write(caller_connection& connection, std::string_view bytes)
+void http_server::implementation::flush(caller_connection& connection)
 {
-    if (connection.unsentBytes.empty()) {
-        asio::error_code failure;
-        const auto sent = connection.socket.write_some(asio::buffer(bytes.data(), bytes.size()), failure);
-        if (failure && failure != asio::error::would_block && failure != asio::error::try_again)
-            return;
-        bytes.remove_prefix(sent);
-    }
-    if (bytes.empty())
+    if (connection.writeWaitPending || connection.state.unsent().empty())
         return;
-    connection.unsentBytes.append(bytes);
-    awaitWritable(connection);
+    asio::error_code failure;
+    const auto unsent = connection.state.unsent();
+    const auto sent = connection.socket.write_some(asio::buffer(unsent.data(), unsent.size()), failure);
+    if (failure && failure != asio::error::would_block && failure != asio::error::try_again) {
+        // Reading fails too on a broken connection; that path reports the disconnected caller.
+        connection.state.markSent(unsent.size(), std::chrono::steady_clock::now());
+        return awaitReadable(connection);
+    }
+    connection.state.markSent(sent, std::chrono::steady_clock::now());
+    if (!connection.state.unsent().empty())
+        return awaitWritable(connection);
+    onSent(connection);
 }
 
 void http_server::implementation::awaitWritable(caller_connection& connection)
 {
-    if (connection.writeWaitPending)
-        return;
     connection.writeWaitPending = true;
     connection.socket.async_wait(asio::ip::tcp::socket::wait_write, [self = shared_from_this(), id = connection.id](const asio::error_code& failure) {
         auto* connection = self->find(id);
@@ -316,59 +223,38 @@
     });
 }
 
-void http_server::implementation::flush(caller_connection& connection)
-{
-    asio::error_code failure;
-    const auto sent = connection.socket.write_some(asio::buffer(connection.unsentBytes), failure);
-    if (failure && failure != asio::error::would_block && failure != asio::error::try_again) {
-        // Reading fails too on a broken connection; that path reports the disconnected caller.
-        connection.unsentBytes.clear();
-        return awaitReadable(connection);
-    }
-    connection.unsentBytes.erase(0, sent);
-    if (!connection.unsentBytes.empty())
-        return awaitWritable(connection);
-    onFlushed(connection);
-}
-
-void http_server::implementation::onFlushed(caller_connection& connection)
+void http_server::implementation::onSent(caller_connection& connection)
 {
-    connection.unsentBytes.shrink_to_fit();
-    if (connection.currentPhase == phase::closing) {
+    using phase = server_connection::phase;
+    const auto current = connection.state.current();
+    if (current == phase::closing) {
         asio::error_code ignored;
         connection.socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
-        return;
+        awaitReadable(connection);
     }
-    if (connection.currentPhase == phase::idle)
-        return processPipelined(connection);
-    if (!connection.throttled)
-        return;
-    connection.throttled = false;
-    callbacks.onWritable(connection.id);
+    if (current == phase::idle && connection.state.waitingBytes() > 0)
+        readOnLater(connection.id);
+    if (std::exchange(connection.throttled, false) && current == phase::answering)
+        callbacks.onWritable(connection.id);
 }
 
 void http_server::implementation::endAnswer(caller_connection& connection)
 {
-    connection.phaseStart = std::chrono::steady_clock::now();
     connection.throttled = false;
-    connection.currentPhase = connection.keepAlive ? phase::idle : phase::closing;
-    if (connection.unsentBytes.empty())
-        onFlushed(connection);
+    if (connection.state.unsent().empty())
+        return onSent(connection);
+    flush(connection);
 }
 
-// Processes the buffered bytes of the next request. It is posted to the reactor rather than called directly, because the
-// answer may have been sent from within the onRequest handler of the previous request.
-void http_server::implementation::processPipelined(caller_connection& connection)
+// Reads on with the bytes of the next request. It is posted to the reactor rather than called directly, because the answer may have
+// been sent from within the onRequest handler of the previous request.
+void http_server::implementation::readOnLater(connection_id id)
 {
-    if (connection.pipelinedBytes.empty())
-        return;
-    asio::post(acceptor.get_executor(), [self = shared_from_this(), id = connection.id] {
+    asio::post(acceptor.get_executor(), [self = shared_from_this(), id] {
         auto* connection = self->find(id);
-        if (!connection || connection->currentPhase != phase::idle || connection->pipelinedBytes.empty())
+        if (!connection)
             return;
-        const auto bytes = std::move(connection->pipelinedBytes);
-        connection->pipelinedBytes.clear();
-        self->process(*connection, bytes);
+        self->act(id, connection->state.readOn(self->readLimits(), std::chrono::steady_clock::now()));
         if (auto* remaining = self->find(id))
             self->awaitReadable(*remaining);
     });
@@ -424,21 +310,18 @@
     auto* connection = m_implementation->find(id);
     if (!connection)
         return;
-    connection->keepAlive = connection->keepAlive && head.keepAlive && !m_implementation->closingAfterAnswers;
-    connection->chunked = !head.contentLength;
-    m_implementation->write(*connection, formatHead(head, connection->keepAlive));
+    connection->state.beginAnswer(head, !m_implementation->closingAfterAnswers);
+    m_implementation->flush(*connection);
 }
 
 bool http_server::appendAnswer(connection_id id, std::string_view bytes)
 {
     auto* connection = m_implementation->find(id);
-    if (!connection || connection->isHeadRequest || bytes.empty())
+    if (!connection)
         return true;
-    if (connection->chunked)
-        m_implementation->write(*connection, formatChunk(bytes));
-    else
-        m_implementation->write(*connection, bytes);
-    connection->throttled = connection->unsentBytes.size() > maxUnsentBytes;
+    connection->state.appendAnswer(bytes);
+    m_implementation->flush(*connection);
+    connection->throttled = connection->state.unsent().size() > maxUnsentBytes;
     return !connection->throttled;
 }
 
@@ -447,8 +330,7 @@
     auto* connection = m_implementation->find(id);
     if (!connection)
         return;
-    if (connection->chunked && !connection->isHeadRequest)
-        m_implementation->write(*connection, "0\r\n\r\n");
+    connection->state.finishAnswer(std::chrono::steady_clock::now());
     m_implementation->endAnswer(*connection);
 }
 
@@ -457,12 +339,9 @@
     auto* connection = m_implementation->find(id);
     if (!connection)
         return;
-    connection->keepAlive = connection->keepAlive && head.keepAlive && !m_implementation->closingAfterAnswers;
-    connection->chunked = false;
-    auto text = formatHead(head, connection->keepAlive);
-    if (!connection->isHeadRequest)
-        text += body;
-    m_implementation->write(*connection, text);
+    connection->state.beginAnswer(head, !m_implementation->closingAfterAnswers);
+    connection->state.appendAnswer(body);
+    connection->state.finishAnswer(std::chrono::steady_clock::now());
     m_implementation->endAnswer(*connection);
 }
 
@@ -477,13 +356,19 @@
     m_implementation->closingAfterAnswers = true;
 }
 
+bool http_server::hasUnsentAnswers() const
+{
+    const auto& connections = m_implementation->connections;
+    return std::any_of(connections.begin(), connections.end(), [](const auto& item) { return !item.second->state.unsent().empty(); });
+}
+
 void http_server::closeListenerAndIdleConnections()
 {
     asio::error_code ignored;
     m_implementation->acceptor.close(ignored);
     std::vector<caller_connection*> idle;
     for (const auto& [id, connection] : m_implementation->connections) {
-        if (connection->currentPhase == phase::idle && connection->unsentBytes.empty() && connection->pipelinedBytes.empty())
+        if (connection->state.current() == server_connection::phase::idle && connection->state.waitingBytes() == 0)
             idle.push_back(connection.get());
     }
     for (auto* connection : idle)
--- a/drivers/asio/http_server.h
+++ b/drivers/asio/http_server.h
@@ -16,8 +16,9 @@
 using connection_id = std::uint64_t;
 
 // An HTTP/1.1 server that runs on the reactor's thread. Each connection has at most one request in progress; pipelined
-// requests are buffered and processed in order. An idle connection occupies no request buffer. A request with ambiguous or
-// invalid framing is answered with 400 and its connection is closed. Functions ignore the id of a closed connection.
+// requests are buffered and processed in order (server_connection). An idle connection occupies no request buffer. A request with
+// ambiguous or invalid framing is answered with 400 and its connection is closed. A caller that takes no byte of a complete answer for
+// the idle timeout is cut off. Functions ignore the id of a closed connection.
 class http_server {
 public:
     // Called on the reactor's thread.
@@ -53,6 +54,8 @@
     void closeAfterAnswers();
     // Closes the listener and all connections that have neither a request in progress nor unsent or pipelined bytes.
     void closeListenerAndIdleConnections();
+    // Whether some caller has not taken all bytes of its answer yet.
+    bool hasUnsentAnswers() const;
 
 private:
     struct implementation;
--- a/tests/drivers/http_loop_test.cpp
+++ b/tests/drivers/http_loop_test.cpp
@@ -3,6 +3,7 @@
 
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
+#include <asio/read.hpp>
 #include <asio/read_until.hpp>
 #include <asio/streambuf.hpp>
 #include <asio/write.hpp>
@@ -296,6 +297,43 @@
     CHECK(received.find("0\r\n\r\n") == std::string::npos);
 }
 
+TEST_CASE("the last answer of a connection reaches a caller that reads it slowly, whole", "[http]")
+{
+    reactor loop;
+    std::unique_ptr<http_server> server;
+    // More than the kernel takes at once.
+    const std::string body(24'000'000, 'x');
+    auto opened = http_server::open(loop, { "127.0.0.1", basePort + 30 },
+        { .onRequest = [&](connection_id id, const http_request&) { server->answer(id, { 200, {}, body.size(), true }, body); },
+            .onDisconnected = [](connection_id) {},
+            .onWritable = [](connection_id) {},
+            .onRefused = [](int) {} });
+    REQUIRE(errorOf(opened) == nullptr);
+    server = std::move(valueOf(opened));
+    std::size_t received = 0;
+    bool wasUnsent = false;
+    std::thread caller([&] {
+        asio::io_context context;
+        tcp::socket socket(context);
+        socket.connect({ asio::ip::make_address_v4("127.0.0.1"), basePort + 30 });
+        asio::write(socket, asio::buffer(std::string("GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")));
+        asio::error_code failure;
+        std::vector<char> buffer(1'000'000);
+        while (!failure) {
+            received += asio::read(socket, asio::buffer(buffer), failure);
+            // Longer, in all, than the server waits for a caller to close a connection after its last answer.
+            std::this_thread::sleep_for(std::chrono::milliseconds(100));
+        }
+        loop.post([&loop] { loop.stop(); });
+    });
+    loop.post([&loop, &server, &wasUnsent] { loop.setTimer(std::chrono::steady_clock::now() + std::chrono::milliseconds(500), [&] { wasUnsent = server->hasUnsentAnswers(); }); });
+    loop.run();
+    caller.join();
+    CHECK(received > body.size());
+    CHECK(wasUnsent);
+    CHECK_FALSE(server->hasUnsentAnswers());
+}
+
 TEST_CASE("the server refuses ambiguous and invalid lengths with 400 and too large bodies with 413", "[http]")
 {
     reactor loop;
