Stop only when callers have taken their answers

Change: the reducer orders the stop every 100 ms while nothing is in progress, and the process follows when no answer is unsent, or at the end of the grace as before. A connection that is still reading a request stays served until then. The test that expected one order now expects one each 100 ms, all of them conditional, and the unconditional one at the end of the grace.

--- a/processes/router_process.cpp
+++ b/processes/router_process.cpp
@@ -65,6 +65,7 @@
         void onCallerRequest(connection_id, http_request&&);
         void onAdminRequest(connection_id, const http_request&);
         void refuse(const router::refuse_reply&);
+        void stop(const router::stop_router&);
         void onStreamMessage(const std::string& host, const std::string& bytes);
         void onDatagram(const std::string& host, const std::string& bytes);
         void detectSuspension();
@@ -287,6 +288,12 @@
         m_callers->answer(reply.caller, head, body);
     }
 
+    void router_process::stop(const router::stop_router& order)
+    {
+        if (!order.unlessAnswersAreUnsent || !m_callers->hasUnsentAnswers())
+            m_reactor.stop();
+    }
+
     void router_process::execute(router::router_effect& effect)
     {
         const auto visitor = overloaded {
@@ -333,7 +340,7 @@
             [this](const router::apply_caller_limits& apply) { m_callers->setLimits(apply.limits); },
             [this](const router::close_callers_after_answers&) { m_callers->closeAfterAnswers(); },
             [this](const router::close_idle_callers&) { m_callers->closeListenerAndIdleConnections(); },
-            [this](const router::stop_router&) { m_reactor.stop(); },
+            [this](const router::stop_router& order) { stop(order); },
             [](const log_event& event) { writeLog(event); },
             [this](const auto& metric) { m_metrics.apply(metric); },
         };
--- a/servers/router/router_effect.h
+++ b/servers/router/router_effect.h
@@ -124,7 +124,11 @@
 struct close_callers_after_answers { };
 // Close the listener and the connections that have no request in progress.
 struct close_idle_callers { };
-struct stop_router { };
+// End the process.
+struct stop_router {
+    // Go on if a caller has not taken all of its answer yet; the effect comes again.
+    bool unlessAnswersAreUnsent = false;
+};
 
 using router_effect = std::variant<start_attempt, cancel_attempt, check_connection, throttle_attempt, close_upstream_connections, start_reply, append_reply, end_reply, send_reply, refuse_reply,
     abort_reply, read_store, cancel_store_read, call_refusal_store, send_digest, send_stream_message, apply_caller_limits, close_callers_after_answers, close_idle_callers, stop_router, log_event,
--- a/servers/router/router_shutdown.cpp
+++ b/servers/router/router_shutdown.cpp
@@ -50,9 +50,8 @@
 {
     emit(close_idle_callers {});
     if (m_requests.empty())
-        emit(stop_router {});
-    else
-        setTimer(timer_kind::close_idle, 0, m_now + closeIdleInterval);
+        emit(stop_router { .unlessAnswersAreUnsent = true });
+    setTimer(timer_kind::close_idle, 0, m_now + closeIdleInterval);
 }
 
 } // namespace kumquat::router
--- a/tests/servers/router/termination_test.cpp
+++ b/tests/servers/router/termination_test.cpp
@@ -35,7 +35,9 @@
     fixture.request(1, "/stream/x");
     fixture.step(termination_requested {});
     CHECK(router_fixture::all<stop_router>(fixture.advance(seconds(7))).empty());
-    CHECK_FALSE(router_fixture::all<stop_router>(fixture.advance(seconds(1))).empty());
+    const auto orders = router_fixture::all<stop_router>(fixture.advance(seconds(1)));
+    REQUIRE(orders.size() == 1);
+    CHECK_FALSE(orders.front().unlessAnswersAreUnsent);
 
     router_fixture idle;
     idle.start();
@@ -55,6 +57,8 @@
     fixture.request(2, "/pay/x");
     CHECK(fixture.replyStatus() == 503);
     fixture.step(caller_left { 1 });
-    const auto effects = fixture.advance(milliseconds(300));
-    CHECK(router_fixture::all<stop_router>(effects).size() == 1);
+    const auto orders = router_fixture::all<stop_router>(fixture.advance(milliseconds(300)));
+    REQUIRE(orders.size() == 3);
+    for (const auto& order : orders)
+        CHECK(order.unlessAnswersAreUnsent);
 }
