Give the test of slow readers a port of its own

Cause: test cases run in processes of their own at the same time; the new test listened on basePort + 30, which the second case of the other uses as 29 + 1. They met when both ran at once. Change: basePort + 40, which no other test uses. No check changes.

--- a/tests/drivers/http_loop_test.cpp
+++ b/tests/drivers/http_loop_test.cpp
@@ -304,7 +304,7 @@
     // More than the kernel takes at once.
     std::string body;
     body.resize(24'000'000, 'x');
-    auto opened = http_server::open(loop, { "127.0.0.1", basePort + 30 },
+    auto opened = http_server::open(loop, { "127.0.0.1", basePort + 40 },
         { .onRequest = [&](connection_id id, const http_request&) { server->answer(id, { 200, {}, body.size(), true }, body); },
             .onDisconnected = [](connection_id) {},
             .onWritable = [](connection_id) {},
@@ -316,7 +316,7 @@
     std::thread caller([&] {
         asio::io_context context;
         tcp::socket socket(context);
-        socket.connect({ asio::ip::make_address_v4("127.0.0.1"), basePort + 30 });
+        socket.connect({ asio::ip::make_address_v4("127.0.0.1"), basePort + 40 });
         asio::write(socket, asio::buffer(std::string("GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")));
         asio::error_code failure;
         std::vector<char> buffer(1'000'000);
