--- a/review/stand_ins_2/endless_event_main.cc
+++ b/review/stand_ins_2/endless_event_main.cc
@@ -1,4 +1,4 @@
-// Three of nine workers send bytes without end in the bodies of their streams, no event of which ever ends. The router holds these bytes
+// Four of nine workers send bytes without end in the bodies of their streams, no event of which ever ends. The router holds these bytes
 // until its bound for connections is reached, and then closes the connections of callers whose requests are at sound workers. One router
 // with the limits of the dhammasiri site, nine workers.
 #include "stand_in.hpp"
@@ -8,15 +8,15 @@
 namespace {
 
 constexpr int workerCount = 9;
-constexpr int faultyCount = 3;
+constexpr int faultyCount = 4;
 constexpr int callerCount = 110;
 constexpr long callerPauseMs = 200;
 constexpr long trafficMs = 25000;
 constexpr long troubleFromMs = 5000;
-constexpr long troubleUntilMs = 15000;
+constexpr long troubleUntilMs = 11500;
 constexpr int eventCount = 40;
 constexpr long eventMs = 50;
-constexpr std::size_t endlessBytes = 8000;
+constexpr std::size_t endlessBytes = 10000;
 
 std::atomic<bool> isFaulty { false };
 std::mutex mutex;
