--- a/review/stand_ins_3/site.h
+++ b/review/stand_ins_3/site.h
@@ -12,10 +12,10 @@
 inline const std::string host = "site.example";
 inline const std::string key = "n2ctnfzs989anu6wsjnb";
 
-inline std::string routeSpec(const std::string& name, const std::string& prefix, const std::string& kind, int timeoutMs, int aimMs, int attempts, const std::string& service, bool isEngine, int pauseMs, bool isResumable = false)
+inline std::string routeSpec(const std::string& name, const std::string& prefix, const std::string& kind, int timeoutMs, int aimMs, int attempts, const std::string& service, bool isEngine, int pauseMs)
 {
     return "{\"Name\":\"" + name + "\",\"Host\":\"" + host + "\",\"PathPrefix\":\"" + prefix + "\",\"Kind\":\"" + kind + "\",\"TimeoutMs\":" + std::to_string(timeoutMs) + ",\"SloMs\":" + std::to_string(aimMs)
-        + ",\"Priority\":1,\"Service\":\"" + service + "\",\"MaxAttempts\":" + std::to_string(attempts) + ",\"Anonymous\":false,\"Affinity\":" + (isEngine ? "true" : "false") + ",\"Resumable\":" + (isResumable ? "true" : "false")
+        + ",\"Priority\":1,\"Service\":\"" + service + "\",\"MaxAttempts\":" + std::to_string(attempts) + ",\"Anonymous\":false,\"Affinity\":" + (isEngine ? "true" : "false") + ",\"Resumable\":false"
         + (pauseMs > 0 ? ",\"GapTargetMs\":" + std::to_string(pauseMs) : "") + "}";
 }
 
@@ -23,14 +23,12 @@
 struct route_figures {
     int deadlineMs = 1000;
     int aimMs = 100;
-    // Whether sermon-digest may be resumed, as in the site's example.
-    bool isDigestResumable = false;
 };
 
 inline std::string configSpec(const route_figures& plain = {})
 {
     return "{\"Version\":7,\"Routes\":["
-        + routeSpec("sermon-digest", "/digest/", "streaming", 12000, 2000, 2, "llm", true, 800, plain.isDigestResumable) + ","
+        + routeSpec("sermon-digest", "/digest/", "streaming", 12000, 2000, 2, "llm", true, 800) + ","
         + routeSpec("passage-qa", "/qa/", "streaming", 6000, 600, 1, "llm", true, 300) + ","
         + routeSpec("donor-receipt", "/receipt/", "non_idempotent", plain.deadlineMs, plain.aimMs, 1, "app", false, 0) + ","
         + routeSpec("archive-lookup", "/lookup/", "idempotent", plain.deadlineMs, plain.aimMs, 2, "app", false, 0)
@@ -124,123 +122,6 @@
     return method + " " + path + " HTTP/1.1\r\nHost: " + host + "\r\nX-Attempt-Id: " + id + "\r\nX-Deadline-Ms: " + std::to_string(deadlineMs) + "\r\nAuthorization: Bearer " + key + "\r\n";
 }
 
-inline std::string chunk(const std::string& bytes)
-{
-    char size[20];
-    std::snprintf(size, sizeof size, "%zx\r\n", bytes.size());
-    return size + bytes + "\r\n";
-}
-
-inline std::string streamHead(const message& request)
-{
-    return "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" + sealOf(request) + "Transfer-Encoding: chunked\r\n\r\n";
-}
-
-// Runs a generation as a sound engine does: 40 events of 3 tokens after the prefill. Returns false once the caller has closed.
-inline bool sendSoundStream(channel& connection, const message& request, int prefillMs)
-{
-    constexpr int events = 40;
-    constexpr int eventMs = 20;
-    sleepMs(prefillMs);
-    if (!connection.send(streamHead(request)))
-        return false;
-    for (int event = 1; event <= events; ++event) {
-        if (!connection.send(chunk("id: " + std::to_string(event) + "\ndata: " + std::string(12, 'a') + "\n\n")))
-            return false;
-        sleepMs(eventMs);
-    }
-    return connection.send("0\r\n\r\n");
-}
-
-// Callers of sermon-digest, who keep their channels, and what came of their streams.
-class stream_callers {
-public:
-    std::atomic<int> sent = 0;
-    std::atomic<int> complete = 0;
-    std::atomic<int> open = 0;
-    // At sound engines: channels that ended within the answer, and kept channels that ended without an answer.
-    std::atomic<int> cutWithin = 0;
-    std::atomic<int> lost = 0;
-
-    stream_callers(int port, id_set& soundRuns, record& log)
-        : m_port(port)
-        , m_soundRuns(soundRuns)
-        , m_log(log)
-    {
-    }
-
-    void begin(int number)
-    {
-        std::thread([this, number] {
-            ++open;
-            play(number);
-            --open;
-        }).detach();
-    }
-
-private:
-    // A caller gives a stream up after four times its objective without an event.
-    static constexpr int patienceMs = 8000;
-    static constexpr int deadlineMs = 12000;
-
-    void play(int number)
-    {
-        auto connection = takeKept();
-        const bool isKept = connection != nullptr;
-        if (!isKept)
-            connection = std::make_unique<channel>();
-        char parts[64];
-        std::snprintf(parts, sizeof parts, "%x:13300,%x:3470,%x:250", 1 + number % 8, 100 + number % 48, 1000000 + number);
-        const auto id = "digest-" + std::to_string(number);
-        const auto sentAt = nowMs();
-        const auto until = sentAt + patienceMs;
-        message answer;
-        ++sent;
-        const auto head = requestHead("POST", "/digest/x", id, deadlineMs) + "X-Model: m\r\nX-Token-Usage: 17020,120\r\nX-Prompt-Prefix: " + parts + "\r\nContent-Length: 0\r\n\r\n";
-        const bool isSent = (isKept || connection->connect(m_port)) && connection->send(head, until);
-        const bool isBegun = isSent && connection->receiveHead(answer, until);
-        const bool isComplete = isBegun && connection->receiveBody(answer, until);
-        const auto after = std::to_string(nowMs() - sentAt) + " ms";
-        const auto how = isComplete ? "answered " + std::to_string(answer.status()) : std::string(isBegun ? "cut off within its answer" : "got no answer");
-        m_log.line("caller " + id + " " + how + " after " + after + (isKept ? ", on a kept channel" : ""));
-        if (isComplete && answer.status() == 200)
-            ++complete;
-        const bool isCutOff = isSent && !isComplete && nowMs() < until && m_soundRuns.contains(id);
-        if (isCutOff && isBegun)
-            ++cutWithin;
-        if (isCutOff && !isBegun && isKept) {
-            ++lost;
-            m_log.line("LOST " + id + ": passed on to a sound worker, and its kept channel was closed without an answer after " + after);
-        }
-        if (isComplete && answer.header("connection") != "close")
-            keep(std::move(connection));
-    }
-
-    std::unique_ptr<channel> takeKept()
-    {
-        const std::lock_guard guard(m_mutex);
-        while (!m_kept.empty()) {
-            auto taken = std::move(m_kept.back());
-            m_kept.pop_back();
-            if (!taken->isClosedByPeer())
-                return taken;
-        }
-        return nullptr;
-    }
-
-    void keep(std::unique_ptr<channel> connection)
-    {
-        const std::lock_guard guard(m_mutex);
-        m_kept.push_back(std::move(connection));
-    }
-
-    int m_port;
-    id_set& m_soundRuns;
-    record& m_log;
-    std::mutex m_mutex;
-    std::vector<std::unique_ptr<channel>> m_kept;
-};
-
 // TROUBLE=0 leaves the disruption out.
 inline bool hasTrouble()
 {
--- a/review/stand_ins_3/world.h
+++ b/review/stand_ins_3/world.h
@@ -363,14 +363,14 @@
     int ready = freePort(SOCK_STREAM);
 
     // The command of the deploy file is run in the repository's root, which is the working directory.
-    router(const std::string& folder, const std::string& command, int storePort, int memoryMb)
+    router(const std::string& folder, const std::string& command, int storePort, int memoryMb, int maxFds = 4100)
     {
         const auto address = [](int port) { return "\"127.0.0.1:" + std::to_string(port) + "\""; };
         const auto path = folder + "/settings.json";
         std::ofstream(path) << "{\"NodeName\":\"frontend-bkk-a-1\",\"Role\":\"entry\",\"MachineClass\":\"frontend\",\"Serves\":[\"frontend\",\"control_plane\"],\"Ip\":\"127.0.0.1\","
                                "\"Zone\":\"bkk-a\",\"Region\":\"bkk\",\"Zones\":{\"bkk-a\":\"bkk\"},\"Listen\":{\"Front\":"
                             << address(front) << ",\"Ready\":" << address(ready) << ",\"Control\":" << address(freePort(SOCK_STREAM)) << "},\"InternalPorts\":[" << freePort(SOCK_DGRAM) << "],"
-                            << "\"Seeds\":[],\"Bootstrap\":true,\"CountsTowardLoss\":false,\"Limits\":{\"CpuShare\":0.19,\"Cores\":1,\"MemoryMb\":" << memoryMb << ",\"MaxFds\":4100,\"LinkMbps\":1000.0,\"DiskMb\":0},"
+                            << "\"Seeds\":[],\"Bootstrap\":true,\"CountsTowardLoss\":false,\"Limits\":{\"CpuShare\":0.19,\"Cores\":1,\"MemoryMb\":" << memoryMb << ",\"MaxFds\":" << maxFds << ",\"LinkMbps\":1000.0,\"DiskMb\":0},"
                             << "\"DataDir\":null,\"Discovery\":\"platform\",\"Entry\":\"vip\",\"HeartbeatMs\":1200,\"Contracts\":[\"base\",\"drain\",\"config\",\"cost\",\"retry\",\"recover\",\"engine\",\"stream\",\"tenants\",\"platform\"],"
                             << "\"FaultTolerance\":{\"Machines\":2,\"Zones\":0,\"Regions\":0},"
                             << "\"Bounds\":{\"SeedLagS\":3,\"ReuseAfterS\":2,\"ContactMs\":3000,\"AckMs\":4000,\"SyncS\":4,\"DrainMs\":2000,\"GraceS\":8,\"LossSlackMs\":200,\"ConfigDeadlineMs\":2000,\"RollbackSlackMs\":250,"
