--- a/tests/process/router_soak_test.sh
+++ b/tests/process/router_soak_test.sh
@@ -17,6 +17,7 @@
 # of seeds that failed.
 cd "$(dirname "$0")/../.." || exit 1
 . tests/process/lib.sh
+limit_run SOAK_SEEDS
 
 seconds=${SOAK_SECONDS:-6}
 calm_seconds=${SOAK_CALM_SECONDS:-}
