Let requests that are sent ahead take turns with new callers

Callers saw: hostile_clients_test failed in some runs, "pipeline" at /nowhere or /readyz: ordinary requests took over 2 s.

Cause: a turn of the event loop accepted one connection, and served every connection that had been accepted before. With N of them, a caller behind a crowd of N waits for N * (N + 1) / 2 requests. A readable event and the end of an answer each began the next request of the same connection, so that a connection which had sent more ran several chains of requests in one turn. In all failed runs 215 to 230 descriptors were open when the crowd had sent everything, of 418 in those that passed: the crowd had not been accepted yet, nor the ordinary caller behind it. strace, one second: 66,307 answers between 14 calls of epoll_wait. Also, a connection on which more than 128 KB wait was read on after each answer.

Change: requests that were sent ahead wait in one queue for all connections, each connection with one place; 16 begin in a turn of the loop, between turns everything that has arrived is read, and up to 64 connections are accepted at a time.

--- a/drivers/asio/connection_acceptor.cpp
+++ b/drivers/asio/connection_acceptor.cpp
@@ -5,6 +5,9 @@
 namespace {
 
     constexpr int listenBacklog = 1024;
+    // Several at a time: a turn of the loop serves each connection that was accepted before, so that those who come behind a crowd would
+    // wait for all requests that the crowd sends meanwhile.
+    constexpr int acceptsPerTurn = 64;
 
 } // namespace
 
@@ -37,10 +40,20 @@
 }
 
 void connection_acceptor::accept()
+{
+    for (int accepted = 0; accepted < acceptsPerTurn; ++accepted) {
+        if (!acceptOne())
+            break;
+    }
+    if (m_acceptor.is_open() && !m_isPaused)
+        awaitConnection();
+}
+
+bool connection_acceptor::acceptOne()
 {
     if (!m_callbacks.mayAccept()) {
         m_isPaused = true;
-        return;
+        return false;
     }
     asio::error_code failure;
     asio::ip::tcp::socket socket(m_acceptor.get_executor());
@@ -48,12 +61,12 @@
     // Without a descriptor the connection stays readable, and waiting for it again at once would keep the processor busy.
     if (failure == asio::error::no_descriptors || failure == asio::error::no_buffer_space || failure == asio::error::no_memory) {
         m_isPaused = true;
-        return;
+        return false;
     }
-    if (!failure)
-        m_callbacks.onAccepted(std::move(socket));
-    if (m_acceptor.is_open())
-        awaitConnection();
+    if (failure)
+        return false;
+    m_callbacks.onAccepted(std::move(socket));
+    return m_acceptor.is_open();
 }
 
 void connection_acceptor::resume()
--- a/drivers/asio/connection_acceptor.h
+++ b/drivers/asio/connection_acceptor.h
@@ -35,7 +35,10 @@
 
 private:
     void awaitConnection();
+    // Accepts the connections that wait, a bounded number a turn.
     void accept();
+    // Accepts one connection. Returns whether another one may follow.
+    bool acceptOne();
 
     asio::ip::tcp::acceptor m_acceptor;
     handlers m_callbacks;
--- a/drivers/asio/http_server_connections.cpp
+++ b/drivers/asio/http_server_connections.cpp
@@ -9,6 +9,9 @@
 
     // The server stops reading from a connection on which this many bytes of later requests are buffered.
     constexpr std::size_t maxWaitingBytes = 131072;
+    // How many requests that were sent ahead begin in one turn of the loop. Between two turns all that has arrived on other connections
+    // is read, so that a caller without requests ahead waits for no more than these.
+    constexpr int requestsPerTurn = 16;
     // How often connections are checked for timeouts.
     constexpr auto timeoutCheckInterval = std::chrono::milliseconds(250);
     // A refused caller may still be sending its request. Closing a socket with unread bytes resets the connection, and the
@@ -143,6 +146,9 @@
 
 void http_server::implementation::readSome(caller_connection& connection)
 {
+    // The turn reads on.
+    if (connection.awaitsTurn)
+        return;
     const auto readBytes = std::min(buffer.size(), guard.budget().maxReadBytes(connection.state.heldBytes()));
     if (readBytes == 0) {
         connection.readPaused = true;
@@ -164,8 +170,13 @@
     if (!remaining)
         return;
     track(*remaining);
-    if (remaining->state.waitingBytes() < maxWaitingBytes)
-        awaitReadable(*remaining);
+    readMore(*remaining);
+}
+
+void http_server::implementation::readMore(caller_connection& connection)
+{
+    if (connection.state.waitingBytes() < maxWaitingBytes)
+        awaitReadable(connection);
 }
 
 void http_server::implementation::act(connection_id id, received_request&& received)
@@ -224,7 +235,7 @@
         awaitReadable(connection);
     }
     if (current == phase::idle && connection.state.waitingBytes() > 0)
-        readOnLater(connection.id);
+        queueTurn(connection);
     if (std::exchange(connection.throttled, false) && current == phase::answering)
         callbacks.onWritable(connection.id);
 }
@@ -238,21 +249,45 @@
     flush(connection);
 }
 
-// Reads on with the bytes of the next request. It is posted to the reactor rather than called directly, because the answer may have
-// been sent from within the onRequest handler of the previous request.
-void http_server::implementation::readOnLater(connection_id id)
+// The next request of the connection begins in a turn of its own, also because the answer may have been sent from within the onRequest
+// handler of the previous request.
+void http_server::implementation::queueTurn(caller_connection& connection)
 {
-    asio::post(context, [self = shared_from_this(), id] {
-        auto* connection = self->find(id);
-        if (!connection)
-            return;
-        self->act(id, connection->state.readOn(self->readLimits(), std::chrono::steady_clock::now()));
-        auto* remaining = self->find(id);
-        if (!remaining)
-            return;
-        self->track(*remaining);
-        self->awaitReadable(*remaining);
-    });
+    if (std::exchange(connection.awaitsTurn, true))
+        return;
+    turns.push_back(connection.id);
+    scheduleTurns();
+}
+
+void http_server::implementation::scheduleTurns()
+{
+    if (turns.empty() || std::exchange(turnsScheduled, true))
+        return;
+    asio::post(context, [self = shared_from_this()] { self->takeTurns(); });
+}
+
+void http_server::implementation::takeTurns()
+{
+    for (int taken = 0; taken < requestsPerTurn && !turns.empty(); ++taken) {
+        const auto id = turns.front();
+        turns.pop_front();
+        if (auto* connection = find(id))
+            takeTurn(*connection);
+    }
+    turnsScheduled = false;
+    scheduleTurns();
+}
+
+void http_server::implementation::takeTurn(caller_connection& connection)
+{
+    const auto id = connection.id;
+    connection.awaitsTurn = false;
+    act(id, connection.state.readOn(readLimits(), std::chrono::steady_clock::now()));
+    auto* remaining = find(id);
+    if (!remaining)
+        return;
+    track(*remaining);
+    readMore(*remaining);
 }
 
 void http_server::implementation::close(caller_connection& connection)
--- a/drivers/asio/http_server_connections.h
+++ b/drivers/asio/http_server_connections.h
@@ -8,6 +8,7 @@
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
+#include <deque>
 #include <unordered_map>
 #include <utility>
 
@@ -24,6 +25,8 @@
     bool throttled = false;
     // Nothing is read until the process holds less.
     bool readPaused = false;
+    // A request that was sent ahead waits for a turn.
+    bool awaitsTurn = false;
     std::uint64_t transferredBytes = 0;
 
     caller_connection(connection_id number, asio::ip::tcp::socket accepted)
@@ -64,7 +67,12 @@
     void awaitWritable(caller_connection&);
     void onSent(caller_connection&);
     void endAnswer(caller_connection&);
-    void readOnLater(connection_id);
+    // Reads on from the socket unless enough bytes wait already.
+    void readMore(caller_connection&);
+    void queueTurn(caller_connection&);
+    void scheduleTurns();
+    void takeTurns();
+    void takeTurn(caller_connection&);
     http_read_limits readLimits() const { return { limits.headerBytes, limits.bodyBytes, limits.headerFields > 0 ? limits.headerFields : limits.headerBytes / minFieldBytes + 1 }; }
     void close(caller_connection&);
     caller_connection* find(connection_id);
@@ -79,6 +87,9 @@
     caller_limits limits;
     std::unordered_map<connection_id, std::unique_ptr<caller_connection>> connections;
     std::array<char, readBufferBytes> buffer {};
+    // Connections on which a request that was sent ahead may begin, in the order in which they take turns.
+    std::deque<connection_id> turns;
+    bool turnsScheduled = false;
     connection_id lastConnectionId = 0;
     bool closingAfterAnswers = false;
 };
