Join a resumed stream only where its ids fit, and end it only by an end that is one

Cause: the assembler took all attempts for one source of bytes. onStreamEnd asked only whether anything had reached the caller, so a resumed attempt that ended with its connection before any event, or whose stream was another, shorter one, ended the caller's stream as complete. Each event without an id at or below the last one was passed on, so also one behind a gap, and one without an id. A stream whose last event had no id was resumed from the last id, or from its begin, and what had no id came twice.

Now the assembler knows what the attempt in progress has sent. An explicit end without events also completes a stream that a caller takes up itself, which got 502 before, so that a caller that had lost only the end could never get it. The first attempt is passed on unchanged: events whose ids did not rise were left out of it before.

--- a/servers/router/router_answering.cpp
+++ b/servers/router/router_answering.cpp
@@ -96,6 +96,8 @@
     auto events = progress->stream.feed(continued.bytes);
     if (!events.empty())
         forwardEvents(*progress, attempt, std::move(events));
+    if (const auto* mismatch = progress->stream.mismatch())
+        return abandonAttempt(*progress, attempt.number, mismatch);
     if (progress->stream.partialEventBytes() > maxEventBytes)
         abandonAttempt(*progress, attempt.number, "an event of more than " + std::to_string(maxEventBytes) + " bytes");
 }
@@ -168,9 +170,9 @@
 void router_reducer::onStreamEnd(request_progress& progress, attempt_number number)
 {
     auto& attempt = *findAttempt(progress, number);
-    const bool isIncomplete = progress.stream.hasPartialEvent() || !progress.replyStarted;
     // The end of the connection may be the end of the stream or a crash of the upstream.
     const bool endedByConnection = attempt.answer->head.endsWithConnection;
+    const bool isIncomplete = !progress.stream.isComplete(!endedByConnection, progress.resumesEarlier());
     if (isIncomplete || (endedByConnection && !attempt.answersSoundly))
         recordBrokenAttempt(progress, attempt);
     else if (endedByConnection)
@@ -178,7 +180,9 @@
     if (!findByAttempt(number))
         return;
     if (isIncomplete)
-        return failAttempt(progress, number, attempt_end::may_have_run, "the stream ended before its last event was complete");
+        return failAttempt(progress, number, attempt_end::may_have_run, "the stream ended before it was complete");
+    if (!progress.replyStarted)
+        startReply(progress, *findAttempt(progress, number));
     completeReply(progress, number);
 }
 
--- a/servers/router/router_attempts.cpp
+++ b/servers/router/router_attempts.cpp
@@ -123,7 +123,8 @@
         return false;
     if (progress.mayHaveRun() && !progress.matchedRoute->repeatable())
         return false;
-    if (progress.bodyForwarded || (progress.mayHaveRun() && mayCrashUpstream(progress)))
+    const bool canGoOn = !progress.bodyForwarded && progress.stream.canGoOn();
+    if (!canGoOn || (progress.mayHaveRun() && mayCrashUpstream(progress)))
         return false;
     return outcome != attempt_end::may_have_run || progress.mayHaveRunCount < progress.matchedRoute->maxAttempts;
 }
@@ -163,7 +164,7 @@
     if (!progress.attempts.empty())
         return;
     // A partial event belongs to the attempt that failed, and must not be joined to the events of the next one.
-    progress.stream.discardPartialEvent();
+    progress.stream.beginAttempt();
     if (!mayRetry(progress, outcome) || !m_retryLimiter.takeRetry(progress.service, m_now))
         return answerWithFailure(progress);
     if (dispatch(progress, progress.replyStarted ? "resume" : "retry"))
--- a/tests/servers/router/stream_test.cpp
+++ b/tests/servers/router/stream_test.cpp
@@ -106,7 +106,7 @@
             completeEvents += assembler.feed(std::string_view(text).substr(offset, size));
         CHECK(completeEvents == text);
         CHECK(assembler.lastId() == 4);
-        CHECK_FALSE(assembler.hasPartialEvent());
+        CHECK(assembler.partialEventBytes() == 0);
     }
 }
 
