Answer HEAD on a streaming route with the upstream's answer

Cause: an answer to HEAD has no body, and a success of the event stream type was taken for a stream that ended before its first event. Now only answers that have a body are read as streams. The test failed before the change (502 instead of 200, and a check of the upstream's connections) and passes after it.

--- a/servers/router/router_answering.cpp
+++ b/servers/router/router_answering.cpp
@@ -65,7 +65,7 @@
         return failAttempt(*progress, number, attempt_end::may_have_run, "success status without the upstream's signature");
     }
     attempt.answer = std::move(started.answer);
-    attempt.forwardsEvents = progress->matchedRoute->streaming && isSuccess(attempt.answer->head.status) && isEventStream(*attempt.answer);
+    attempt.forwardsEvents = progress->matchedRoute->streaming && progress->request->method != "HEAD" && isSuccess(attempt.answer->head.status) && isEventStream(*attempt.answer);
     if (attempt.forwardsEvents)
         onStreamHead(*progress, attempt);
 }
--- a/tests/servers/router/stream_test.cpp
+++ b/tests/servers/router/stream_test.cpp
@@ -165,3 +165,23 @@
     CHECK(fixture.only<cancel_attempt>().attemptNumber == attempt.attemptNumber);
     CHECK(fixture.replyStatus() == 502);
 }
+
+// Guards against a sound answer that is replaced by a failure because it has no events.
+TEST_CASE("a HEAD request on a streaming route gets the head of its answer", "[router][stream]")
+{
+    router_fixture fixture;
+    fixture.start();
+    proxied_request item;
+    item.requestId = "request-1";
+    item.method = "HEAD";
+    item.target = "/oneshot/x";
+    item.path = item.target;
+    item.host = "host";
+    item.apiKey = "key-a";
+    fixture.step(request_arrived { 1, std::make_shared<const proxied_request>(std::move(item)) });
+    const auto attempt = fixture.only<start_attempt>();
+    fixture.step(answer_started { attempt.attemptNumber, router_fixture::answer(200, true, true) });
+    fixture.step(answer_ended { attempt.attemptNumber });
+    CHECK(fixture.replyStatus() == 200);
+    CHECK(fixture.all<check_connection>().empty());
+}
