Log what a planned stop cuts off and in which phase connections are closed

Change: one request_cut line for each request that the end of the grace ends, with its state at the upstreams and the time left; one stop_phase line when the listener closes and at the end, with connections by phase and those with bytes that the kernel holds; kumquat_router_connection_ends_total counts closes by cause, phase and unread bytes. No decision changes.

--- a/drivers/asio/http_server.cpp
+++ b/drivers/asio/http_server.cpp
@@ -77,7 +77,7 @@
 void http_server::abortAnswer(connection_id id)
 {
     if (auto* connection = m_implementation->find(id))
-        m_implementation->close(*connection);
+        m_implementation->closeBecause("aborted", *connection);
 }
 
 void http_server::closeAfterAnswers()
@@ -100,7 +100,33 @@
             idle.push_back(connection.get());
     }
     for (auto* connection : idle)
-        m_implementation->close(*connection);
+        m_implementation->closeBecause("stop", *connection);
+}
+
+connection_census http_server::census() const
+{
+    connection_census counts;
+    for (const auto& [id, connection] : m_implementation->connections) {
+        switch (connection->state.current()) {
+        case server_connection::phase::idle:
+            ++counts.idle;
+            break;
+        case server_connection::phase::reading:
+            ++counts.reading;
+            break;
+        case server_connection::phase::answering:
+            ++counts.answering;
+            break;
+        case server_connection::phase::sending:
+            ++counts.sending;
+            break;
+        case server_connection::phase::closing:
+            ++counts.closing;
+            break;
+        }
+        counts.unread += connection->hasUnreadBytes() ? 1 : 0;
+    }
+    return counts;
 }
 
 } // namespace kumquat
--- a/drivers/asio/http_server.h
+++ b/drivers/asio/http_server.h
@@ -16,6 +16,27 @@
 
 using connection_id = std::uint64_t;
 
+// A connection that the server has closed on its own account.
+struct server_close {
+    // "stop", "idle_timeout", "send_timeout", "linger_timeout", "bound" or "aborted".
+    const char* cause = "";
+    // The phase of the connection, as in server_connection.
+    const char* phase = "";
+    // The kernel had received bytes that the server has not read, so that the connection was reset.
+    bool hadUnreadBytes = false;
+};
+
+// The connections of a server by phase.
+struct connection_census {
+    std::size_t idle = 0;
+    std::size_t reading = 0;
+    std::size_t answering = 0;
+    std::size_t sending = 0;
+    std::size_t closing = 0;
+    // Those with bytes that the kernel has received and the server has not read.
+    std::size_t unread = 0;
+};
+
 // An HTTP/1.1 server that runs on the reactor's thread. Each connection has at most one request in progress; pipelined
 // requests are buffered and processed in order (server_connection). An idle connection occupies no request buffer. A request with
 // ambiguous or invalid framing is answered with 400 and its connection is closed. A caller that takes no byte of a complete answer for
@@ -32,6 +53,8 @@
         std::function<void(connection_id)> onWritable;
         // A request was refused before it was read completely; the server has answered it with this status.
         std::function<void(int status)> onRefused;
+        // The server has closed a connection on its own account. May be empty.
+        std::function<void(const server_close&)> onClosed {};
     };
 
     // Starts to listen. Returns an error if the address is not IPv4 or cannot be bound.
@@ -58,6 +81,7 @@
     void closeListenerAndIdleConnections();
     // Whether some caller has not taken all bytes of its answer yet.
     bool hasUnsentAnswers() const;
+    connection_census census() const;
 
 private:
     struct implementation;
--- a/drivers/asio/http_server_connections.cpp
+++ b/drivers/asio/http_server_connections.cpp
@@ -16,6 +16,12 @@
     // closes the socket after this time, unless the caller closes it first.
     constexpr auto lingerTimeout = std::chrono::seconds(1);
 
+    const char* nameOf(server_connection::phase phase)
+    {
+        static constexpr const char* names[] = { "idle", "reading", "answering", "sending", "closing" };
+        return names[static_cast<int>(phase)];
+    }
+
 } // namespace
 
 caller_connection* http_server::implementation::find(connection_id id)
@@ -53,7 +59,7 @@
     if (connection->state.isAnswering())
         callbacks.onDisconnected(id);
     if (connection->state.current() != server_connection::phase::reading)
-        return close(*connection);
+        return closeBecause("bound", *connection);
     connection->state.refuse(503, std::chrono::steady_clock::now());
     callbacks.onRefused(503);
     flush(*connection);
@@ -112,7 +118,7 @@
     const auto elapsed = now - connection.state.phaseStart();
     const auto current = connection.state.current();
     if (current == phase::idle && elapsed > limits.idleTimeout)
-        return close(connection);
+        return closeBecause("idle_timeout", connection);
     // The complete request, head and body, has to arrive within the sum of both timeouts.
     if (current == phase::reading && elapsed > limits.headerTimeout + limits.idleTimeout) {
         connection.state.refuse(408, now);
@@ -121,9 +127,9 @@
     }
     // The caller has stopped reading its answer.
     if (current == phase::sending && elapsed > limits.idleTimeout)
-        return close(connection);
+        return closeBecause("send_timeout", connection);
     if (current == phase::closing && elapsed > lingerTimeout)
-        return close(connection);
+        return closeBecause("linger_timeout", connection);
 }
 
 void http_server::implementation::awaitReadable(caller_connection& connection)
@@ -255,6 +261,14 @@
     });
 }
 
+void http_server::implementation::closeBecause(const char* cause, caller_connection& connection)
+{
+    const server_close closed { cause, nameOf(connection.state.current()), connection.hasUnreadBytes() };
+    close(connection);
+    if (callbacks.onClosed)
+        callbacks.onClosed(closed);
+}
+
 void http_server::implementation::close(caller_connection& connection)
 {
     asio::error_code ignored;
--- a/drivers/asio/http_server_connections.h
+++ b/drivers/asio/http_server_connections.h
@@ -32,6 +32,13 @@
         , state(std::chrono::steady_clock::now())
     {
     }
+
+    // Whether the kernel has received bytes that were not read.
+    bool hasUnreadBytes() const
+    {
+        asio::error_code failure;
+        return socket.available(failure) > 0 && !failure;
+    }
 };
 
 // The connections of one server: accepting, reading, writing and closing them. Included only by the sources of http_server.
@@ -67,6 +74,8 @@
     void readOnLater(connection_id);
     http_read_limits readLimits() const { return { limits.headerBytes, limits.bodyBytes, limits.headerFields > 0 ? limits.headerFields : limits.headerBytes / minFieldBytes + 1 }; }
     void close(caller_connection&);
+    // Closes the connection and reports why.
+    void closeBecause(const char* cause, caller_connection&);
     caller_connection* find(connection_id);
 
     asio::io_context& context;
--- a/processes/router_process.cpp
+++ b/processes/router_process.cpp
@@ -94,6 +94,7 @@
         void onAdminRequest(connection_id, const http_request&);
         void refuse(const router::refuse_reply&);
         void stop(const router::stop_router&);
+        void closeIdleCallers();
         void onStreamMessage(const std::string& host, const std::string& bytes);
         void onDatagram(const std::string& host, const std::string& bytes);
         void detectSuspension();
@@ -107,6 +108,9 @@
         http_client::handlers upstreamHandlers();
         void reportClosing(const connection_guard::closing&);
         void reportRefusal(int status);
+        void reportClose(const server_close&);
+        // Logs the connections of callers at a point of the stop.
+        void reportStopPhase(const char* phase);
 
         std::string m_settingsFile;
         std::string m_settingsText;
@@ -130,6 +134,7 @@
         // Events that arrived while m_stepping was set.
         std::deque<router::router_event> m_queuedEvents;
         bool m_stepping = false;
+        bool m_listenerClosed = false;
         // The router has stopped and only gives up the lease of the duties.
         bool m_stopsAfterRelease = false;
         // The time for which the reactor's timer is set.
@@ -216,7 +221,8 @@
             { .onRequest = [this](connection_id id, http_request request) { onCallerRequest(id, std::move(request)); },
                 .onDisconnected = [this](connection_id id) { post(router::caller_left { id }); },
                 .onWritable = [this](connection_id id) { post(router::caller_ready { id }); },
-                .onRefused = [this](int status) { reportRefusal(status); } });
+                .onRefused = [this](int status) { reportRefusal(status); },
+                .onClosed = [this](const server_close& closed) { reportClose(closed); } });
         if (const auto* failure = errorOf(callers))
             return *failure;
         m_callers = std::move(valueOf(callers));
@@ -247,6 +253,24 @@
         writeLog({ log_level::info, "request_not_read", { { "status", std::to_string(status) } } });
     }
 
+    void router_process::reportClose(const server_close& closed)
+    {
+        m_metrics.apply(count_metric { "kumquat_router_connection_ends_total", { { "cause", closed.cause }, { "phase", closed.phase }, { "unread", closed.hadUnreadBytes ? "yes" : "no" } } });
+    }
+
+    void router_process::reportStopPhase(const char* phase)
+    {
+        const auto counts = m_callers->census();
+        writeLog({ log_level::info, "stop_phase", { { "phase", phase }, { "requests", std::to_string(m_reducer.requestCount()) }, { "idle", std::to_string(counts.idle) }, { "reading", std::to_string(counts.reading) }, { "answering", std::to_string(counts.answering) }, { "sending", std::to_string(counts.sending) }, { "closing", std::to_string(counts.closing) }, { "unread", std::to_string(counts.unread) }, { "releasing", m_duties && m_duties->isReleasing() ? "yes" : "no" } } });
+    }
+
+    void router_process::closeIdleCallers()
+    {
+        if (!std::exchange(m_listenerClosed, true))
+            reportStopPhase("listener_closes");
+        m_callers->closeListenerAndIdleConnections();
+    }
+
     void router_process::onDatagram(const std::string& host, const std::string& bytes)
     {
         if (isStreamMessage(bytes))
@@ -424,6 +448,8 @@
     {
         if (order.unlessAnswersAreUnsent && m_callers->hasUnsentAnswers())
             return;
+        if (!m_stopsAfterRelease)
+            reportStopPhase(order.unlessAnswersAreUnsent ? "requests_ended" : "grace_ends");
         m_stopsAfterRelease = m_duties && m_duties->isReleasing();
         if (!m_stopsAfterRelease)
             m_reactor.stop();
@@ -478,7 +504,7 @@
             [this](const router::record_run& run) { m_usage.recordRun(run.organisation, run.startedAt); },
             [this](const router::apply_caller_limits& apply) { m_callers->setLimits(apply.limits); },
             [this](const router::close_callers_after_answers&) { m_callers->closeAfterAnswers(); },
-            [this](const router::close_idle_callers&) { m_callers->closeListenerAndIdleConnections(); },
+            [this](const router::close_idle_callers&) { closeIdleCallers(); },
             [this](const router::stop_router& order) { stop(order); },
             [](const log_event& event) { writeLog(event); },
             [this](const auto& metric) { m_metrics.apply(metric); },
--- a/servers/router/router_reducer.cpp
+++ b/servers/router/router_reducer.cpp
@@ -169,9 +169,7 @@
     case timer_kind::close_idle:
         return closeIdle();
     case timer_kind::stop:
-        log(log_level::warning, "router_stopped_with_requests", { { "requests", std::to_string(m_requests.size()) } });
-        emit(stop_router {});
-        return;
+        return stopWithRequests();
     }
 }
 
--- a/servers/router/router_reducer.h
+++ b/servers/router/router_reducer.h
@@ -88,6 +88,9 @@
     bool deadlineExceedsShutdown(const request_progress&) const;
     // Closes the connections without a request, and stops the router once there is none in progress.
     void closeIdle();
+    // Stops the router, whatever is in progress.
+    void stopWithRequests();
+    void logCut(const request_progress&);
     bool canServe() const;
     bool keysAreFresh(instant now) const;
     void refuse(caller_id, const std::string& requestId, const caller_error&);
--- a/servers/router/router_shutdown.cpp
+++ b/servers/router/router_shutdown.cpp
@@ -54,4 +54,21 @@
     setTimer(timer_kind::close_idle, 0, m_now + closeIdleInterval);
 }
 
+void router_reducer::stopWithRequests()
+{
+    log(log_level::warning, "router_stopped_with_requests", { { "requests", std::to_string(m_requests.size()) } });
+    for (const auto& [caller, progress] : m_requests)
+        logCut(progress);
+    emit(stop_router {});
+}
+
+void router_reducer::logCut(const request_progress& progress)
+{
+    const bool isWaiting = std::any_of(progress.attempts.begin(), progress.attempts.end(), [](const active_attempt& attempt) { return !attempt.answer; });
+    const char* state = progress.replyStarted ? "streaming" : progress.attempts.empty() ? "not_sent"
+        : isWaiting                                                                     ? "waiting"
+                                                                                        : "answered_in_part";
+    log(log_level::warning, "request_cut", { { "request", progress.request->requestId }, { "state", state }, { "upstream", progress.attempts.empty() ? "none" : progress.attempts.back().upstream->record.id }, { "sends", std::to_string(progress.attemptCount) }, { "may_have_run", progress.mayHaveRun() ? "yes" : "no" }, { "ms", formatMilliseconds(m_now - progress.arrivedAt) }, { "left_ms", formatMilliseconds(progress.deadline - m_now) } });
+}
+
 } // namespace kumquat::router
