Name the server's calls at the end of a stop, without a change of what they do

hasOpenConnections, refuseUnreadRequests and endConnections do what was done before (unsent answers, nothing, closing), so that the tests of a planned stop can be written against them. stop_router's condition is named for what it asks.

--- a/drivers/asio/http_server.cpp
+++ b/drivers/asio/http_server.cpp
@@ -103,6 +103,20 @@
         m_implementation->closeBecause("stop", *connection);
 }
 
+bool http_server::hasOpenConnections() const
+{
+    return hasUnsentAnswers();
+}
+
+void http_server::refuseUnreadRequests()
+{
+}
+
+void http_server::endConnections()
+{
+    m_implementation->connections.clear();
+}
+
 connection_census http_server::census() const
 {
     connection_census counts;
--- a/drivers/asio/http_server.h
+++ b/drivers/asio/http_server.h
@@ -82,6 +82,12 @@
     // Whether some caller has not taken all bytes of its answer yet.
     bool hasUnsentAnswers() const;
     connection_census census() const;
+    // Whether a connection still needs the process, after closeListenerAndIdleConnections().
+    bool hasOpenConnections() const;
+    // Refuses the requests that have not been received completely, as not run.
+    void refuseUnreadRequests();
+    // Ends all connections, before the process ends.
+    void endConnections();
 
 private:
     struct implementation;
--- a/processes/router_process.cpp
+++ b/processes/router_process.cpp
@@ -446,10 +446,10 @@
 
     void router_process::stop(const router::stop_router& order)
     {
-        if (order.unlessAnswersAreUnsent && m_callers->hasUnsentAnswers())
+        if (order.unlessConnectionsAreOpen && m_callers->hasOpenConnections())
             return;
         if (!m_stopsAfterRelease)
-            reportStopPhase(order.unlessAnswersAreUnsent ? "requests_ended" : "grace_ends");
+            reportStopPhase(order.unlessConnectionsAreOpen ? "requests_ended" : "grace_ends");
         m_stopsAfterRelease = m_duties && m_duties->isReleasing();
         if (!m_stopsAfterRelease)
             m_reactor.stop();
--- a/servers/router/router_effect.h
+++ b/servers/router/router_effect.h
@@ -133,8 +133,8 @@
 struct close_idle_callers { };
 // End the process.
 struct stop_router {
-    // Go on if a caller has not taken all of its answer yet; the effect comes again.
-    bool unlessAnswersAreUnsent = false;
+    // Go on if a connection of a caller still needs the process; the effect comes again.
+    bool unlessConnectionsAreOpen = false;
 };
 
 using router_effect = std::variant<start_attempt, cancel_attempt, check_connection, throttle_attempt, close_upstream_connections, start_reply, append_reply, end_reply, send_reply, refuse_reply,
--- a/servers/router/router_shutdown.cpp
+++ b/servers/router/router_shutdown.cpp
@@ -50,7 +50,7 @@
 {
     emit(close_idle_callers {});
     if (m_requests.empty())
-        emit(stop_router { .unlessAnswersAreUnsent = true });
+        emit(stop_router { .unlessConnectionsAreOpen = true });
     setTimer(timer_kind::close_idle, 0, m_now + closeIdleInterval);
 }
 
--- a/tests/servers/router/termination_test.cpp
+++ b/tests/servers/router/termination_test.cpp
@@ -37,7 +37,7 @@
     CHECK(router_fixture::all<stop_router>(fixture.advance(seconds(7))).empty());
     const auto orders = router_fixture::all<stop_router>(fixture.advance(seconds(1)));
     REQUIRE(orders.size() == 1);
-    CHECK_FALSE(orders.front().unlessAnswersAreUnsent);
+    CHECK_FALSE(orders.front().unlessConnectionsAreOpen);
 
     router_fixture idle;
     idle.start();
@@ -60,5 +60,5 @@
     const auto orders = router_fixture::all<stop_router>(fixture.advance(milliseconds(300)));
     REQUIRE(orders.size() == 3);
     for (const auto& order : orders)
-        CHECK(order.unlessAnswersAreUnsent);
+        CHECK(order.unlessConnectionsAreOpen);
 }
