Answer every request before the end of a planned stop

Cause: the stop timer ended the process whatever its table of requests held, and the rule of acceptance measured deadlines against that same moment, so that a request could be accepted and cut. Its grace was read again from settings that may have changed meanwhile. Fix: shutdown_plan holds the times of one stop, fixed at the SIGTERM. 0.8 s before the end of the grace (a sixth of it at most) each request is answered: 503 as not run if it is at no upstream, else 504; streams break off. The process ends 0.5 s later, or as soon as nothing is left to send. A request is accepted late only if its deadline is before these answers, and no attempt starts after them. After a suspension the answers come first, too.

--- a/processes/router_process.cpp
+++ b/processes/router_process.cpp
@@ -505,6 +505,7 @@
             [this](const router::apply_caller_limits& apply) { m_callers->setLimits(apply.limits); },
             [this](const router::close_callers_after_answers&) { m_callers->closeAfterAnswers(); },
             [this](const router::close_idle_callers&) { closeIdleCallers(); },
+            [this](const router::refuse_unread_requests&) { m_callers->refuseUnreadRequests(); },
             [this](const router::stop_router& order) { stop(order); },
             [](const log_event& event) { writeLog(event); },
             [this](const auto& metric) { m_metrics.apply(metric); },
--- a/servers/router/router_admission.cpp
+++ b/servers/router/router_admission.cpp
@@ -13,8 +13,6 @@
     // Requests with a key are refused once the last confirmation of the configuration is older than this share of the
     // revocation deadline, the time after which a revoked key must be refused.
     constexpr double keyFreshnessShare = 0.9;
-    // The caller's next connection reaches another router, so it may retry almost at once.
-    constexpr auto retryAtOtherRouter = std::chrono::milliseconds(20);
     constexpr auto retryAfterStartup = std::chrono::milliseconds(500);
     // If the store is healthy, a router has read the configuration and the upstream records within this time of its start.
     // Requests that arrive earlier wait, since callers that lost their connection to the predecessor reconnect at once.
@@ -70,8 +68,8 @@
         return refuse(progress.caller, progress.request->requestId, *refusal);
     if (const auto refusal = refuseSuspect(progress))
         return refuse(progress.caller, progress.request->requestId, *refusal);
-    if (deadlineExceedsShutdown(progress))
-        return refuse(progress.caller, progress.request->requestId, { error_code::draining, "this router stops before the deadline of the request", ran_state::no, retryAtOtherRouter });
+    if (const auto refusal = refuseBeforeShutdown(progress))
+        return refuse(progress.caller, progress.request->requestId, *refusal);
     const auto caller = progress.caller;
     auto& activeRequest = m_requests.insert_or_assign(caller, std::move(progress)).first->second;
     setTimer(timer_kind::deadline, caller, activeRequest.deadline);
@@ -89,7 +87,7 @@
 
 bool router_reducer::awaitsFirstRead() const
 {
-    return !canServe() && !m_terminating && m_now < *m_startedAt + firstReadTimeout;
+    return !canServe() && !m_shutdown && m_now < *m_startedAt + firstReadTimeout;
 }
 
 void router_reducer::queueUntilFirstRead(request_progress&& progress)
--- a/servers/router/router_attempts.cpp
+++ b/servers/router/router_attempts.cpp
@@ -25,7 +25,7 @@
 
 bool router_reducer::dispatch(request_progress& progress, const char* cause)
 {
-    if (progress.deadline - m_now < minTimeLeft || refuseSuspect(progress))
+    if (progress.deadline - m_now < minTimeLeft || (m_shutdown && !m_shutdown->mayStartAttempts(m_now)) || refuseSuspect(progress))
         return false;
     const placement_policy policy = progress.targetsEngine && progress.matchedRoute->usesPromptCache ? m_options.enginePlacement : least_in_flight {};
     const placement_request request {
--- a/servers/router/router_effect.h
+++ b/servers/router/router_effect.h
@@ -131,6 +131,8 @@
 struct close_callers_after_answers { };
 // Close the listener and the connections that have no request in progress.
 struct close_idle_callers { };
+// Refuse the requests that have not been received completely; they have not run.
+struct refuse_unread_requests { };
 // End the process.
 struct stop_router {
     // Go on if a connection of a caller still needs the process; the effect comes again.
@@ -138,7 +140,7 @@
 };
 
 using router_effect = std::variant<start_attempt, cancel_attempt, check_connection, throttle_attempt, close_upstream_connections, start_reply, append_reply, end_reply, send_reply, refuse_reply,
-    abort_reply, read_store, cancel_store_read, call_refusal_store, send_digest, send_stream_message, record_run, apply_caller_limits, close_callers_after_answers, close_idle_callers, stop_router, log_event,
+    abort_reply, read_store, cancel_store_read, call_refusal_store, send_digest, send_stream_message, record_run, apply_caller_limits, close_callers_after_answers, close_idle_callers, refuse_unread_requests, stop_router, log_event,
     count_metric, observe_metric>;
 
 using router_effects = std::vector<router_effect>;
--- a/servers/router/router_peers.cpp
+++ b/servers/router/router_peers.cpp
@@ -162,7 +162,7 @@
         log(log_level::info, "engines_reserved", { { "service", service }, { "share", share ? std::to_string(*share) : "none" } });
         emit(count_metric { "kumquat_router_reservation_changes_total", { { "service", service } } });
     }
-    const bool idle = m_requests.empty() && m_recentCachedParts.empty() && !m_terminating;
+    const bool idle = m_requests.empty() && m_recentCachedParts.empty() && !m_shutdown;
     m_idleDigests = idle ? m_idleDigests + 1 : 0;
     if (m_idleDigests > repeatedIdleDigests && m_now - m_digestSentAt < heartbeatInterval)
         return;
@@ -178,7 +178,7 @@
     router_digest digest;
     digest.incarnation = m_options.incarnation;
     digest.sequence = ++m_digestSequence;
-    digest.leaving = m_terminating && m_requests.empty();
+    digest.leaving = m_shutdown && m_requests.empty();
     addStoreState(digest);
     // Contains only what this router has confirmed with the store itself. Passing on the confirmations of others would let
     // routers confirm one another for ever.
@@ -220,7 +220,7 @@
 {
     setTimer(timer_kind::summary, 0, m_now + m_peers.summaryInterval());
     const auto recentParts = std::exchange(m_summaryCachedParts, {});
-    if (!m_peers.isAggregator(m_now) || (m_terminating && m_requests.empty()))
+    if (!m_peers.isAggregator(m_now) || (m_shutdown && m_requests.empty()))
         return;
     auto summary = makeSummary();
     addCachedParts(summary, recentParts);
--- a/servers/router/router_reducer.cpp
+++ b/servers/router/router_reducer.cpp
@@ -61,7 +61,7 @@
 
 bool router_reducer::ready(instant now) const
 {
-    return !m_terminating && canServe() && keysAreFresh(now);
+    return !m_shutdown && canServe() && keysAreFresh(now);
 }
 
 retry_limiter_options router_reducer::retryOptions() const
@@ -168,8 +168,10 @@
         return sendSummary();
     case timer_kind::close_idle:
         return closeIdle();
+    case timer_kind::last_answers:
+        return giveLastAnswers();
     case timer_kind::stop:
-        return stopWithRequests();
+        return emit(stop_router {});
     }
 }
 
--- a/servers/router/router_reducer.h
+++ b/servers/router/router_reducer.h
@@ -13,6 +13,7 @@
 #include "servers/router/retry_limiter.h"
 #include "servers/router/router_effect.h"
 #include "servers/router/router_timer.h"
+#include "servers/router/shutdown_plan.h"
 #include "servers/router/store_watcher.h"
 #include "servers/router/stream_origins.h"
 #include "servers/router/urgency_order.h"
@@ -85,11 +86,13 @@
     void admitPending();
     // Finds the route, organisation, service and deadline of a request, or returns why it is refused.
     std::optional<caller_error> classify(request_progress&) const;
-    bool deadlineExceedsShutdown(const request_progress&) const;
+    // Why a request is refused that may outlast a planned stop, or nothing.
+    std::optional<caller_error> refuseBeforeShutdown(const request_progress&) const;
     // Closes the connections without a request, and stops the router once there is none in progress.
     void closeIdle();
-    // Stops the router, whatever is in progress.
-    void stopWithRequests();
+    // Ends every request that is in progress, with an answer if none has begun.
+    void giveLastAnswers();
+    void giveLastAnswer(request_progress&);
     void logCut(const request_progress&);
     bool canServe() const;
     bool keysAreFresh(instant now) const;
@@ -381,8 +384,8 @@
     bool m_upstreamsListed = false;
     // When the store first answered again after its last failure.
     instant m_storeHealthySince;
-    bool m_terminating = false;
-    instant m_terminatingSince;
+    // Present once the process has been asked to stop.
+    std::optional<shutdown_plan> m_shutdown;
     instant m_now;
     router_effects* m_effects = nullptr;
     timer_queue<timer_key> m_timers;
--- a/servers/router/router_shutdown.cpp
+++ b/servers/router/router_shutdown.cpp
@@ -2,64 +2,71 @@
 
 #include <algorithm>
 
-// How a router that is asked to stop ends without cutting off a request.
+// How a router that is asked to stop ends without losing a request. shutdown_plan has the times.
 
 namespace kumquat::router {
 
 namespace {
 
-    // The platform takes this long to stop directing new callers to a router that reports that it is not ready.
-    constexpr auto deregistrationDelay = std::chrono::milliseconds(3500);
-    // Once it has been terminating for this long, a router accepts only requests whose deadline is before its own end.
-    constexpr auto maxAcceptanceTime = std::chrono::milliseconds(2500);
-    // Upper bounds on the two times above as shares of the shutdown grace, for platforms that allow little time to stop.
-    constexpr double acceptanceShare = 0.3;
-    constexpr double deregistrationShare = 0.5;
-    // A router stops this long before the platform would kill it.
-    constexpr auto shutdownMargin = std::chrono::milliseconds(300);
     constexpr auto closeIdleInterval = std::chrono::milliseconds(100);
-
-    // The maximum, or the given share of the shutdown grace if that is shorter.
-    duration limitByGrace(duration maximum, duration grace, double share)
-    {
-        return std::min(maximum, std::chrono::duration_cast<duration>(grace * share));
-    }
+    // The caller's next connection reaches another router, so it may retry almost at once.
+    constexpr auto retryAtOtherRouter = std::chrono::milliseconds(20);
 
 } // namespace
 
-bool router_reducer::deadlineExceedsShutdown(const request_progress& progress) const
+std::optional<caller_error> router_reducer::refuseBeforeShutdown(const request_progress& progress) const
 {
-    const auto grace = m_options.settings.shutdownGrace;
-    return m_terminating && m_now - m_terminatingSince > limitByGrace(maxAcceptanceTime, grace, acceptanceShare) && progress.deadline > m_terminatingSince + grace - shutdownMargin;
+    if (!m_shutdown || m_shutdown->accepts(m_now, progress.deadline))
+        return std::nullopt;
+    return caller_error { error_code::draining, "this router stops before the deadline of the request", ran_state::no, retryAtOtherRouter };
 }
 
 void router_reducer::on(termination_requested&&)
 {
-    if (m_terminating)
+    if (m_shutdown)
         return;
-    m_terminating = true;
-    m_terminatingSince = m_now;
+    m_shutdown = shutdown_plan(m_now, m_options.settings.shutdownGrace);
     log(log_level::info, "router_terminating", { { "requests", std::to_string(m_requests.size()) }, { "grace_ms", formatMilliseconds(m_options.settings.shutdownGrace) } });
     emit(close_callers_after_answers {});
     exchangeDigests();
-    setTimer(timer_kind::close_idle, 0, m_now + limitByGrace(deregistrationDelay, m_options.settings.shutdownGrace, deregistrationShare));
-    setTimer(timer_kind::stop, 0, m_now + m_options.settings.shutdownGrace - shutdownMargin);
+    setTimer(timer_kind::close_idle, 0, m_shutdown->listenerClosesAt());
+    setTimer(timer_kind::last_answers, 0, m_shutdown->lastAnswersAt());
 }
 
 void router_reducer::closeIdle()
 {
     emit(close_idle_callers {});
+    if (m_now >= m_shutdown->lastAnswersAt())
+        emit(refuse_unread_requests {});
     if (m_requests.empty())
         emit(stop_router { .unlessConnectionsAreOpen = true });
     setTimer(timer_kind::close_idle, 0, m_now + closeIdleInterval);
 }
 
-void router_reducer::stopWithRequests()
+void router_reducer::giveLastAnswers()
+{
+    if (!m_requests.empty())
+        log(log_level::warning, "router_stopped_with_requests", { { "requests", std::to_string(m_requests.size()) } });
+    while (!m_requests.empty())
+        giveLastAnswer(m_requests.begin()->second);
+    emit(refuse_unread_requests {});
+    setTimer(timer_kind::stop, 0, m_shutdown->endsAt(m_now));
+}
+
+void router_reducer::giveLastAnswer(request_progress& progress)
 {
-    log(log_level::warning, "router_stopped_with_requests", { { "requests", std::to_string(m_requests.size()) } });
-    for (const auto& [caller, progress] : m_requests)
-        logCut(progress);
-    emit(stop_router {});
+    logCut(progress);
+    const bool mayHaveRun = progress.mayHaveRun();
+    cancelAttempts(progress);
+    if (progress.replyStarted) {
+        emit(abort_reply { progress.caller });
+        return finish(progress, 0, "stream_stopped");
+    }
+    const caller_error refusal = mayHaveRun
+        ? caller_error { error_code::timeout, "this router stops, and no complete answer has arrived", ran_state::unknown, std::nullopt }
+        : caller_error { error_code::draining, "this router stops, and no upstream has accepted the request", ran_state::no, retryAtOtherRouter };
+    refuse(progress.caller, progress.request->requestId, refusal);
+    finish(progress, httpStatus(refusal.code), "stopped");
 }
 
 void router_reducer::logCut(const request_progress& progress)
--- a/servers/router/router_timer.h
+++ b/servers/router/router_timer.h
@@ -20,6 +20,7 @@
     digest,
     summary,
     close_idle,
+    last_answers,
     stop };
 
 // The kind of a timer, and the caller, the call or the upstream to which it belongs.
--- a/tests/servers/router/termination_test.cpp
+++ b/tests/servers/router/termination_test.cpp
@@ -35,9 +35,13 @@
     fixture.request(1, "/stream/x");
     fixture.step(termination_requested {});
     CHECK(router_fixture::all<stop_router>(fixture.advance(seconds(7))).empty());
-    const auto orders = router_fixture::all<stop_router>(fixture.advance(seconds(1)));
-    REQUIRE(orders.size() == 1);
-    CHECK_FALSE(orders.front().unlessConnectionsAreOpen);
+    const auto effects = fixture.advance(seconds(1));
+    const auto answer = std::find_if(effects.begin(), effects.end(), [](const router_effect& effect) { return std::holds_alternative<refuse_reply>(effect); });
+    REQUIRE(answer != effects.end());
+    // No stop before the answer, and one without a condition after it.
+    CHECK(router_fixture::all<stop_router>({ effects.begin(), answer }).empty());
+    const auto orders = router_fixture::all<stop_router>({ answer, effects.end() });
+    CHECK(std::count_if(orders.begin(), orders.end(), [](const stop_router& order) { return !order.unlessConnectionsAreOpen; }) == 1);
 
     router_fixture idle;
     idle.start();
