Send what is unsent before a stream that breaks off is closed

What callers saw: of a stream that broke off they lost the events that the kernel had not taken yet, and with unread bytes on the socket also some that it had, since the connection was reset. Cause: abortAnswer closed the socket at once. Evidence: the test of the broken stream received less than the 8 MB that had been appended. Fix: the answer ends without its last chunk, and the connection takes the way of every last answer: send, end its own direction, linger.

--- a/drivers/asio/http_server.cpp
+++ b/drivers/asio/http_server.cpp
@@ -76,8 +76,11 @@
 
 void http_server::abortAnswer(connection_id id)
 {
-    if (auto* connection = m_implementation->find(id))
-        m_implementation->closeBecause("aborted", *connection);
+    auto* connection = m_implementation->find(id);
+    if (!connection)
+        return;
+    connection->state.abortAnswer(std::chrono::steady_clock::now());
+    m_implementation->endAnswer(*connection);
 }
 
 void http_server::closeAfterAnswers()
--- a/drivers/asio/http_server.h
+++ b/drivers/asio/http_server.h
@@ -18,7 +18,7 @@
 
 // A connection that the server has closed on its own account.
 struct server_close {
-    // "stop", "idle_timeout", "send_timeout", "linger_timeout", "bound" or "aborted".
+    // "stop", "idle_timeout", "send_timeout", "linger_timeout" or "bound".
     const char* cause = "";
     // The phase of the connection, as in server_connection.
     const char* phase = "";
@@ -73,7 +73,7 @@
     void finishAnswer(connection_id);
     // Sends a complete answer.
     void answer(connection_id, const http_answer_head&, std::string_view body);
-    // Closes the connection in the middle of the answer, so that the caller detects that the answer is incomplete.
+    // Ends the connection in the middle of the answer, behind what is unsent, so that the caller detects that the answer is incomplete.
     void abortAnswer(connection_id);
     // Every answer that starts from now on carries "Connection: close", and its connection is closed after it.
     void closeAfterAnswers();
--- a/drivers/asio/server_connection.cpp
+++ b/drivers/asio/server_connection.cpp
@@ -157,6 +157,17 @@
         m_waiting = {};
 }
 
+void server_connection::abortAnswer(instant now)
+{
+    if (!m_isAnswering)
+        return;
+    m_isAnswering = false;
+    m_staysOpen = false;
+    m_requestBytes = 0;
+    m_waiting = {};
+    m_phaseStart = now;
+}
+
 void server_connection::markSent(std::size_t size, instant now)
 {
     m_unsent.erase(0, size);
--- a/drivers/asio/server_connection.h
+++ b/drivers/asio/server_connection.h
@@ -71,6 +71,8 @@
     void appendAnswer(std::string_view);
     // Completes the answer that beginAnswer() started.
     void finishAnswer(instant now);
+    // Ends the answer without completing it, and the connection behind it.
+    void abortAnswer(instant now);
 
     // The bytes to send next.
     std::string_view unsent() const { return m_unsent; }
