Look at what the kernel has received before a connection is closed

What callers saw: at 3.5 s after a SIGTERM and each 100 ms after it, at the idle timeout, at 408 and at the bound of descriptors, requests that had arrived in time were answered with a reset. A connection in the backlog, and one whose answer had just left it open, ended the same way. Callers whose request was being read when the last request of the table ended got a reset, too. Cause, one for all: whether a connection is idle, or the process done, was judged by the bytes in user space only. A stop accepts the backlog before it closes the listener, closes connections only after a second without use, refuses a request whose caller sends nothing for a second, and ends when no connection is open. With the last answers, what is still being read is refused as not run.

--- a/drivers/asio/connection_acceptor.cpp
+++ b/drivers/asio/connection_acceptor.cpp
@@ -56,6 +56,18 @@
         awaitConnection();
 }
 
+void connection_acceptor::acceptWaiting()
+{
+    asio::error_code failure;
+    for (int accepted = 0; accepted < listenBacklog && m_acceptor.is_open() && m_callbacks.mayAccept(); ++accepted) {
+        asio::ip::tcp::socket socket(m_acceptor.get_executor());
+        m_acceptor.accept(socket, failure);
+        if (failure)
+            return;
+        m_callbacks.onAccepted(std::move(socket));
+    }
+}
+
 void connection_acceptor::resume()
 {
     if (!m_isPaused || !m_acceptor.is_open())
--- a/drivers/asio/http_server.cpp
+++ b/drivers/asio/http_server.cpp
@@ -96,28 +96,28 @@
 
 void http_server::closeListenerAndIdleConnections()
 {
+    m_implementation->acceptor->acceptWaiting();
     m_implementation->acceptor->close();
-    std::vector<caller_connection*> idle;
-    for (const auto& [id, connection] : m_implementation->connections) {
-        if (connection->state.current() == server_connection::phase::idle && connection->state.waitingBytes() == 0)
-            idle.push_back(connection.get());
-    }
-    for (auto* connection : idle)
-        m_implementation->closeBecause("stop", *connection);
+    for (const auto id : m_implementation->connectionIds())
+        m_implementation->closeQuiet(id);
 }
 
 bool http_server::hasOpenConnections() const
 {
-    return hasUnsentAnswers();
+    return !m_implementation->connections.empty();
 }
 
 void http_server::refuseUnreadRequests()
 {
+    for (const auto id : m_implementation->connectionIds())
+        m_implementation->refuseUnread(id);
 }
 
 void http_server::endConnections()
 {
-    m_implementation->connections.clear();
+    m_implementation->isEnding = true;
+    for (const auto id : m_implementation->connectionIds())
+        m_implementation->end(id);
 }
 
 connection_census http_server::census() const
--- a/drivers/asio/http_server.h
+++ b/drivers/asio/http_server.h
@@ -77,7 +77,9 @@
     void abortAnswer(connection_id);
     // Every answer that starts from now on carries "Connection: close", and its connection is closed after it.
     void closeAfterAnswers();
-    // Closes the listener and all connections that have neither a request in progress nor unsent or pipelined bytes.
+    // Closes the listener, after it has accepted the connections that wait, and the connections that have been quiet for a second: those
+    // without a request, and those whose caller sends no more of its request, which is refused as not run. To be called again until
+    // hasOpenConnections() is false.
     void closeListenerAndIdleConnections();
     // Whether some caller has not taken all bytes of its answer yet.
     bool hasUnsentAnswers() const;
--- a/drivers/asio/http_server_connections.cpp
+++ b/drivers/asio/http_server_connections.cpp
@@ -11,16 +11,6 @@
     constexpr std::size_t maxWaitingBytes = 131072;
     // How often connections are checked for timeouts.
     constexpr auto timeoutCheckInterval = std::chrono::milliseconds(250);
-    // A refused caller may still be sending its request. Closing a socket with unread bytes resets the connection, and the
-    // caller may lose the answer. Therefore the server discards what it receives after the last answer of a connection and
-    // closes the socket after this time, unless the caller closes it first.
-    constexpr auto lingerTimeout = std::chrono::seconds(1);
-
-    const char* nameOf(server_connection::phase phase)
-    {
-        static constexpr const char* names[] = { "idle", "reading", "answering", "sending", "closing" };
-        return names[static_cast<int>(phase)];
-    }
 
 } // namespace
 
@@ -49,24 +39,6 @@
     guard.budget().update({ owner, connection.id }, { connection.state.heldBytes(), connection.state.isAnswering(), connection.transferredBytes }, std::chrono::steady_clock::now());
 }
 
-// A request that has not been received completely has not run, so its caller is told so. A caller with a request in progress sees its
-// answer break off.
-void http_server::implementation::closeAtBound(connection_id id)
-{
-    auto* connection = find(id);
-    if (!connection)
-        return;
-    if (connection->state.isAnswering())
-        callbacks.onDisconnected(id);
-    if (connection->state.current() != server_connection::phase::reading)
-        return closeBecause("bound", *connection);
-    connection->state.refuse(503, std::chrono::steady_clock::now());
-    callbacks.onRefused(503);
-    flush(*connection);
-    if (auto* remaining = find(id))
-        track(*remaining);
-}
-
 // Closes what has to be closed at a bound, and goes on with what waited.
 void http_server::implementation::relieve(instant now)
 {
@@ -100,38 +72,13 @@
         if (failure)
             return;
         const auto now = std::chrono::steady_clock::now();
-        // checkTimeouts() may erase the connection from the map, so the loop runs over a copy of the pointers.
-        std::vector<caller_connection*> connectionsToCheck;
-        connectionsToCheck.reserve(self->connections.size());
-        for (const auto& [id, connection] : self->connections)
-            connectionsToCheck.push_back(connection.get());
-        for (auto* connection : connectionsToCheck)
-            self->checkTimeouts(*connection, now);
+        for (const auto id : self->connectionIds())
+            self->checkTimeouts(id, now);
         self->relieve(now);
         self->scheduleTimeoutCheck();
     });
 }
 
-void http_server::implementation::checkTimeouts(caller_connection& connection, instant now)
-{
-    using phase = server_connection::phase;
-    const auto elapsed = now - connection.state.phaseStart();
-    const auto current = connection.state.current();
-    if (current == phase::idle && elapsed > limits.idleTimeout)
-        return closeBecause("idle_timeout", connection);
-    // The complete request, head and body, has to arrive within the sum of both timeouts.
-    if (current == phase::reading && elapsed > limits.headerTimeout + limits.idleTimeout) {
-        connection.state.refuse(408, now);
-        callbacks.onRefused(408);
-        return flush(connection);
-    }
-    // The caller has stopped reading its answer.
-    if (current == phase::sending && elapsed > limits.idleTimeout)
-        return closeBecause("send_timeout", connection);
-    if (current == phase::closing && elapsed > lingerTimeout)
-        return closeBecause("linger_timeout", connection);
-}
-
 void http_server::implementation::awaitReadable(caller_connection& connection)
 {
     if (connection.readWaitPending)
@@ -165,6 +112,7 @@
     }
     const auto id = connection.id;
     connection.transferredBytes += size;
+    connection.receivedAt = std::chrono::steady_clock::now();
     act(id, connection.state.receive({ buffer.data(), size }, readLimits(), std::chrono::steady_clock::now()));
     auto* remaining = find(id);
     if (!remaining)
@@ -179,7 +127,10 @@
     if (const auto* refused = std::get_if<refused_request>(&received))
         callbacks.onRefused(refused->status);
     if (auto* request = std::get_if<http_request>(&received)) {
-        if (const auto* connection = find(id))
+        auto* connection = find(id);
+        if (connection && isEnding)
+            return refuse(*connection, 503);
+        if (connection)
             track(*connection);
         return callbacks.onRequest(id, std::move(*request));
     }
@@ -261,20 +212,4 @@
     });
 }
 
-void http_server::implementation::closeBecause(const char* cause, caller_connection& connection)
-{
-    const server_close closed { cause, nameOf(connection.state.current()), connection.hasUnreadBytes() };
-    close(connection);
-    if (callbacks.onClosed)
-        callbacks.onClosed(closed);
-}
-
-void http_server::implementation::close(caller_connection& connection)
-{
-    asio::error_code ignored;
-    guard.budget().remove({ owner, connection.id });
-    connection.socket.close(ignored);
-    connections.erase(connection.id);
-}
-
 } // namespace kumquat
--- a/drivers/asio/http_server_connections.h
+++ b/drivers/asio/http_server_connections.h
@@ -25,6 +25,8 @@
     // Nothing is read until the process holds less.
     bool readPaused = false;
     std::uint64_t transferredBytes = 0;
+    // When the last bytes were received, or the connection was accepted.
+    instant receivedAt = std::chrono::steady_clock::now();
 
     caller_connection(connection_id number, asio::ip::tcp::socket accepted)
         : id(number)
@@ -59,13 +61,26 @@
     std::optional<error> listen(const endpoint&);
     // Records what the connection holds.
     void track(const caller_connection&);
+    // Copies the ids, since a connection that is looked at may be closed.
+    std::vector<connection_id> connectionIds() const;
     void closeAtBound(connection_id);
     void relieve(instant now);
     void addConnection(asio::ip::tcp::socket);
     void scheduleTimeoutCheck();
-    void checkTimeouts(caller_connection&, instant now);
+    // Whether the connection has to be closed at a timeout.
+    bool isOverdue(const server_connection&, instant now) const;
+    void checkTimeouts(connection_id, instant now);
     void awaitReadable(caller_connection&);
     void readSome(caller_connection&);
+    // Reads what the kernel has received of the next request. Returns null if the connection has been closed.
+    caller_connection* readReceived(connection_id);
+    // Answers a request that has not been received completely, as the last answer of its connection.
+    void refuse(caller_connection&, int status);
+    // Closes a connection that a planned stop need not wait for.
+    void closeQuiet(connection_id);
+    void refuseUnread(connection_id);
+    // Ends a connection before the process ends.
+    void end(connection_id);
     void act(connection_id, received_request&&);
     void flush(caller_connection&);
     void awaitWritable(caller_connection&);
@@ -90,6 +105,8 @@
     std::array<char, readBufferBytes> buffer {};
     connection_id lastConnectionId = 0;
     bool closingAfterAnswers = false;
+    // The process ends, and no request begins any more.
+    bool isEnding = false;
 };
 
 } // namespace kumquat
