Bound the wait for the release of the duties' lease by the grace of a stop

What callers saw: nothing directly; a process that the platform kills leaves its connections to the kernel, and its machine is out longer. Cause: once no request was left, the process waited for the store's answer to the release of the lease, and the order that ends the process at the end of the grace waited for it as well. Fix: that order waits for nothing. A lease that isn't released expires. The connections of callers and of the admin port are ended orderly before the process ends.

--- a/processes/router_process.cpp
+++ b/processes/router_process.cpp
@@ -446,13 +446,18 @@
 
     void router_process::stop(const router::stop_router& order)
     {
-        if (order.unlessConnectionsAreOpen && m_callers->hasOpenConnections())
+        const bool graceEnds = !order.unlessConnectionsAreOpen;
+        if (!graceEnds && m_callers->hasOpenConnections())
             return;
-        if (!m_stopsAfterRelease)
-            reportStopPhase(order.unlessConnectionsAreOpen ? "requests_ended" : "grace_ends");
-        m_stopsAfterRelease = m_duties && m_duties->isReleasing();
-        if (!m_stopsAfterRelease)
-            m_reactor.stop();
+        if (graceEnds || !m_stopsAfterRelease)
+            reportStopPhase(graceEnds ? "grace_ends" : "requests_ended");
+        // A lease that is not given up expires by itself, so the end of the grace does not wait for the store.
+        m_stopsAfterRelease = !graceEnds && m_duties && m_duties->isReleasing();
+        if (m_stopsAfterRelease)
+            return;
+        m_callers->endConnections();
+        m_admin->endConnections();
+        m_reactor.stop();
     }
 
     void router_process::execute(router::router_effect& effect)
