--- a/drivers/asio/http_server.cpp
+++ b/drivers/asio/http_server.cpp
@@ -76,8 +76,11 @@
 
 void http_server::abortAnswer(connection_id id)
 {
-    if (auto* connection = m_implementation->find(id))
-        m_implementation->close(*connection);
+    auto* connection = m_implementation->find(id);
+    if (!connection)
+        return;
+    connection->state.abortAnswer(std::chrono::steady_clock::now());
+    m_implementation->endAnswer(*connection);
 }
 
 void http_server::closeAfterAnswers()
@@ -93,14 +96,54 @@
 
 void http_server::closeListenerAndIdleConnections()
 {
+    m_implementation->acceptor->acceptWaiting();
     m_implementation->acceptor->close();
-    std::vector<caller_connection*> idle;
+    for (const auto id : m_implementation->connectionIds())
+        m_implementation->closeQuiet(id);
+}
+
+bool http_server::hasOpenConnections() const
+{
+    return !m_implementation->connections.empty();
+}
+
+void http_server::refuseUnreadRequests()
+{
+    for (const auto id : m_implementation->connectionIds())
+        m_implementation->refuseUnread(id);
+}
+
+void http_server::endConnections()
+{
+    m_implementation->isEnding = true;
+    for (const auto id : m_implementation->connectionIds())
+        m_implementation->end(id);
+}
+
+connection_census http_server::census() const
+{
+    connection_census counts;
     for (const auto& [id, connection] : m_implementation->connections) {
-        if (connection->state.current() == server_connection::phase::idle && connection->state.waitingBytes() == 0)
-            idle.push_back(connection.get());
+        switch (connection->state.current()) {
+        case server_connection::phase::idle:
+            ++counts.idle;
+            break;
+        case server_connection::phase::reading:
+            ++counts.reading;
+            break;
+        case server_connection::phase::answering:
+            ++counts.answering;
+            break;
+        case server_connection::phase::sending:
+            ++counts.sending;
+            break;
+        case server_connection::phase::closing:
+            ++counts.closing;
+            break;
+        }
+        counts.unread += connection->hasUnreadBytes() ? 1 : 0;
     }
-    for (auto* connection : idle)
-        m_implementation->close(*connection);
+    return counts;
 }
 
 } // namespace kumquat
--- a/drivers/asio/http_server.h
+++ b/drivers/asio/http_server.h
@@ -16,6 +16,27 @@
 
 using connection_id = std::uint64_t;
 
+// A connection that the server has closed on its own account.
+struct server_close {
+    // "stop", "idle_timeout", "send_timeout", "linger_timeout" or "bound".
+    const char* cause = "";
+    // The phase of the connection, as in server_connection.
+    const char* phase = "";
+    // The kernel had received bytes that the server has not read, so that the connection was reset.
+    bool hadUnreadBytes = false;
+};
+
+// The connections of a server by phase.
+struct connection_census {
+    std::size_t idle = 0;
+    std::size_t reading = 0;
+    std::size_t answering = 0;
+    std::size_t sending = 0;
+    std::size_t closing = 0;
+    // Those with bytes that the kernel has received and the server has not read.
+    std::size_t unread = 0;
+};
+
 // An HTTP/1.1 server that runs on the reactor's thread. Each connection has at most one request in progress; pipelined
 // requests are buffered and processed in order (server_connection). An idle connection occupies no request buffer. A request with
 // ambiguous or invalid framing is answered with 400 and its connection is closed. A caller that takes no byte of a complete answer for
@@ -32,6 +53,8 @@
         std::function<void(connection_id)> onWritable;
         // A request was refused before it was read completely; the server has answered it with this status.
         std::function<void(int status)> onRefused;
+        // The server has closed a connection on its own account. May be empty.
+        std::function<void(const server_close&)> onClosed {};
     };
 
     // Starts to listen. Returns an error if the address is not IPv4 or cannot be bound.
@@ -50,14 +73,23 @@
     void finishAnswer(connection_id);
     // Sends a complete answer.
     void answer(connection_id, const http_answer_head&, std::string_view body);
-    // Closes the connection in the middle of the answer, so that the caller detects that the answer is incomplete.
+    // Ends the connection in the middle of the answer, behind what is unsent, so that the caller detects that the answer is incomplete.
     void abortAnswer(connection_id);
     // Every answer that starts from now on carries "Connection: close", and its connection is closed after it.
     void closeAfterAnswers();
-    // Closes the listener and all connections that have neither a request in progress nor unsent or pipelined bytes.
+    // Closes the listener, after it has accepted the connections that wait, and the connections that have been quiet for a second: those
+    // without a request, and those whose caller sends no more of its request, which is refused as not run. To be called again until
+    // hasOpenConnections() is false.
     void closeListenerAndIdleConnections();
     // Whether some caller has not taken all bytes of its answer yet.
     bool hasUnsentAnswers() const;
+    connection_census census() const;
+    // Whether a connection still needs the process, after closeListenerAndIdleConnections().
+    bool hasOpenConnections() const;
+    // Refuses the requests that have not been received completely, as not run.
+    void refuseUnreadRequests();
+    // Ends all connections, before the process ends.
+    void endConnections();
 
 private:
     struct implementation;
--- a/drivers/asio/http_server_connections.h
+++ b/drivers/asio/http_server_connections.h
@@ -28,6 +28,8 @@
     // A request that was sent ahead waits for a turn.
     bool awaitsTurn = false;
     std::uint64_t transferredBytes = 0;
+    // When the last bytes were received, or the connection was accepted.
+    instant receivedAt = std::chrono::steady_clock::now();
 
     caller_connection(connection_id number, asio::ip::tcp::socket accepted)
         : id(number)
@@ -35,6 +37,13 @@
         , state(std::chrono::steady_clock::now())
     {
     }
+
+    // Whether the kernel has received bytes that were not read.
+    bool hasUnreadBytes() const
+    {
+        asio::error_code failure;
+        return socket.available(failure) > 0 && !failure;
+    }
 };
 
 // The connections of one server: accepting, reading, writing and closing them. Included only by the sources of http_server.
@@ -55,13 +64,26 @@
     std::optional<error> listen(const endpoint&);
     // Records what the connection holds.
     void track(const caller_connection&);
+    // Copies the ids, since a connection that is looked at may be closed.
+    std::vector<connection_id> connectionIds() const;
     void closeAtBound(connection_id);
     void relieve(instant now);
     void addConnection(asio::ip::tcp::socket);
     void scheduleTimeoutCheck();
-    void checkTimeouts(caller_connection&, instant now);
+    // Whether the connection has to be closed at a timeout.
+    bool isOverdue(const server_connection&, instant now) const;
+    void checkTimeouts(connection_id, instant now);
     void awaitReadable(caller_connection&);
     void readSome(caller_connection&);
+    // Reads what the kernel has received of the next request. Returns null if the connection has been closed.
+    caller_connection* readReceived(connection_id);
+    // Answers a request that has not been received completely, as the last answer of its connection.
+    void refuse(caller_connection&, int status);
+    // Closes a connection that a planned stop need not wait for.
+    void closeQuiet(connection_id);
+    void refuseUnread(connection_id);
+    // Ends a connection before the process ends.
+    void end(connection_id);
     void act(connection_id, received_request&&);
     void flush(caller_connection&);
     void awaitWritable(caller_connection&);
@@ -75,6 +97,8 @@
     void takeTurn(caller_connection&);
     http_read_limits readLimits() const { return { limits.headerBytes, limits.bodyBytes, limits.headerFields > 0 ? limits.headerFields : limits.headerBytes / minFieldBytes + 1 }; }
     void close(caller_connection&);
+    // Closes the connection and reports why.
+    void closeBecause(const char* cause, caller_connection&);
     caller_connection* find(connection_id);
 
     asio::io_context& context;
@@ -92,6 +116,8 @@
     bool turnsScheduled = false;
     connection_id lastConnectionId = 0;
     bool closingAfterAnswers = false;
+    // The process ends, and no request begins any more.
+    bool isEnding = false;
 };
 
 } // namespace kumquat
