Match a path with the routes' prefixes in time that does not grow with its slashes

Callers saw: requests whose path is 16,000 slashes keep the router busy for milliseconds each, before the route and the key are checked.

Cause: every slash of the path was tried as the end of a route's prefix, with a lookup that hashes all of the path before it.

Change: no prefix longer than the longest one of the configuration is tried.

--- a/core/routing_config.h
+++ b/core/routing_config.h
@@ -108,6 +108,7 @@
 
 private:
     std::unordered_map<std::string, route> m_routes;
+    std::size_t m_longestPrefix = 0;
 };
 
 using shared_config = std::shared_ptr<const routing_config>;
