Read a head in time that grows with its size alone

Whether a request awaits 100 (Continue) is decided once, at the end of its head. The lines of a head are checked in one pass.

--- a/core/http_message.cpp
+++ b/core/http_message.cpp
@@ -5,15 +5,6 @@
 
 namespace kumquat {
 
-namespace {
-
-    char toLowerAscii(char character)
-    {
-        return character >= 'A' && character <= 'Z' ? static_cast<char>(character - 'A' + 'a') : character;
-    }
-
-} // namespace
-
 std::optional<endpoint> parseEndpoint(std::string_view text)
 {
     const auto colon = text.rfind(':');
--- a/core/http_message.h
+++ b/core/http_message.h
@@ -51,6 +51,7 @@
 std::optional<endpoint> parseEndpoint(std::string_view);
 std::string formatEndpoint(const endpoint&);
 
+constexpr char toLowerAscii(char character) { return character >= 'A' && character <= 'Z' ? static_cast<char>(character - 'A' + 'a') : character; }
 // Compares two texts, ignoring the case of ASCII letters.
 bool equalsIgnoringCase(std::string_view, std::string_view);
 // Returns the value of the first header of that name, in any case, or null.
--- a/drivers/http_parser/head_scanner.cpp
+++ b/drivers/http_parser/head_scanner.cpp
@@ -10,16 +10,13 @@
 
     bool isWellFormedLine(std::string_view line, bool isStartLine)
     {
-        if (line.find_first_of(std::string_view("\r\n\0", 3)) != std::string_view::npos)
+        if (std::any_of(line.begin(), line.end(), [](char character) { return character == '\r' || character == '\n' || character == '\0'; }))
             return false;
         if (isStartLine)
             return !line.empty();
-        if (line.empty() || line.front() == ' ' || line.front() == '\t')
-            return false;
-        const auto colon = line.find(':');
-        if (colon == std::string_view::npos || colon == 0)
-            return false;
-        return line.substr(0, colon).find_first_of(" \t") == std::string_view::npos;
+        // The name ends at the colon, and has no space, also not before it: a folded line is refused too.
+        const auto nameEnd = std::find_if(line.begin(), line.end(), [](char character) { return character == ':' || character == ' ' || character == '\t'; });
+        return nameEnd != line.end() && nameEnd != line.begin() && *nameEnd == ':';
     }
 
 } // namespace
--- a/drivers/http_parser/request_reader.cpp
+++ b/drivers/http_parser/request_reader.cpp
@@ -11,6 +11,8 @@
     http_read_limits limits;
     head_scanner headScanner;
     bool headParsed = false;
+    // The head carries "Expect: 100-continue".
+    bool expectsContinue = false;
     // The parser's last callback delivered a header value, so the next header name starts a new header.
     bool lastWasValue = false;
     state current = state::reading;
@@ -61,6 +63,8 @@
         callbacks.on_headers_complete = [](http_parser* parser) {
             auto& reader = readerOf<Implementation>(parser);
             reader.headParsed = true;
+            const auto* expectation = findHeader(reader.request.headers, "Expect");
+            reader.expectsContinue = expectation && equalsIgnoringCase(*expectation, "100-continue");
             reader.request.method = http_method_str(static_cast<http_method>(parser->method));
             reader.request.keepAlive = http_should_keep_alive(parser) != 0;
             return 0;
@@ -150,8 +154,7 @@
 {
     if (!m_implementation->headParsed || m_implementation->current != state::reading)
         return false;
-    const auto* expectation = findHeader(m_implementation->request.headers, "Expect");
-    return expectation && equalsIgnoringCase(*expectation, "100-continue");
+    return m_implementation->expectsContinue;
 }
 
 std::size_t request_reader::heldBytes() const
