Send what can't be repeated on new or proved connections after a drop

Cause: the pool handed out each idle connection until shortly before its announced end, to any request, and learned nothing when what was sent on one was reset. The next request to the same upstream went to the next dropped connection.

Now the client says of a failed call whether its connection was reused and whether any byte of an answer came, and a value without I/O, connection_trust, learns from it: after a loss the pool of that upstream is dropped, shorter rests are used there, and for a time requests that can't be repeated go out at all upstreams on connections that are new, proved by an answer after as long a rest, or have hardly rested. The reducer says which attempts those are.

--- a/drivers/asio/http_client.cpp
+++ b/drivers/asio/http_client.cpp
@@ -14,7 +14,7 @@
 
 void http_client::start(http_call call)
 {
-    if (auto* connection = m_implementation->takeIdle(call.target))
+    if (auto* connection = m_implementation->takeIdle(call))
         return m_implementation->startCall(*connection, std::move(call));
     m_implementation->connect(std::move(call));
 }
@@ -46,15 +46,7 @@
 
 void http_client::closeIdleConnections(const endpoint& target)
 {
-    const auto found = m_implementation->idleConnections.find(formatEndpoint(target));
-    if (found == m_implementation->idleConnections.end())
-        return;
-    const auto idleIds = std::move(found->second);
-    m_implementation->idleConnections.erase(found);
-    for (const auto id : idleIds) {
-        if (auto* connection = m_implementation->findConnection(id))
-            m_implementation->close(*connection);
-    }
+    m_implementation->closeIdle(target);
 }
 
 std::size_t http_client::connectionCount() const
--- a/drivers/asio/http_client.h
+++ b/drivers/asio/http_client.h
@@ -36,6 +36,8 @@
     // The request's method is HEAD, so its answer has no body.
     bool isHeadRequest = false;
     expected_header expectedHeader;
+    // The request can be sent once more if its outcome stays unknown. Otherwise it goes out on a connection that is new or proved.
+    bool mayBeLost = true;
     identity_check identityCheck;
     duration connectTimeout = std::chrono::milliseconds(300);
     // Asked immediately before the first byte is written, which may be some time after the start of the call. If it returns false,
@@ -50,6 +52,10 @@
     std::string reason;
     // What came of opening the connection, if the call needed a new one.
     connection_outcome connection = connection_outcome::unknown;
+    // The connection had carried another request and rested since.
+    bool connectionReused = false;
+    // At least one byte came after the request.
+    bool anyBytesReceived = false;
 };
 
 // An HTTP/1.1 client that runs on the reactor's thread and reuses idle connections. Each connection carries one request
@@ -65,13 +71,15 @@
         std::function<void(call_id, http_call_failure)> onFailed;
         // A new TCP connection was established.
         std::function<void()> onConnected;
+        // A server has dropped a connection that had rested for this time, so that idle ones are distrusted for a time. May be empty.
+        std::function<void(const endpoint&, duration rested, duration distrustTime)> onDropped;
     };
 
     // The guard, which outlives the client, counts its connections and what they hold.
     http_client(reactor&, connection_guard&, handlers);
     ~http_client();
 
-    // Sends the request over the most recently used idle connection to its target, or over a new connection.
+    // Sends the request over the most recently used idle connection to its target that may be trusted, or over a new connection.
     void start(http_call);
     // Abandons a call and closes its connection. No handler is called for it afterwards.
     void cancel(call_id);
--- a/drivers/asio/http_client_connections.cpp
+++ b/drivers/asio/http_client_connections.cpp
@@ -9,12 +9,7 @@
 
 namespace {
 
-    // Idle connections beyond this number are closed, for each server.
-    constexpr std::size_t maxIdlePerServer = 24;
     constexpr std::size_t maxIdentityBytes = 65536;
-    // An idle connection expires this much earlier than at the server, so that no request is written to a connection
-    // that the server is closing.
-    constexpr auto idleMargin = std::chrono::milliseconds(800);
     // TCP_USER_TIMEOUT: the kernel closes a connection whose sent bytes stay unacknowledged for this long.
     constexpr auto unacknowledgedTimeout = std::chrono::milliseconds(1500);
     // TCP keep-alive probes detect an unreachable server while no bytes are in transit.
@@ -29,15 +24,6 @@
         ::setsockopt(socket.native_handle(), level, name, &value, sizeof value);
     }
 
-    // Whether nothing has come from the server, neither bytes nor the end of the connection.
-    bool isQuiet(tcp::socket& socket)
-    {
-        char byte = 0;
-        asio::error_code failure;
-        socket.receive(asio::buffer(&byte, sizeof byte), tcp::socket::message_peek, failure);
-        return failure == asio::error::would_block || failure == asio::error::try_again;
-    }
-
 } // namespace
 
 void http_client::implementation::track(const pooled_connection& connection)
@@ -58,26 +44,6 @@
     return found == connectionOfCall.end() ? nullptr : findConnection(found->second);
 }
 
-// Returns the most recently used idle connection to the server, since the server is least likely to have closed that one; closes
-// connections that it finds expired, closed by the server, or with bytes that answer no request. Returns null if there is none.
-pooled_connection* http_client::implementation::takeIdle(const endpoint& target)
-{
-    const auto found = idleConnections.find(formatEndpoint(target));
-    if (found == idleConnections.end())
-        return nullptr;
-    const auto now = std::chrono::steady_clock::now();
-    while (!found->second.empty()) {
-        auto* candidate = findConnection(found->second.back());
-        found->second.pop_back();
-        if (!candidate)
-            continue;
-        if (candidate->idleExpiry > now && isQuiet(candidate->socket))
-            return candidate;
-        close(*candidate);
-    }
-    return nullptr;
-}
-
 void http_client::implementation::connect(http_call call)
 {
     auto added = std::make_unique<pooled_connection>(context, call.target);
@@ -177,6 +143,7 @@
         return connect(std::move(call));
     }
     call.identityCheck = {};
+    connection.rested.reset();
     startCall(connection, std::move(call));
 }
 
@@ -184,6 +151,8 @@
 {
     connection.unsentBytes = std::move(bytes);
     connection.anyBytesSent = false;
+    connection.anyBytesReceived = false;
+    connection.sentAt = std::chrono::steady_clock::now();
     const auto id = connection.id;
     flush(connection);
     if (auto* remaining = findConnection(id)) {
@@ -263,6 +232,8 @@
     // A server can't have answered a request of which it has nothing.
     if (connection.call == 0 || !connection.anyBytesSent)
         return failCall(connection, "bytes that answer no request");
+    if (!std::exchange(connection.anyBytesReceived, true) && connection.rested)
+        trust.recordAnswer(formatEndpoint(connection.target), *connection.rested, std::chrono::steady_clock::now());
     const auto id = connection.id;
     handleEvents(id, connection.state.receive({ buffer.data(), size }));
     if (auto* remaining = findConnection(id))
@@ -303,33 +274,18 @@
     std::visit(visitor, event);
 }
 
-void http_client::implementation::finishCall(pooled_connection& connection)
-{
-    const auto call = connection.call;
-    connectionOfCall.erase(call);
-    connection.call = 0;
-    connection.keptAnswerBytes = 0;
-    track(connection);
-    auto& idleIds = idleConnections[formatEndpoint(connection.target)];
-    // If the server answered before it read the complete request, it still expects the remaining bytes: the connection is
-    // reusable only when all of the request was written.
-    const bool keepOpen = connection.state.isReusable() && connection.unsentBytes.empty() && connection.state.idleTimeout() > idleMargin && idleIds.size() < maxIdlePerServer;
-    if (keepOpen) {
-        connection.idleExpiry = std::chrono::steady_clock::now() + connection.state.idleTimeout() - idleMargin;
-        idleIds.push_back(connection.id);
-    } else
-        close(connection);
-    callbacks.onEnd(call);
-}
-
 void http_client::implementation::failCall(pooled_connection& connection, const std::string& reason, connection_outcome outcome)
 {
     const auto call = connection.call;
     // The request itself is sent only after the identity check.
     const bool anyBytesSent = connection.anyBytesSent && !connection.checkedCall;
+    const bool isReused = connection.rested.has_value();
+    const bool anyBytesReceived = connection.anyBytesReceived;
+    if (call != 0 && isReused && connection.anyBytesSent && !anyBytesReceived)
+        onLostOnReused(connection);
     close(connection);
     if (call != 0)
-        callbacks.onFailed(call, { anyBytesSent, reason, outcome });
+        callbacks.onFailed(call, { anyBytesSent, reason, outcome, isReused, anyBytesReceived });
 }
 
 void http_client::implementation::close(pooled_connection& connection)
--- a/drivers/asio/http_client_connections.h
+++ b/drivers/asio/http_client_connections.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "drivers/asio/client_connection.h"
+#include "drivers/asio/connection_trust.h"
 #include "drivers/asio/http_client.h"
 
 #include <array>
@@ -30,8 +31,14 @@
     // Bytes of the answer that the handlers have received and not passed on.
     std::size_t keptAnswerBytes = 0;
     std::unique_ptr<asio::steady_timer> connectTimer;
-    // When the idle connection expires.
+    // Since when the connection is idle, and when it expires.
+    instant idleSince;
     instant idleExpiry;
+    // How long it had rested when it got the call, unless it is new or has been proved since.
+    std::optional<duration> rested;
+    instant sentAt;
+    // At least one byte has come since the last request was sent.
+    bool anyBytesReceived = false;
     bool connected = false;
     // At least one byte of the request has been written to the socket.
     bool anyBytesSent = false;
@@ -64,7 +71,7 @@
 
     pooled_connection* findConnection(std::uint64_t id);
     pooled_connection* findConnectionOf(call_id);
-    pooled_connection* takeIdle(const endpoint&);
+    pooled_connection* takeIdle(const http_call&);
     void connect(http_call);
     void onConnected(pooled_connection&, const asio::error_code&);
     void startCall(pooled_connection&, http_call);
@@ -84,6 +91,9 @@
     void handleEvent(pooled_connection&, const exchange_event&);
     void finishCall(pooled_connection&);
     void failCall(pooled_connection&, const std::string& reason, connection_outcome = connection_outcome::unknown);
+    // A call failed on a reused connection without a byte of an answer.
+    void onLostOnReused(const pooled_connection&);
+    void closeIdle(const endpoint&);
     void close(pooled_connection&);
 
     asio::io_context& context;
@@ -94,6 +104,7 @@
     std::unordered_map<std::uint64_t, std::unique_ptr<pooled_connection>> connections;
     std::unordered_map<call_id, std::uint64_t> connectionOfCall;
     std::unordered_map<std::string, std::deque<std::uint64_t>> idleConnections;
+    connection_trust trust;
     std::array<char, readBufferBytes> buffer {};
     std::uint64_t lastConnectionId = 0;
 };
--- a/processes/router_process.cpp
+++ b/processes/router_process.cpp
@@ -204,8 +204,9 @@
             .onHead = [this](call_id call, http_answer_head head) { post(router::answer_started { call, platform::decodeAnswer(std::move(head)) }); },
             .onBody = [this](call_id call, std::string_view bytes) { post(router::answer_continued { call, std::string(bytes), m_connectionGuard.budget().memoryIsShort() }); },
             .onEnd = [this](call_id call) { post(router::answer_ended { call }); },
-            .onFailed = [this](call_id call, http_call_failure failure) { post(router::attempt_aborted { call, failure.anyBytesSent, std::move(failure.reason), failure.connection }); },
+            .onFailed = [this](call_id call, http_call_failure failure) { post(router::attempt_aborted { call, failure.anyBytesSent, std::move(failure.reason), failure.connection, failure.connectionReused && !failure.anyBytesReceived }); },
             .onConnected = [this] { m_metrics.apply(count_metric { "kumquat_router_connections_total", { { "to", "upstream" } } }); },
+            .onDropped = [](const endpoint& upstream, duration rested, duration distrustTime) { writeLog({ log_level::warning, "connection_dropped", { { "address", formatEndpoint(upstream) }, { "rested_ms", formatMilliseconds(rested) }, { "distrusted_for_ms", formatMilliseconds(distrustTime) } } }); },
         };
     }
 
@@ -439,6 +440,7 @@
                 call.bytes = platform::encodeRequest(*attempt.request, attempt);
                 call.isHeadRequest = attempt.request->method == "HEAD";
                 call.expectedHeader = { platform::requestIdHeader, attempt.request->requestId };
+                call.mayBeLost = attempt.mayBeLost;
                 if (attempt.requiredStartUnixMs)
                     call.identityCheck = { platform::encodeReportRequest(attempt.target), [start = *attempt.requiredStartUnixMs](int status, const std::string& body) { return platform::isReportOf(start, status, body); } };
                 m_upstreams.start(std::move(call));
--- a/servers/router/router_attempts.cpp
+++ b/servers/router/router_attempts.cpp
@@ -84,6 +84,7 @@
     effect.resumeAfter = progress.stream.lastId();
     effect.targetsEngine = progress.targetsEngine;
     effect.requiredStartUnixMs = requiredStart(progress, upstream);
+    effect.mayBeLost = progress.matchedRoute->repeatable() && progress.mayHaveRunCount + 1 < progress.matchedRoute->maxAttempts && progress.attemptCount < maxAttemptsPerRequest;
     progress.attempts.back().identifiesUpstream = effect.requiredStartUnixMs.has_value();
     emit(std::move(effect));
     if (progress.matchedRoute->repeatable() && !progress.matchedRoute->streaming && progress.attempts.size() == 1)
@@ -243,10 +244,12 @@
         recordBrokenAttempt(*progress, *findAttempt(*progress, aborted.attemptNumber));
     if (aborted.outcome == connection_outcome::refused)
         recordRefusedConnection(*upstream);
+    if (aborted.lostOnReused && aborted.requestSent)
+        emit(count_metric { "kumquat_router_lost_on_reused_total", {} });
     // The crash may have ended the request as a refused one.
     if (!findByAttempt(aborted.attemptNumber))
         return;
-    failAttempt(*progress, aborted.attemptNumber, aborted.requestSent ? attempt_end::may_have_run : attempt_end::never_sent, aborted.reason);
+    failAttempt(*progress, aborted.attemptNumber, aborted.requestSent ? attempt_end::may_have_run : attempt_end::never_sent, aborted.reason + (aborted.lostOnReused ? ", on a reused connection" : ""));
 }
 
 } // namespace kumquat::router
--- a/servers/router/router_effect.h
+++ b/servers/router/router_effect.h
@@ -17,6 +17,8 @@
     // If present, the request is sent only on a connection on which the upstream has stated this start time, in milliseconds since
     // the Unix epoch. An upstream that states another one ends the attempt as never sent.
     std::optional<std::int64_t> requiredStartUnixMs;
+    // Another attempt may follow if the outcome of this one stays unknown.
+    bool mayBeLost = false;
 };
 
 // Close the connection of an attempt, so that the upstream stops working on it.
--- a/tests/servers/router/attempt_test.cpp
+++ b/tests/servers/router/attempt_test.cpp
@@ -262,3 +262,22 @@
     // The request is repeatable, so another upstream gets it.
     CHECK(fixture.all<start_attempt>().size() == 1);
 }
+
+// Guards against requests that can't be repeated on connections that upstreams may have dropped.
+TEST_CASE("an attempt may be lost only if another one may follow it", "[router][connections]")
+{
+    for (const auto* path : { "/pay/x", "/oneshot/x" }) {
+        CAPTURE(path);
+        router_fixture fixture;
+        fixture.start();
+        fixture.request(1, path);
+        CHECK_FALSE(fixture.only<start_attempt>().mayBeLost);
+    }
+    router_fixture fixture;
+    fixture.start();
+    fixture.request(1, "/look/x");
+    const auto first = fixture.only<start_attempt>();
+    CHECK(first.mayBeLost);
+    fixture.step(attempt_aborted { first.attemptNumber, true, "reset", connection_outcome::unknown, true });
+    CHECK_FALSE(fixture.only<start_attempt>().mayBeLost);
+}
