Take no answer for complete whose connection was reset while it was asked

Cause: while a body is being written, the reset makes the write fail, and that takes the error from the socket. The client reads on, since the upstream may have answered before it closed, and the read that follows the received bytes then reports an orderly end, which ends an answer without a length. Now a connection on which a write has failed counts as broken; an answer with a length or chunks still ends at its own end.

--- a/drivers/asio/http_client_connections.cpp
+++ b/drivers/asio/http_client_connections.cpp
@@ -176,8 +176,10 @@
     const auto size = connection.socket.write_some(asio::buffer(connection.unsentBytes), failure);
     if (failure && failure != asio::error::would_block && failure != asio::error::try_again) {
         // The server may have answered before it closed the connection, so read what it sent before failing the call.
-        if (connection.anyBytesSent)
+        if (connection.anyBytesSent) {
+            connection.writeFailed = true;
             return awaitReadable(connection);
+        }
         return failLater(connection, failure.message());
     }
     connection.anyBytesSent = connection.anyBytesSent || size > 0;
@@ -242,7 +244,8 @@
 
 void http_client::implementation::onReadFailure(pooled_connection& connection, const asio::error_code& failure)
 {
-    if (connection.call == 0 || failure != asio::error::eof)
+    // A failed write has taken the error from the socket: what follows reads like an orderly end.
+    if (connection.call == 0 || failure != asio::error::eof || connection.writeFailed)
         return failCall(connection, failure.message());
     handleEvents(connection.id, connection.state.receiveEnd(failure.message()));
 }
@@ -274,20 +277,6 @@
     std::visit(visitor, event);
 }
 
-void http_client::implementation::failCall(pooled_connection& connection, const std::string& reason, connection_outcome outcome)
-{
-    const auto call = connection.call;
-    // The request itself is sent only after the identity check.
-    const bool anyBytesSent = connection.anyBytesSent && !connection.checkedCall;
-    const bool isReused = connection.rested.has_value();
-    const bool anyBytesReceived = connection.anyBytesReceived;
-    if (call != 0 && isReused && connection.anyBytesSent && !anyBytesReceived)
-        onLostOnReused(connection);
-    close(connection);
-    if (call != 0)
-        callbacks.onFailed(call, { anyBytesSent, reason, outcome, isReused, anyBytesReceived });
-}
-
 void http_client::implementation::close(pooled_connection& connection)
 {
     asio::error_code ignored;
--- a/drivers/asio/http_client_connections.h
+++ b/drivers/asio/http_client_connections.h
@@ -42,6 +42,8 @@
     bool connected = false;
     // At least one byte of the request has been written to the socket.
     bool anyBytesSent = false;
+    // A write failed, so that the connection is broken.
+    bool writeFailed = false;
     bool paused = false;
     bool readWaitPending = false;
     bool writeWaitPending = false;
--- a/drivers/asio/http_client_pool.cpp
+++ b/drivers/asio/http_client_pool.cpp
@@ -1,6 +1,6 @@
 #include "drivers/asio/http_client_connections.h"
 
-// Which idle connections of a client are used again.
+// How calls end, and which idle connections are used again.
 
 namespace kumquat {
 
@@ -72,6 +72,20 @@
     return nullptr;
 }
 
+void http_client::implementation::failCall(pooled_connection& connection, const std::string& reason, connection_outcome outcome)
+{
+    const auto call = connection.call;
+    // The request itself is sent only after the identity check.
+    const bool anyBytesSent = connection.anyBytesSent && !connection.checkedCall;
+    const bool isReused = connection.rested.has_value();
+    const bool anyBytesReceived = connection.anyBytesReceived;
+    if (call != 0 && isReused && connection.anyBytesSent && !anyBytesReceived)
+        onLostOnReused(connection);
+    close(connection);
+    if (call != 0)
+        callbacks.onFailed(call, { anyBytesSent, reason, outcome, isReused, anyBytesReceived });
+}
+
 void http_client::implementation::onLostOnReused(const pooled_connection& connection)
 {
     const auto now = std::chrono::steady_clock::now();
