--- /dev/null
+++ b/tests/servers/router/foreign_memory_test.cpp
@@ -0,0 +1,110 @@
+#include "tests/support/router_fixture.h"
+
+#include <catch2/catch.hpp>
+#include <malloc.h>
+
+// What callers and upstreams can make a router keep in its tables.
+
+using namespace kumquat;
+using namespace kumquat::router;
+
+namespace {
+
+constexpr std::size_t instanceBytes = 88'000'000;
+// The tables of a router, beside the quarter of the memory that connections may hold and the code.
+constexpr std::size_t tableBytes = instanceBytes / 4;
+// A head of 16 kB holds about this many of the shortest parts.
+constexpr std::uint64_t partsOfLargestHead = 4000;
+
+std::size_t allocatedNow()
+{
+    const auto info = ::mallinfo2();
+    return info.uordblks + info.hblkhd;
+}
+
+class memory_fixture : public router_fixture {
+public:
+    memory_fixture()
+        : router_fixture(smallInstance())
+    {
+        start();
+        m_allocatedAtStart = allocatedNow();
+    }
+
+    static router_options smallInstance()
+    {
+        auto options = defaultOptions();
+        options.settings.memoryBytes = instanceBytes;
+        return options;
+    }
+
+    // A request in parts that no other request has, and the attempt that was started for it.
+    attempt_number sendPrompt(caller_id caller, int tokensOfPart)
+    {
+        proxied_request item;
+        item.requestId = "request-" + std::to_string(caller);
+        item.method = "POST";
+        item.target = item.path = "/oneshot/";
+        item.host = "host";
+        item.apiKey = "key-a";
+        item.callerTimeout = seconds(10);
+        for (std::uint64_t part = 0; part < partsOfLargestHead; ++part)
+            item.prompt.parts.push_back({ caller * partsOfLargestHead + part, tokensOfPart });
+        step(request_arrived { caller, std::make_shared<const proxied_request>(std::move(item)) });
+        return only<start_attempt>().attemptNumber;
+    }
+
+    std::size_t growth() const { return allocatedNow() - std::min(allocatedNow(), m_allocatedAtStart); }
+
+private:
+    std::size_t m_allocatedAtStart = 0;
+};
+
+} // namespace
+
+TEST_CASE("prompts in very many short parts do not fill the memory of a router", "[memory]")
+{
+    for (const int tokens : { 1, 0, -5 }) {
+        INFO("parts of " << tokens << " tokens");
+        memory_fixture fixture;
+        for (caller_id caller = 1; caller <= 100; ++caller) {
+            fixture.sendPrompt(caller, tokens);
+            fixture.step(caller_left { caller });
+        }
+        CHECK(fixture.growth() < tableBytes);
+    }
+}
+
+TEST_CASE("what attempts with very many prompt parts leave as suspects when they break off does not fill the memory of a router", "[memory]")
+{
+    memory_fixture fixture;
+    for (caller_id caller = 1; caller <= 400; ++caller) {
+        const auto attempt = fixture.sendPrompt(caller, 1000);
+        fixture.step(attempt_aborted { attempt, true, "connection reset" });
+        fixture.now += milliseconds(10);
+    }
+    CHECK(fixture.growth() < tableBytes);
+}
+
+TEST_CASE("large error answers that are kept beside a retry do not fill the memory of a router", "[memory]")
+{
+    constexpr std::size_t bodyBytes = 900'000;
+    constexpr caller_id callers = 60;
+    memory_fixture fixture;
+    for (caller_id caller = 1; caller <= callers; ++caller) {
+        // Requests without trouble, which allow the retries.
+        for (int sound = 0; sound < 10; ++sound) {
+            fixture.request(1000 + caller, "/look/");
+            const auto attempt = fixture.only<start_attempt>().attemptNumber;
+            fixture.step(answer_started { attempt, fixture.answer(200) });
+            fixture.step(answer_ended { attempt });
+        }
+        fixture.request(caller, "/look/");
+        const auto attempt = fixture.only<start_attempt>().attemptNumber;
+        fixture.step(answer_started { attempt, fixture.answer(500) });
+        fixture.step(answer_continued { attempt, std::string(bodyBytes, 'x') });
+        fixture.step(answer_ended { attempt });
+        REQUIRE(fixture.all<start_attempt>().size() == 1);
+    }
+    CHECK(fixture.growth() < tableBytes);
+}
