End answers that grow without an event's end before sound callers

Cause: connection_budget counted what answers of upstreams hold, but could close callers only. It took off a few hundred bytes for each caller and never reached its target, so that it selected all of them. Heads of answers, requests on connections that are being opened and events that were kept beside passed ones were in no account. A partial event that was discarded kept its buffer (moving from an empty string keeps the capacity).

Change: core/memory_relief decides by rank and by what each holds; an answer whose event has passed 64 KB without an end goes first, from three quarters of the bound on, and whoever holds under a sixteenth of the mean is left out while others hold more. The reducer states what a stream keeps (append_reply, keep_partial_event). http_client ends an answer that is selected; its attempt fails as one that may have run and is retried or answered by the usual rules, without counting as a crash of the upstream. A read of an answer that finds the memory full relieves it at once. Answers of the store are ended last. An answer with more than 512 headers is malformed; trailers are dropped. The log and the metric of closed connections name the side.

A caller that is stalled without a request still goes before a request in progress that holds more, so "whoever holds least is never ended first" is a rule among those of one rank; over ranks the sixteenth of the mean holds.

--- a/core/connection_budget.cpp
+++ b/core/connection_budget.cpp
@@ -1,7 +1,6 @@
 #include "core/connection_budget.h"
 
 #include <algorithm>
-#include <tuple>
 
 namespace kumquat {
 
@@ -28,10 +27,8 @@
     constexpr std::size_t answerReadBytes = 65536;
     constexpr std::size_t smallAnswerReadBytes = 8192;
 
-    constexpr int stalledRank = 0;
-    constexpr int waitingRank = 1;
-    constexpr int stalledInProgressRank = 2;
-    constexpr int inProgressRank = 3;
+    // An event that is larger and has not ended is not an ordinary one.
+    constexpr std::size_t ordinaryEventBytes = 65536;
 
 } // namespace
 
@@ -90,41 +87,46 @@
     return m_heldBytes < pressureBytes() ? answerReadBytes : smallAnswerReadBytes;
 }
 
-int connection_budget::rankOf(const tracked_connection& tracked, instant now)
+std::optional<holder_rank> connection_budget::rankOf(const tracked_connection& tracked, instant now)
 {
+    const auto& load = tracked.load;
+    if (tracked.side != connection_side::caller && load.answerBytes == 0)
+        return std::nullopt;
+    if (tracked.side == connection_side::store)
+        return holder_rank::store_answer;
+    if (tracked.side == connection_side::upstream)
+        return load.partialEventBytes > ordinaryEventBytes ? holder_rank::endless_answer : holder_rank::kept_answer;
     const bool stalled = now - tracked.progressAt >= stallTime;
-    if (tracked.load.requestInProgress)
-        return stalled && tracked.load.heldBytes > 0 ? stalledInProgressRank : inProgressRank;
-    return stalled ? stalledRank : waitingRank;
+    if (load.requestInProgress)
+        return stalled && load.heldBytes > 0 ? holder_rank::stalled_caller_in_progress : holder_rank::caller_in_progress;
+    return stalled ? holder_rank::stalled_caller : holder_rank::waiting_caller;
 }
 
 std::vector<connection_key> connection_budget::selectToClose(bool acceptWaits, instant now) const
 {
-    std::vector<connection_key> selected;
     const bool lacksDescriptors = acceptWaits && !mayAccept();
     if (m_heldBytes < pressureBytes() && !lacksDescriptors)
-        return selected;
-    std::vector<candidate> candidates;
+        return {};
+    std::vector<memory_holder> holders;
     for (const auto& [key, tracked] : m_connections) {
-        if (tracked.side == connection_side::caller)
-            candidates.push_back({ rankOf(tracked, now), tracked.load.heldBytes, tracked.progressAt, key });
+        if (const auto rank = rankOf(tracked, now))
+            holders.push_back({ key, *rank, tracked.load.heldBytes, tracked.progressAt });
     }
-    std::sort(candidates.begin(), candidates.end(), [](const candidate& left, const candidate& right) {
-        return std::tie(left.rank, right.heldBytes, left.progressAt, left.key.id) < std::tie(right.rank, left.heldBytes, right.progressAt, right.key.id);
-    });
-    auto held = m_heldBytes;
-    // At the bound, room is made for callers that wait to be read; below it, only stalled connections are closed.
-    const auto relievedBytes = held >= m_bounds.memoryBytes ? (m_bounds.memoryBytes + pressureBytes()) / 2 : m_bounds.memoryBytes;
-    const auto places = lacksDescriptors ? std::max<std::size_t>(maxConnections() / closedShare, 1) : 0;
-    for (const auto& item : candidates) {
-        // Between pressure and the bound, only connections without progress are closed; at the bound, others too.
-        const bool relievesMemory = item.heldBytes > 0 && (held >= relievedBytes || (held >= pressureBytes() && item.rank == stalledRank));
-        const bool makesPlace = selected.size() < places && item.rank == stalledRank;
-        if (!relievesMemory && !makesPlace)
-            continue;
-        held -= item.heldBytes;
-        selected.push_back(item.key);
+    std::vector<connection_key> selected;
+    memory_level level { m_heldBytes, pressureBytes(), m_bounds.memoryBytes };
+    if (lacksDescriptors) {
+        const auto places = std::max<std::size_t>(maxConnections() / closedShare, 1);
+        sortForRelief(holders);
+        std::erase_if(holders, [&](const memory_holder& holder) {
+            if (holder.rank != holder_rank::stalled_caller || selected.size() == places)
+                return false;
+            level.heldBytes -= holder.heldBytes;
+            selected.push_back(holder.key);
+            return true;
+        });
     }
+    const auto relieving = selectForRelief(std::move(holders), level);
+    selected.insert(selected.end(), relieving.begin(), relieving.end());
     return selected;
 }
 
--- a/core/connection_budget.h
+++ b/core/connection_budget.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/clock.h"
+#include "core/memory_relief.h"
 
 #include <chrono>
 #include <cstddef>
@@ -12,21 +13,10 @@
 
 namespace kumquat {
 
-// Names a connection of one of the process's servers or clients.
-struct connection_key {
-    std::uint32_t owner = 0;
-    std::uint64_t id = 0;
-
-    bool operator==(const connection_key&) const = default;
-};
-
-struct connection_key_hash {
-    std::size_t operator()(const connection_key& key) const { return std::hash<std::uint64_t>()(key.id ^ (static_cast<std::uint64_t>(key.owner) << 56)); }
-};
-
-// Which side of the process a connection is on. Only those of callers are closed at a bound.
+// To whom the process speaks on a connection.
 enum class connection_side { caller,
-    upstream };
+    upstream,
+    store };
 
 // What a connection holds.
 struct connection_load {
@@ -35,6 +25,11 @@
     bool requestInProgress = false;
     // Bytes received and sent since the connection was opened.
     std::uint64_t transferredBytes = 0;
+    // Of the memory: what was received of an answer and has not been passed on. Without it the connection of an upstream or of the
+    // store is not closed.
+    std::size_t answerBytes = 0;
+    // Of that: an event that has no end yet.
+    std::size_t partialEventBytes = 0;
 };
 
 // Bounds for the process as a whole. The defaults are no bounds.
@@ -44,9 +39,9 @@
     std::size_t descriptors = std::numeric_limits<std::size_t>::max();
 };
 
-// Decides for all connections of a process which ones are accepted, which ones may be read further, and whose is closed first at a
-// bound. Connections without a request in progress that make no progress go first, those with a request in progress last; within each
-// group the one that holds most.
+// Decides for all connections of a process which ones are accepted, which ones may be read further, and which are closed first at a
+// bound (holder_rank): answers of upstreams that grow without an event's end first, callers with a request in progress last; within each
+// rank the one that holds most.
 class connection_budget {
 public:
     explicit connection_budget(connection_bounds bounds = {})
@@ -71,6 +66,12 @@
     // How many bytes of an upstream's answer may be read at a time.
     std::size_t maxAnswerReadBytes() const;
 
+    // The bound is reached, so that something has to be closed before more is received.
+    bool isFull() const { return m_heldBytes >= m_bounds.memoryBytes; }
+    // The side and the load of a connection that was added.
+    connection_side sideOf(const connection_key& key) const { return m_connections.at(key).side; }
+    const connection_load& loadOf(const connection_key& key) const { return m_connections.at(key).load; }
+
     // The connections to close now. `acceptWaits` says that a caller waits to be accepted.
     std::vector<connection_key> selectToClose(bool acceptWaits, instant now) const;
 
@@ -88,17 +89,11 @@
         instant progressAt;
     };
 
-    struct candidate {
-        int rank = 0;
-        std::size_t heldBytes = 0;
-        instant progressAt;
-        connection_key key;
-    };
-
     // Bytes above which less is read and buffered, a share of the bound.
     std::size_t pressureBytes() const { return m_bounds.memoryBytes / 4 * 3; }
     std::size_t maxConnections() const;
-    static int rankOf(const tracked_connection&, instant now);
+    // Nothing if closing the connection releases nothing of its own.
+    static std::optional<holder_rank> rankOf(const tracked_connection&, instant now);
 
     connection_bounds m_bounds;
     std::unordered_map<connection_key, tracked_connection, connection_key_hash> m_connections;
--- a/drivers/asio/client_connection.h
+++ b/drivers/asio/client_connection.h
@@ -44,6 +44,8 @@
     bool isIdle() const { return m_phase == phase::idle; }
     // The connection may carry another request once it is idle.
     bool isReusable() const { return m_reusable; }
+    // The memory of the head that is being received.
+    std::size_t heldBytes() const { return m_reader.heldBytes(); }
     // How long the server keeps the idle connection open, as far as known.
     duration idleTimeout() const { return m_idleTimeout; }
 
--- a/drivers/asio/connection_guard.cpp
+++ b/drivers/asio/connection_guard.cpp
@@ -1,5 +1,7 @@
 #include "drivers/asio/connection_guard.h"
 
+#include <algorithm>
+#include <map>
 #include <sys/resource.h>
 #include <unistd.h>
 
@@ -16,8 +18,18 @@
     const auto selected = m_budget.selectToClose(acceptWaits, now);
     if (selected.empty())
         return;
-    const bool lacksDescriptors = acceptWaits && !m_budget.mayAccept();
-    m_onClosed({ lacksDescriptors ? "descriptors" : "memory", selected.size(), m_budget.heldBytes() });
+    const auto* bound = acceptWaits && !m_budget.mayAccept() ? "descriptors" : "memory";
+    std::map<connection_side, closing> closings;
+    for (const auto& key : selected) {
+        const auto side = m_budget.sideOf(key);
+        const auto bytes = m_budget.loadOf(key).heldBytes;
+        auto& closed = closings.try_emplace(side, closing { bound, side, 0, m_budget.heldBytes(), 0, 0 }).first->second;
+        ++closed.connections;
+        closed.closedBytes += bytes;
+        closed.largestBytes = std::max(closed.largestBytes, bytes);
+    }
+    for (const auto& [side, closed] : closings)
+        m_onClosed(closed);
     for (const auto& key : selected)
         m_owners[key.owner](key.id);
 }
--- a/drivers/asio/http_client.cpp
+++ b/drivers/asio/http_client.cpp
@@ -2,9 +2,13 @@
 
 namespace kumquat {
 
-http_client::http_client(reactor& loop, connection_guard& guard, handlers callbacks)
-    : m_implementation(std::make_shared<implementation>(loop.context(), guard, std::move(callbacks)))
+http_client::http_client(reactor& loop, connection_guard& guard, handlers callbacks, connection_side side)
+    : m_implementation(std::make_shared<implementation>(loop.context(), guard, std::move(callbacks), side))
 {
+    m_implementation->owner = guard.addOwner([weak = std::weak_ptr(m_implementation)](std::uint64_t id) {
+        if (const auto self = weak.lock())
+            self->endAtMemoryBound(id);
+    });
 }
 
 http_client::~http_client()
@@ -35,12 +39,13 @@
         m_implementation->awaitReadable(*connection);
 }
 
-void http_client::recordPassedOn(call_id id)
+void http_client::recordPartialEvent(call_id id, std::size_t keptBytes)
 {
     auto* connection = m_implementation->findConnectionOf(id);
-    if (!connection || connection->keptAnswerBytes == 0)
+    if (!connection || (connection->keptBodyBytes == keptBytes && connection->partialEventBytes == keptBytes))
         return;
-    connection->keptAnswerBytes = 0;
+    connection->keptBodyBytes = keptBytes;
+    connection->partialEventBytes = keptBytes;
     m_implementation->track(*connection);
 }
 
--- a/drivers/asio/http_client.h
+++ b/drivers/asio/http_client.h
@@ -50,6 +50,8 @@
     std::string reason;
     // What came of opening the connection, if the call needed a new one.
     connection_outcome connection = connection_outcome::unknown;
+    // This process ended the call, because its memory was full and the answer was kept there.
+    bool endedAtMemoryBound = false;
 };
 
 // An HTTP/1.1 client that runs on the reactor's thread and reuses idle connections. Each connection carries one request
@@ -67,8 +69,8 @@
         std::function<void()> onConnected;
     };
 
-    // The guard, which outlives the client, counts its connections and what they hold.
-    http_client(reactor&, connection_guard&, handlers);
+    // The guard, which outlives the client, counts its connections and what they hold, and ends answers when the memory is full.
+    http_client(reactor&, connection_guard&, handlers, connection_side = connection_side::upstream);
     ~http_client();
 
     // Sends the request over the most recently used idle connection to its target, or over a new connection.
@@ -77,8 +79,9 @@
     void cancel(call_id);
     // Stops or resumes reading the answer from its connection.
     void setPaused(call_id, bool paused);
-    // States that what was received of the answer so far is no longer kept.
-    void recordPassedOn(call_id);
+    // States how much is kept of what was received of the body so far, all of it the beginning of an event. Before the first call all
+    // of the body counts as kept.
+    void recordPartialEvent(call_id, std::size_t keptBytes);
     // Closes the idle connections to a server; calls in progress continue.
     void closeIdleConnections(const endpoint&);
     // Counts all open connections: connecting, in use and idle.
--- a/drivers/asio/http_client_connections.cpp
+++ b/drivers/asio/http_client_connections.cpp
@@ -29,6 +29,15 @@
         ::setsockopt(socket.native_handle(), level, name, &value, sizeof value);
     }
 
+    // The memory of a head that its receiver keeps.
+    std::size_t heldBytes(const http_answer_head& head)
+    {
+        std::size_t bytes = head.headers.capacity() * sizeof(http_header);
+        for (const auto& [name, value] : head.headers)
+            bytes += name.size() + value.size();
+        return bytes;
+    }
+
     // Whether nothing has come from the server, neither bytes nor the end of the connection.
     bool isQuiet(tcp::socket& socket)
     {
@@ -40,10 +49,22 @@
 
 } // namespace
 
-void http_client::implementation::track(const pooled_connection& connection)
+void http_client::implementation::track(pooled_connection& connection)
 {
     const auto checkedBytes = connection.checkedCall ? connection.checkedCall->bytes.capacity() : 0;
-    guard.budget().update({ owner, connection.id }, { connection.unsentBytes.capacity() + checkedBytes + connection.keptAnswerBytes, connection.call != 0, 0 }, std::chrono::steady_clock::now());
+    const auto requestBytes = connection.connectingBytes + connection.unsentBytes.capacity() + checkedBytes;
+    connection.trackedParserBytes = connection.state.heldBytes();
+    const auto answerBytes = connection.trackedParserBytes + connection.checkBody.size() + connection.keptHeadBytes + connection.keptBodyBytes;
+    guard.budget().update({ owner, connection.id }, { requestBytes + answerBytes, connection.call != 0, 0, answerBytes, connection.partialEventBytes }, std::chrono::steady_clock::now());
+}
+
+void http_client::implementation::endAtMemoryBound(std::uint64_t connectionId)
+{
+    auto* connection = findConnection(connectionId);
+    if (!connection)
+        return;
+    const auto bytes = connection->trackedParserBytes + connection->keptHeadBytes + connection->keptBodyBytes;
+    failCall(*connection, "the memory is full, and " + std::to_string(bytes) + " bytes of this answer were held", connection_outcome::unknown, true);
 }
 
 pooled_connection* http_client::implementation::findConnection(std::uint64_t id)
@@ -84,8 +105,10 @@
     auto& connection = *added;
     connection.id = ++lastConnectionId;
     connections.emplace(connection.id, std::move(added));
-    guard.budget().add({ owner, connection.id }, connection_side::upstream, std::chrono::steady_clock::now());
+    guard.budget().add({ owner, connection.id }, side, std::chrono::steady_clock::now());
     connection.call = call.id;
+    connection.connectingBytes = call.bytes.capacity();
+    track(connection);
     connectionOfCall.emplace(call.id, connection.id);
     asio::error_code failure;
     const tcp::endpoint remote(asio::ip::make_address_v4(call.target.host, failure), call.target.port);
@@ -129,6 +152,7 @@
 void http_client::implementation::startCall(pooled_connection& connection, http_call call)
 {
     connection.call = call.id;
+    connection.connectingBytes = 0;
     connectionOfCall[call.id] = connection.id;
     connection.paused = false;
     connection.anyBytesSent = false;
@@ -156,7 +180,8 @@
         [&](const answer_body_bytes& body) {
             connection.checkBody.append(body.bytes);
             if (connection.checkBody.size() > maxIdentityBytes)
-                failCall(connection, "the answer to the identity check is too large");
+                return failCall(connection, "the answer to the identity check is too large");
+            track(connection);
         },
         [&](const answer_ended&) { finishIdentityCheck(connection); },
         [&](const exchange_failed& failure) { failCall(connection, failure.reason); },
@@ -265,8 +290,14 @@
         return failCall(connection, "bytes that answer no request");
     const auto id = connection.id;
     handleEvents(id, connection.state.receive({ buffer.data(), size }));
-    if (auto* remaining = findConnection(id))
+    if (auto* remaining = findConnection(id)) {
+        if (remaining->state.heldBytes() != remaining->trackedParserBytes)
+            track(*remaining);
         awaitReadable(*remaining);
+    }
+    // What upstreams send at the bound would exceed it until the next check of the server. No reference to a connection is held here.
+    if (guard.budget().isFull())
+        guard.relieve(false, std::chrono::steady_clock::now());
 }
 
 void http_client::implementation::onReadFailure(pooled_connection& connection, const asio::error_code& failure)
@@ -291,9 +322,13 @@
     if (connection.checkedCall)
         return handleCheckEvent(connection, event);
     const auto visitor = overloaded {
-        [&](const http_answer_head& head) { callbacks.onHead(connection.call, head); },
+        [&](const http_answer_head& head) {
+            connection.keptHeadBytes = heldBytes(head);
+            track(connection);
+            callbacks.onHead(connection.call, head);
+        },
         [&](const answer_body_bytes& body) {
-            connection.keptAnswerBytes += body.bytes.size();
+            connection.keptBodyBytes += body.bytes.size();
             track(connection);
             callbacks.onBody(connection.call, body.bytes);
         },
@@ -308,7 +343,9 @@
     const auto call = connection.call;
     connectionOfCall.erase(call);
     connection.call = 0;
-    connection.keptAnswerBytes = 0;
+    connection.keptHeadBytes = 0;
+    connection.keptBodyBytes = 0;
+    connection.partialEventBytes = 0;
     track(connection);
     auto& idleIds = idleConnections[formatEndpoint(connection.target)];
     // If the server answered before it read the complete request, it still expects the remaining bytes: the connection is
@@ -322,14 +359,14 @@
     callbacks.onEnd(call);
 }
 
-void http_client::implementation::failCall(pooled_connection& connection, const std::string& reason, connection_outcome outcome)
+void http_client::implementation::failCall(pooled_connection& connection, const std::string& reason, connection_outcome outcome, bool endedAtMemoryBound)
 {
     const auto call = connection.call;
     // The request itself is sent only after the identity check.
     const bool anyBytesSent = connection.anyBytesSent && !connection.checkedCall;
     close(connection);
     if (call != 0)
-        callbacks.onFailed(call, { anyBytesSent, reason, outcome });
+        callbacks.onFailed(call, { anyBytesSent, reason, outcome, endedAtMemoryBound });
 }
 
 void http_client::implementation::close(pooled_connection& connection)
--- a/drivers/asio/http_client_connections.h
+++ b/drivers/asio/http_client_connections.h
@@ -27,8 +27,15 @@
     std::string checkBody;
     // Bytes of the request that have not been written to the socket.
     std::string unsentBytes;
-    // Bytes of the answer that the handlers have received and not passed on.
-    std::size_t keptAnswerBytes = 0;
+    // The call's bytes until the connection is open.
+    std::size_t connectingBytes = 0;
+    // The head and the bytes of the body that the handlers have received and not passed on.
+    std::size_t keptHeadBytes = 0;
+    std::size_t keptBodyBytes = 0;
+    // Of the body: an event without an end.
+    std::size_t partialEventBytes = 0;
+    // What the parser held when the connection was last tracked.
+    std::size_t trackedParserBytes = 0;
     std::unique_ptr<asio::steady_timer> connectTimer;
     // When the idle connection expires.
     instant idleExpiry;
@@ -48,10 +55,10 @@
 
 // The connections of one client: connecting, writing, reading and closing them. Included only by the sources of http_client.
 struct http_client::implementation : std::enable_shared_from_this<implementation> {
-    implementation(asio::io_context& context, connection_guard& guard, handlers callbacks)
+    implementation(asio::io_context& context, connection_guard& guard, handlers callbacks, connection_side side)
         : context(context)
         , guard(guard)
-        , owner(guard.addOwner([](std::uint64_t) {}))
+        , side(side)
         , callbacks(std::move(callbacks))
     {
     }
@@ -60,7 +67,9 @@
     static constexpr std::size_t readBufferBytes = 65536;
 
     // Records what the connection holds.
-    void track(const pooled_connection&);
+    void track(pooled_connection&);
+    // Fails the call of a connection, or closes an idle one.
+    void endAtMemoryBound(std::uint64_t connectionId);
 
     pooled_connection* findConnection(std::uint64_t id);
     pooled_connection* findConnectionOf(call_id);
@@ -83,13 +92,14 @@
     void handleEvents(std::uint64_t connectionId, const std::vector<exchange_event>&);
     void handleEvent(pooled_connection&, const exchange_event&);
     void finishCall(pooled_connection&);
-    void failCall(pooled_connection&, const std::string& reason, connection_outcome = connection_outcome::unknown);
+    void failCall(pooled_connection&, const std::string& reason, connection_outcome = connection_outcome::unknown, bool endedAtMemoryBound = false);
     void close(pooled_connection&);
 
     asio::io_context& context;
     connection_guard& guard;
-    // This client's number in the guard, which closes no connections of upstreams.
-    std::uint32_t owner;
+    connection_side side;
+    // This client's number in the guard.
+    std::uint32_t owner = 0;
     handlers callbacks;
     std::unordered_map<std::uint64_t, std::unique_ptr<pooled_connection>> connections;
     std::unordered_map<call_id, std::uint64_t> connectionOfCall;
--- a/drivers/http_parser/answer_reader.cpp
+++ b/drivers/http_parser/answer_reader.cpp
@@ -12,6 +12,8 @@
 
     // An answer whose status line and headers are larger than this is malformed.
     constexpr std::size_t maxAnswerHeadBytes = 65536;
+    // So is one with more headers. Each occupies many times the four bytes of the shortest one.
+    constexpr std::size_t maxAnswerHeaders = 512;
 
 } // namespace
 
@@ -51,7 +53,13 @@
         http_parser_settings_init(&callbacks);
         callbacks.on_header_field = [](http_parser* parser, const char* bytes, std::size_t size) {
             auto& reader = *static_cast<Implementation*>(parser->data);
-            if (reader.lastWasValue || reader.answerHead.headers.empty())
+            // Trailers are of no use to the receiver.
+            if (reader.headParsed)
+                return 0;
+            const bool beginsHeader = reader.lastWasValue || reader.answerHead.headers.empty();
+            if (beginsHeader && reader.answerHead.headers.size() == maxAnswerHeaders)
+                return 1;
+            if (beginsHeader)
                 reader.answerHead.headers.emplace_back();
             reader.lastWasValue = false;
             reader.answerHead.headers.back().name.append(bytes, size);
@@ -59,6 +67,8 @@
         };
         callbacks.on_header_value = [](http_parser* parser, const char* bytes, std::size_t size) {
             auto& reader = *static_cast<Implementation*>(parser->data);
+            if (reader.headParsed)
+                return 0;
             reader.lastWasValue = true;
             reader.answerHead.headers.back().value.append(bytes, size);
             return 0;
@@ -153,6 +163,7 @@
             break;
         }
         self.parse(self.headScanner->text().data(), self.headScanner->text().size());
+        self.headScanner.emplace();
         if (self.interim && !self.malformed)
             self.startMessage();
     }
@@ -178,4 +189,10 @@
     return m_implementation->complete;
 }
 
+std::size_t answer_reader::heldBytes() const
+{
+    const auto& text = m_implementation->headScanner->text();
+    return text.empty() ? 0 : text.capacity();
+}
+
 } // namespace kumquat
--- a/drivers/http_parser/answer_reader.h
+++ b/drivers/http_parser/answer_reader.h
@@ -36,6 +36,8 @@
     // The bytes are not a valid HTTP answer; the rest of the connection cannot be parsed.
     bool malformed() const;
     bool complete() const;
+    // The memory that a head occupies which has been received in part.
+    std::size_t heldBytes() const;
 
 private:
     struct implementation;
--- a/processes/duty_client.cpp
+++ b/processes/duty_client.cpp
@@ -18,7 +18,7 @@
     : m_metrics(metrics)
     , m_interruptions(std::move(interruptions))
     , m_post(std::move(post))
-    , m_client(loop, guard, makeHandlers())
+    , m_client(loop, guard, makeHandlers(), connection_side::store)
 {
 }
 
--- a/processes/router_process.cpp
+++ b/processes/router_process.cpp
@@ -204,7 +204,7 @@
             .onHead = [this](call_id call, http_answer_head head) { post(router::answer_started { call, platform::decodeAnswer(std::move(head)) }); },
             .onBody = [this](call_id call, std::string_view bytes) { post(router::answer_continued { call, std::string(bytes), m_connectionGuard.budget().memoryIsShort() }); },
             .onEnd = [this](call_id call) { post(router::answer_ended { call }); },
-            .onFailed = [this](call_id call, http_call_failure failure) { post(router::attempt_aborted { call, failure.anyBytesSent, std::move(failure.reason), failure.connection }); },
+            .onFailed = [this](call_id call, http_call_failure failure) { post(router::attempt_aborted { call, failure.anyBytesSent, std::move(failure.reason), failure.connection, failure.endedAtMemoryBound }); },
             .onConnected = [this] { m_metrics.apply(count_metric { "kumquat_router_connections_total", { { "to", "upstream" } } }); },
         };
     }
@@ -237,8 +237,10 @@
 
     void router_process::reportClosing(const connection_guard::closing& closed)
     {
-        m_metrics.apply(count_metric { "kumquat_router_closed_connections_total", { { "bound", closed.bound } }, static_cast<double>(closed.connections) });
-        writeLog({ log_level::warning, "connections_closed", { { "bound", closed.bound }, { "connections", std::to_string(closed.connections) }, { "held_bytes", std::to_string(closed.heldBytes) } } });
+        static constexpr const char* sideNames[] = { "caller", "upstream", "store" };
+        const std::string side = sideNames[static_cast<int>(closed.side)];
+        m_metrics.apply(count_metric { "kumquat_router_closed_connections_total", { { "bound", closed.bound }, { "side", side } }, static_cast<double>(closed.connections) });
+        writeLog({ log_level::warning, "connections_closed", { { "bound", closed.bound }, { "side", side }, { "connections", std::to_string(closed.connections) }, { "held_bytes", std::to_string(closed.heldBytes) }, { "closed_bytes", std::to_string(closed.closedBytes) }, { "largest_bytes", std::to_string(closed.largestBytes) } } });
     }
 
     void router_process::reportRefusal(int status)
@@ -452,10 +454,11 @@
             [this](const router::close_upstream_connections& removed) { m_upstreams.closeIdleConnections(removed.target); },
             [this](const router::start_reply& reply) { m_callers->beginAnswer(reply.caller, reply.head); },
             [this](const router::append_reply& reply) {
-                m_upstreams.recordPassedOn(reply.sourceAttempt);
+                m_upstreams.recordPartialEvent(reply.sourceAttempt, reply.partialEventBytes);
                 if (!m_callers->appendAnswer(reply.caller, reply.bytes))
                     m_upstreams.setPaused(reply.sourceAttempt, true);
             },
+            [this](const router::keep_partial_event& kept) { m_upstreams.recordPartialEvent(kept.attemptNumber, kept.bytes); },
             [this](const router::end_reply& reply) { m_callers->finishAnswer(reply.caller); },
             [this](const router::send_reply& reply) { m_callers->answer(reply.caller, reply.head, reply.body); },
             [this](const router::refuse_reply& reply) { refuse(reply); },
--- a/processes/router_store_client.cpp
+++ b/processes/router_store_client.cpp
@@ -10,7 +10,7 @@
 router_store_client::router_store_client(reactor& loop, connection_guard& guard, metrics_registry& metrics, std::function<void(router::router_event)> post)
     : m_metrics(metrics)
     , m_post(std::move(post))
-    , m_client(loop, guard, makeHandlers())
+    , m_client(loop, guard, makeHandlers(), connection_side::store)
 {
 }
 
--- a/servers/router/router_answering.cpp
+++ b/servers/router/router_answering.cpp
@@ -96,6 +96,8 @@
     auto events = progress->stream.feed(continued.bytes);
     if (!events.empty())
         forwardEvents(*progress, attempt, std::move(events));
+    else
+        emit(keep_partial_event { attempt.number, progress->stream.partialEventBytes() });
     if (progress->stream.partialEventBytes() > maxEventBytes)
         abandonAttempt(*progress, attempt.number, "an event of more than " + std::to_string(maxEventBytes) + " bytes");
 }
@@ -119,7 +121,7 @@
         progress.longestEventGap = std::max(progress.longestEventGap, m_now - *progress.lastEventAt);
     progress.lastEventAt = m_now;
     noteEvents(progress, attempt);
-    emit(append_reply { progress.caller, std::move(events), attempt.number });
+    emit(append_reply { progress.caller, std::move(events), attempt.number, progress.stream.partialEventBytes() });
 }
 
 void router_reducer::startReply(request_progress& progress, const active_attempt& attempt)
--- a/servers/router/router_attempts.cpp
+++ b/servers/router/router_attempts.cpp
@@ -237,8 +237,9 @@
     if (!progress)
         return;
     const auto upstream = findAttempt(*progress, aborted.attemptNumber)->upstream;
-    upstream->mayHaveRestarted = upstream->mayHaveRestarted || aborted.requestSent;
-    if (aborted.requestSent)
+    const bool brokeOff = aborted.requestSent && !aborted.endedAtMemoryBound;
+    upstream->mayHaveRestarted = upstream->mayHaveRestarted || brokeOff;
+    if (brokeOff)
         recordBrokenAttempt(*progress, *findAttempt(*progress, aborted.attemptNumber));
     if (aborted.outcome == connection_outcome::refused)
         recordRefusedConnection(*upstream);
--- a/servers/router/router_effect.h
+++ b/servers/router/router_effect.h
@@ -55,6 +55,14 @@
     std::string bytes;
     // The attempt to throttle if the caller reads too slowly.
     attempt_number sourceAttempt = 0;
+    // What is kept of the attempt's answer beyond these bytes: the beginning of the next event.
+    std::size_t partialEventBytes = 0;
+};
+
+// An answer has brought no complete event, and this much of one is kept.
+struct keep_partial_event {
+    attempt_number attemptNumber = 0;
+    std::size_t bytes = 0;
 };
 
 // The answer that was started is complete.
@@ -137,7 +145,7 @@
     bool unlessAnswersAreUnsent = false;
 };
 
-using router_effect = std::variant<start_attempt, cancel_attempt, check_connection, throttle_attempt, close_upstream_connections, start_reply, append_reply, end_reply, send_reply, refuse_reply,
+using router_effect = std::variant<start_attempt, cancel_attempt, check_connection, throttle_attempt, close_upstream_connections, start_reply, append_reply, keep_partial_event, end_reply, send_reply, refuse_reply,
     abort_reply, read_store, cancel_store_read, call_refusal_store, send_digest, send_stream_message, record_run, apply_caller_limits, close_callers_after_answers, close_idle_callers, stop_router, log_event,
     count_metric, observe_metric>;
 
--- a/servers/router/router_event.h
+++ b/servers/router/router_event.h
@@ -65,6 +65,8 @@
     std::string reason;
     // What came of opening a connection for the attempt.
     connection_outcome outcome = connection_outcome::unknown;
+    // The router itself ended the answer, since it held too much of the memory. That says nothing of a crash.
+    bool endedAtMemoryBound = false;
 };
 
 // The check of an upstream's connections has ended.
--- a/servers/router/stream_assembler.cpp
+++ b/servers/router/stream_assembler.cpp
@@ -7,6 +7,9 @@
 namespace {
 
     constexpr std::string_view idField = "id:";
+    // A buffer that has grown beyond this for one large event is not kept for the rest of the stream, since only what is in it counts
+    // in the memory of connections.
+    constexpr std::size_t maxSpareBytes = 4096;
 
     // Returns the numeric id of an event, or nothing if it has none.
     std::optional<std::uint64_t> eventId(std::string_view event)
@@ -62,6 +65,8 @@
         searchFrom = end;
     }
     m_buffer.erase(0, start);
+    if (m_buffer.capacity() > maxSpareBytes && m_buffer.size() < m_buffer.capacity() / 4)
+        m_buffer.shrink_to_fit();
     // The empty line at the end of an event may be split between two calls.
     m_searchOffset = m_buffer.size() < 2 ? 0 : m_buffer.size() - 2;
     return completeEvents;
@@ -70,6 +75,7 @@
 void stream_assembler::discardPartialEvent()
 {
     m_buffer.clear();
+    m_buffer.shrink_to_fit();
     m_searchOffset = 0;
 }
 
--- a/tests/drivers/answer_memory_test.cpp
+++ b/tests/drivers/answer_memory_test.cpp
@@ -142,10 +142,9 @@
     void keep(call_id call, std::string_view bytes)
     {
         auto& state = calls[call];
-        if (!state.stream.feed(bytes).empty()) {
+        if (!state.stream.feed(bytes).empty())
             ++state.events;
-            client.recordPassedOn(call);
-        }
+        client.recordPartialEvent(call, state.stream.partialEventBytes());
         measure();
     }
 
--- a/tests/servers/router/foreign_memory_test.cpp
+++ b/tests/servers/router/foreign_memory_test.cpp
@@ -108,3 +108,43 @@
     }
     CHECK(fixture.growth() < tableBytes);
 }
+
+TEST_CASE("an answer that is ended for want of memory is retried and does not count as a crash of its upstream", "[memory]")
+{
+    router_fixture fixture;
+    fixture.start();
+    fixture.request(1, "/look/");
+    const auto first = fixture.only<start_attempt>();
+    fixture.step(attempt_aborted { first.attemptNumber, true, "the memory is full", connection_outcome::unknown, true });
+    const auto second = fixture.only<start_attempt>();
+    CHECK(second.upstreamId != first.upstreamId);
+    CHECK(fixture.all<check_connection>().empty());
+    CHECK(fixture.reducer.upstreams().find(first.upstreamId)->brokenAttempts.empty());
+    CHECK_FALSE(fixture.reducer.upstreams().find(first.upstreamId)->mayHaveRestarted);
+    SECTION("a request that may not be repeated ends as one that may have run")
+    {
+        fixture.request(2, "/pay/");
+        const auto attempt = fixture.only<start_attempt>().attemptNumber;
+        fixture.step(attempt_aborted { attempt, true, "the memory is full", connection_outcome::unknown, true });
+        CHECK(fixture.all<start_attempt>().empty());
+        CHECK(fixture.only<refuse_reply>().refusal.ran == ran_state::unknown);
+    }
+}
+
+// Guards against an account that loses what is kept of an event beside events that were passed on, or counts events that were dropped.
+TEST_CASE("what a stream keeps of an incomplete event is stated after each part", "[memory]")
+{
+    router_fixture fixture;
+    fixture.start();
+    fixture.request(1, "/stream/");
+    const auto attempt = fixture.only<start_attempt>().attemptNumber;
+    fixture.step(answer_started { attempt, fixture.answer(200, true, true) });
+    fixture.step(answer_continued { attempt, "id: 1\ndata" });
+    CHECK(fixture.only<keep_partial_event>().bytes == 10);
+    fixture.step(answer_continued { attempt, ": x\n\nid: 2" });
+    CHECK(fixture.only<append_reply>().partialEventBytes == 5);
+    fixture.step(answer_continued { attempt, "\n\nid: 1\n\n" });
+    CHECK(fixture.only<append_reply>().partialEventBytes == 0);
+    fixture.step(answer_continued { attempt, "id: 1\n\n" });
+    CHECK(fixture.only<keep_partial_event>().bytes == 0);
+}
