--- a/drivers/asio/http_client_pool.cpp
+++ b/drivers/asio/http_client_pool.cpp
@@ -28,7 +28,9 @@
     const auto call = connection.call;
     connectionOfCall.erase(call);
     connection.call = 0;
-    connection.keptAnswerBytes = 0;
+    connection.keptHeadBytes = 0;
+    connection.keptBodyBytes = 0;
+    connection.partialEventBytes = 0;
     track(connection);
     auto& idleIds = idleConnections[formatEndpoint(connection.target)];
     // If the server answered before it read the complete request, it still expects the remaining bytes: the connection is
@@ -72,7 +74,7 @@
     return nullptr;
 }
 
-void http_client::implementation::failCall(pooled_connection& connection, const std::string& reason, connection_outcome outcome)
+void http_client::implementation::failCall(pooled_connection& connection, const std::string& reason, connection_outcome outcome, bool endedAtMemoryBound)
 {
     const auto call = connection.call;
     // The request itself is sent only after the identity check.
@@ -83,7 +85,7 @@
         onLostOnReused(connection);
     close(connection);
     if (call != 0)
-        callbacks.onFailed(call, { anyBytesSent, reason, outcome, isReused, anyBytesReceived });
+        callbacks.onFailed(call, { anyBytesSent, reason, outcome, isReused, anyBytesReceived, endedAtMemoryBound });
 }
 
 void http_client::implementation::onLostOnReused(const pooled_connection& connection)
--- a/servers/router/router_event.h
+++ b/servers/router/router_event.h
@@ -67,6 +67,8 @@
     connection_outcome outcome = connection_outcome::unknown;
     // The connection had carried another request and rested since, and no byte of an answer came: it may have been dropped before.
     bool lostOnReused = false;
+    // The router itself ended the answer, since it held too much of the memory. That says nothing of a crash.
+    bool endedAtMemoryBound = false;
 };
 
 // The check of an upstream's connections has ended.
--- a/servers/router/stream_assembler.cpp
+++ b/servers/router/stream_assembler.cpp
@@ -8,6 +8,9 @@
 
     constexpr std::string_view idField = "id:";
     constexpr std::string_view dataField = "data";
+    // A buffer that has grown beyond this for one large event is not kept for the rest of the stream, since only what is in it counts
+    // in the memory of connections.
+    constexpr std::size_t maxSpareBytes = 4096;
 
     struct event_fields {
         // The numeric id, if the event has one.
@@ -55,6 +58,7 @@
 void stream_assembler::beginAttempt()
 {
     m_buffer.clear();
+    m_buffer.shrink_to_fit();
     m_searchOffset = 0;
     m_isJoining = m_lastId.has_value();
     m_lastRepeatedId.reset();
@@ -78,6 +82,8 @@
         searchFrom = end;
     }
     m_buffer.erase(0, start);
+    if (m_buffer.capacity() > maxSpareBytes && m_buffer.size() < m_buffer.capacity() / 4)
+        m_buffer.shrink_to_fit();
     // The empty line at the end of an event may be split between two calls.
     m_searchOffset = m_buffer.size() < 2 ? 0 : m_buffer.size() - 2;
     return completeEvents;
