--- a/tests/drivers/answer_memory_test.cpp
+++ b/tests/drivers/answer_memory_test.cpp
@@ -157,7 +157,7 @@
     void onCallEnded(call_id call)
     {
         measure();
-        calls[call].stream.discardPartialEvent();
+        calls[call].stream.beginAttempt();
         if (call != 1 && --faultyCalls == 0)
             sound.end();
         if (call == 1)
