Bound the entries of the models of prompt caches, not only their tokens

Cause: prompt_cache_model keeps an entry of about 100 bytes for each part and upstream and bounded only the sum of tokens: 438,321 entries for each upstream with parts of one token, no bound with parts of 0, and a negative number ended eviction for good. The parts for the next digest and summary were kept without a bound too, though a digest takes the newest 26.

Change: core/memory_shares divides the instance's memory; a sixth of it is for these models, in equal shares of the upstreams, and each model drops the part that was used longest ago. Upstreams that are added reduce the others' models at once. Parts with a negative number of tokens are skipped when a caller sends them and count as 0 when another router does. cached_part_news keeps no more parts than digests have room for.

Ordinary prompts are modelled as before: a test compares a model with and without the bound over 3,000 prompts, for 9 and 790 upstreams and 88 MB.

--- a/core/router_settings.h
+++ b/core/router_settings.h
@@ -52,4 +52,11 @@
     bool operator==(const router_settings&) const = default;
 };
 
+// The memory of the instance, or that of a small machine if none is named, by which tables are bounded.
+inline std::size_t memoryOf(const router_settings& settings)
+{
+    constexpr std::size_t unnamedMemoryBytes = 1'000'000'000;
+    return settings.memoryBytes.value_or(unnamedMemoryBytes);
+}
+
 } // namespace kumquat
--- a/processes/router_process.cpp
+++ b/processes/router_process.cpp
@@ -1,5 +1,6 @@
 #include "processes/router_process.h"
 
+#include "core/memory_shares.h"
 #include "core/overloaded.h"
 #include "drivers/asio/connection_checker.h"
 #include "drivers/asio/connection_guard.h"
@@ -61,9 +62,6 @@
         return usage_settings { toMilliseconds(settings.duties->windowLength), toMilliseconds(settings.duties->leaseDuration), toMilliseconds(settings.duties->reportDeadline) };
     }
 
-    // Buffers grow by doubling and are copied then, and the allocator keeps some of what was freed: connections get this share of the
-    // memory, so that buffers, the tables of a large fleet and the code fit.
-    constexpr std::size_t connectionMemoryShare = 4;
     // The allocator returns blocks of this size to the system at once. By default it raises the size as blocks are freed, and then keeps
     // the memory of large requests.
     constexpr int mappedBlockBytes = 131072;
@@ -72,7 +70,7 @@
     {
         const auto memory = settings.memoryBytes ? *settings.memoryBytes : readMachineMemory();
         const auto descriptors = readDescriptorLimit();
-        return { settings.connectionBytes.value_or(memory / connectionMemoryShare), std::min(descriptors, settings.maxDescriptors.value_or(descriptors)) };
+        return { settings.connectionBytes.value_or(divideMemory(memory).connectionBytes), std::min(descriptors, settings.maxDescriptors.value_or(descriptors)) };
     }
 
     // Connects the reducer to its network connections, timers and signals, and executes its effects.
--- a/servers/router/router_attempts.cpp
+++ b/servers/router/router_attempts.cpp
@@ -102,10 +102,10 @@
 void router_reducer::recordPromptPlacement(upstream_state& upstream, const request_progress& progress)
 {
     const auto& prompt = progress.request->prompt;
-    upstream.promptCache.recordPrompt(prompt, engineKvCacheTokens(progress.service));
+    upstream.promptCache.recordPrompt(prompt, promptCacheBounds(progress.service));
     // The last part belongs to this request alone, so other routers have no use for it.
     for (std::size_t index = 0; index + 1 < prompt.parts.size(); ++index)
-        m_recentCachedParts.push_back({ upstream.key, prompt.parts[index].id, prompt.parts[index].tokens });
+        m_recentCachedParts.add({ upstream.key, prompt.parts[index].id, prompt.parts[index].tokens });
 }
 
 void router_reducer::hedge(request_progress& progress)
--- a/servers/router/router_peers.cpp
+++ b/servers/router/router_peers.cpp
@@ -1,3 +1,4 @@
+#include "core/memory_shares.h"
 #include "servers/router/router_reducer.h"
 
 #include <algorithm>
@@ -21,9 +22,10 @@
     constexpr auto refusalListIntervalAlone = std::chrono::seconds(2);
     // After a stall, messages that waited in the sockets are read within this time.
     constexpr auto waitingMessagesTime = std::chrono::milliseconds(500);
+    // The first parts of ordinary prompts fit in so many entries, however many upstreams there are.
+    constexpr std::size_t minModelledParts = 64;
     // So many loads fit in a datagram beside the prompt parts, the news of crashes and the limits, which share their space.
     constexpr std::size_t maxLoadsPerDigest = 36;
-    constexpr std::size_t maxPartsAndNewsPerDigest = 26;
     // A limit takes as much space as this many prompt parts.
     constexpr std::size_t spaceOfLimit = 2;
     constexpr std::size_t maxCrashNewsPerDigest = 18;
@@ -40,10 +42,10 @@
     }
 
     // Adds the newest prompt parts to a digest that has its news of crashes and its limits: they are the ones that the engines still have cached.
-    void addCachedParts(router_digest& digest, const std::vector<cached_prompt_part>& parts)
+    void addCachedParts(router_digest& digest, const std::vector<cached_prompt_part>& parts, std::size_t maxPartsAndNews)
     {
-        const auto used = std::min(maxPartsAndNewsPerDigest, digest.crashNews.size() + digest.limits.size() * spaceOfLimit);
-        const auto count = std::min(parts.size(), maxPartsAndNewsPerDigest - used);
+        const auto used = std::min(maxPartsAndNews, digest.crashNews.size() + digest.limits.size() * spaceOfLimit);
+        const auto count = std::min(parts.size(), maxPartsAndNews - used);
         digest.cachedParts.assign(parts.end() - static_cast<std::ptrdiff_t>(count), parts.end());
     }
 
@@ -89,10 +91,10 @@
     m_gapProtection.learn(digest, m_now);
     for (const auto& part : digest.cachedParts) {
         if (const auto upstream = m_upstreams.findByKey(part.upstream))
-            upstream->promptCache.recordPart({ part.part, part.tokens }, engineKvCacheTokens(upstream->record.service));
+            upstream->promptCache.recordPart({ part.part, part.tokens }, promptCacheBounds(upstream->record.service));
     }
     if (digest.scope == digest_scope::router)
-        m_summaryCachedParts.insert(m_summaryCachedParts.end(), digest.cachedParts.begin(), digest.cachedParts.end());
+        m_summaryCachedParts.add(digest.cachedParts);
 }
 
 void router_reducer::introduce(const digest_received& received)
@@ -132,12 +134,27 @@
     restartVersionHistory();
 }
 
-std::int64_t router_reducer::engineKvCacheTokens(const std::string& service) const
+prompt_cache_bounds router_reducer::promptCacheBounds(const std::string& service) const
 {
     if (!m_config)
-        return 0;
+        return {};
     const auto found = m_config->services.find(service);
-    return found != m_config->services.end() && found->second.engine ? found->second.engine->kvCacheTokens : 0;
+    if (found == m_config->services.end() || !found->second.engine)
+        return {};
+    return { found->second.engine->kvCacheTokens, modelledPartsOfUpstream() };
+}
+
+std::size_t router_reducer::modelledPartsOfUpstream() const
+{
+    return shareOfUpstream(divideMemory(memoryOf(m_options.settings)).promptCacheParts, m_upstreams.size(), minModelledParts);
+}
+
+// The share of each upstream becomes smaller when there are more of them, also of one to which nothing is sent any more.
+void router_reducer::limitPromptCaches()
+{
+    const auto parts = modelledPartsOfUpstream();
+    for (const auto& upstream : m_upstreams.all())
+        upstream->promptCache.limitParts(parts);
 }
 
 void router_reducer::exchangeDigests()
@@ -169,7 +186,7 @@
     m_digestSentAt = m_now;
     auto addresses = m_peers.digestTargets(m_now);
     if (addresses.empty())
-        return m_recentCachedParts.clear();
+        return static_cast<void>(m_recentCachedParts.take());
     emit(send_digest { std::move(addresses), makeDigest() });
 }
 
@@ -191,8 +208,8 @@
     digest.soleVersions = soleVersionReports(m_digestSlice);
     digest.reservations = m_gapProtection.ownReports(m_now);
     digest.leavingUpstreams = recentLeavingUpstreams();
-    m_summaryCachedParts.insert(m_summaryCachedParts.end(), m_recentCachedParts.begin(), m_recentCachedParts.end());
-    addCachedParts(digest, std::exchange(m_recentCachedParts, {}));
+    m_summaryCachedParts.add(m_recentCachedParts.parts());
+    addCachedParts(digest, m_recentCachedParts.take(), maxPartsPerDigest);
     return digest;
 }
 
@@ -219,11 +236,11 @@
 void router_reducer::sendSummary()
 {
     setTimer(timer_kind::summary, 0, m_now + m_peers.summaryInterval());
-    const auto recentParts = std::exchange(m_summaryCachedParts, {});
+    const auto recentParts = m_summaryCachedParts.take();
     if (!m_peers.isAggregator(m_now) || (m_terminating && m_requests.empty()))
         return;
     auto summary = makeSummary();
-    addCachedParts(summary, recentParts);
+    addCachedParts(summary, recentParts, maxPartsPerDigest);
     const bool idle = summary.loads.empty() && summary.slice.count == 1 && summary.cachedParts.empty();
     m_idleSummaries = idle ? m_idleSummaries + 1 : 0;
     if (m_idleSummaries > repeatedIdleDigests && m_now - m_summarySentAt < heartbeatInterval)
--- a/servers/router/router_reducer.h
+++ b/servers/router/router_reducer.h
@@ -2,6 +2,7 @@
 
 #include "core/caller_error.h"
 #include "core/timer_queue.h"
+#include "servers/router/cached_part_news.h"
 #include "servers/router/crash_tracker.h"
 #include "servers/router/gap_protection.h"
 #include "servers/router/limited_admission.h"
@@ -51,6 +52,9 @@
     const peer_group& peers() const { return m_peers; }
 
 private:
+    // So many prompt parts fit into a digest that has nothing else to report.
+    static constexpr std::size_t maxPartsPerDigest = 26;
+
     // How an attempt ended that produced no answer for the caller, by whether the upstream may have run the request.
     enum class attempt_end { never_sent,
         not_run,
@@ -101,7 +105,10 @@
     // Logs that an attempt goes on with a stream which an earlier attempt or request has begun.
     void logResumption(const request_progress&);
     void recordPromptPlacement(upstream_state&, const request_progress&);
-    std::int64_t engineKvCacheTokens(const std::string& service) const;
+    // How much of the prompt cache of an upstream of a service is modelled.
+    prompt_cache_bounds promptCacheBounds(const std::string& service) const;
+    std::size_t modelledPartsOfUpstream() const;
+    void limitPromptCaches();
     // Starts a second attempt at another upstream while the first one has no answer.
     void hedge(request_progress&);
     bool mayRetry(const request_progress&, attempt_end) const;
@@ -329,9 +336,9 @@
     // The connection checks that are in progress.
     std::unordered_map<std::uint64_t, shared_upstream> m_connectionChecks;
     // Prompt parts that were sent to upstreams since the last digest.
-    std::vector<cached_prompt_part> m_recentCachedParts;
+    cached_part_news m_recentCachedParts { maxPartsPerDigest };
     // Prompt parts of all routers of this data centre since the last summary, if this router is the aggregator.
-    std::vector<cached_prompt_part> m_summaryCachedParts;
+    cached_part_news m_summaryCachedParts { maxPartsPerDigest };
     // Select the slices of the next digest and the next summary.
     std::uint32_t m_digestSlice = 0;
     std::uint32_t m_summarySlice = 0;
--- a/servers/router/router_store.cpp
+++ b/servers/router/router_store.cpp
@@ -180,8 +180,10 @@
     }
     if (update.listedNames)
         removeUnlisted(*update.listedNames);
-    if (versionsMayDiffer)
+    if (versionsMayDiffer) {
         recordVersions();
+        limitPromptCaches();
+    }
 }
 
 // A complete list of the records has arrived.
--- a/tests/platform/request_codec_test.cpp
+++ b/tests/platform/request_codec_test.cpp
@@ -93,6 +93,19 @@
     CHECK(errorOf(refused)->message.find("soon") != std::string::npos);
 }
 
+TEST_CASE("prompt parts with a negative number of tokens are skipped", "[platform]")
+{
+    auto request = sampleRequest();
+    std::erase_if(request.headers, [](const http_header& header) { return header.name == "X-Prompt-Prefix"; });
+    request.headers.push_back({ "X-Prompt-Prefix", "a:10,b:-5,c:0" });
+    const auto decoded = decodeRequest(std::move(request));
+    REQUIRE(errorOf(decoded) == nullptr);
+    const auto& parts = valueOf(decoded).prompt.parts;
+    REQUIRE(parts.size() == 2);
+    CHECK(parts[0].tokens == 10);
+    CHECK(parts[1].tokens == 0);
+}
+
 TEST_CASE("a decoded answer states whether the request was run and whether it is signed", "[platform]")
 {
     const auto full = decodeAnswer({ 503, { { "X-Not-Executed", "1" }, { "Connection", "close" } }, 0, false });
--- a/tests/servers/router/foreign_memory_test.cpp
+++ b/tests/servers/router/foreign_memory_test.cpp
@@ -1,3 +1,4 @@
+#include "core/memory_shares.h"
 #include "tests/support/router_fixture.h"
 
 #include <catch2/catch.hpp>
@@ -75,6 +76,49 @@
     }
 }
 
+// Guards against a bound that makes placement worse: ordinary prompts are modelled as without it, on the smallest instance too.
+TEST_CASE("the bound of modelled prompt parts changes nothing for ordinary prompts, with few or very many upstreams", "[memory]")
+{
+    constexpr std::int64_t capacityTokens = 438321;
+    constexpr std::size_t noBound = 1'000'000'000;
+    for (const std::size_t upstreams : { 9, 790 }) {
+        INFO(upstreams << " upstreams");
+        prompt_cache_model unbounded;
+        prompt_cache_model bounded;
+        const auto parts = shareOfUpstream(divideMemory(instanceBytes).promptCacheParts, upstreams, 1);
+        for (std::uint64_t request = 0; request < 3000; ++request) {
+            prompt_description prompt;
+            prompt.parts = { { 1 + request % 3, 6000 }, { 10 + request % 7, 300 }, { 1000 + request, 2890 } };
+            CHECK(bounded.uncachedPromptTokens(prompt) == unbounded.uncachedPromptTokens(prompt));
+            unbounded.recordPrompt(prompt, { capacityTokens, noBound });
+            bounded.recordPrompt(prompt, { capacityTokens, parts });
+        }
+        CHECK(bounded.partCount() == unbounded.partCount());
+    }
+}
+
+TEST_CASE("when upstreams are added, the models of the others give up what goes beyond their share", "[memory]")
+{
+    memory_fixture fixture;
+    for (caller_id caller = 1; caller <= 60; ++caller) {
+        fixture.sendPrompt(caller, 1);
+        fixture.step(caller_left { caller });
+    }
+    std::vector<upstream_record> records { router_fixture::makeUpstream("llm-1", "llm", 1001), router_fixture::makeUpstream("llm-2", "llm", 1002) };
+    for (int number = 3; number <= 400; ++number)
+        records.push_back(router_fixture::makeUpstream("llm-" + std::to_string(number), "llm", static_cast<std::uint16_t>(1000 + number)));
+    store_changes<upstream_record> changes;
+    changes.revision = 6;
+    for (const auto& record : records)
+        changes.entries.push_back({ record.id, 6, record });
+    fixture.step(upstreams_read { fixture.upstreamRead, std::move(changes) });
+    REQUIRE(fixture.reducer.upstreams().size() > 400);
+    std::size_t parts = 0;
+    for (const auto& upstream : fixture.reducer.upstreams().all())
+        parts += upstream->promptCache.partCount();
+    CHECK(parts <= divideMemory(instanceBytes).promptCacheParts);
+}
+
 TEST_CASE("what attempts with very many prompt parts leave as suspects when they break off does not fill the memory of a router", "[memory]")
 {
     memory_fixture fixture;
--- a/tests/servers/router/gap_protection_test.cpp
+++ b/tests/servers/router/gap_protection_test.cpp
@@ -116,7 +116,7 @@
         const auto selected = place(least_prefill {}, { .upstreams = item.upstreams, .callerRequest = request, .excluded = excluded, .dataCentre = "dc-" + std::to_string(routerIndex % 3), .peers = item.peers, .now = now, .reservedShare = protects ? item.protection.reservedShare("llm", now) : std::nullopt, .isGapSensitive = isSensitive });
         REQUIRE(selected.upstream);
         for (auto& other : routers)
-            findUpstream(other, *selected.upstream)->promptCache.recordPrompt(request.prompt, 500000);
+            findUpstream(other, *selected.upstream)->promptCache.recordPrompt(request.prompt, { 500000, 10000 });
         selected.upstream->uncachedPromptTokens += selected.uncachedPromptTokens;
         const auto index = static_cast<std::size_t>(std::find(item.upstreams.begin(), item.upstreams.end(), selected.upstream) - item.upstreams.begin());
         engines[index].add({ .uncachedTokens = std::max(1.0, selected.uncachedPromptTokens), .eventsLeft = isSensitive ? 43 : 30, .id = attempts.size() }, now);
--- a/tests/servers/router/placement_test.cpp
+++ b/tests/servers/router/placement_test.cpp
@@ -33,7 +33,7 @@
     placement_fixture fixture;
     const auto affinityUpstream = fixture.choose(least_prefill {}).upstream;
     const auto other = *std::find_if(fixture.upstreams.begin(), fixture.upstreams.end(), [&](const auto& item) { return item != affinityUpstream; });
-    other->promptCache.recordPrompt(fixture.request.prompt, 100000);
+    other->promptCache.recordPrompt(fixture.request.prompt, { 100000, 1000 });
     CHECK(fixture.choose(least_prefill {}).upstream == other);
     CHECK(fixture.choose(least_prefill {}).uncachedPromptTokens == 0);
     other->uncachedPromptTokens = 40000;
@@ -84,10 +84,10 @@
 TEST_CASE("a full cache model evicts the least recently used parts, and a part after an uncached one counts as uncached", "[router]")
 {
     prompt_cache_model model;
-    model.recordPart({ 1, 60 }, 100);
-    model.recordPart({ 2, 30 }, 100);
-    model.recordPart({ 1, 60 }, 100);
-    model.recordPart({ 3, 40 }, 100);
+    model.recordPart({ 1, 60 }, { 100, 1000 });
+    model.recordPart({ 2, 30 }, { 100, 1000 });
+    model.recordPart({ 1, 60 }, { 100, 1000 });
+    model.recordPart({ 3, 40 }, { 100, 1000 });
     prompt_description prompt;
     prompt.parts = { { 1, 60 } };
     CHECK(model.uncachedPromptTokens(prompt) == 0);
