Bound what broken attempts and kept error answers hold

What callers can make a router hold: each attempt that breaks off leaves a suspect for each part of its prompt for 6 s, and an error answer of up to 1 MB is kept for as long as a retry runs, both in no account.

Change: the suspects at an upstream have a share of the instance's memory (core/memory_shares); the attempt with most suspects is dropped first, so that prompts in thousands of parts do not push out the evidence of ordinary ones. Answers to suspects are bounded like the suspects. An error answer of over 16 kB is not kept beside a retry: if that fails too, the caller gets the router's own 502, which promises nothing.

The sound server of answer_memory_test sends one event at least: the sound stream could be ended before its first one (seen once, in the form "bytes that are no answer").

--- a/servers/router/crash_tracker.cpp
+++ b/servers/router/crash_tracker.cpp
@@ -27,6 +27,7 @@
     constexpr auto probationTime = std::chrono::hours(1);
     // A router that has seen fewer answers than this since its start can't tell that a prompt part is never answered.
     constexpr std::size_t minObservedAnswers = 20;
+    // Of suspects, and of those that were answered.
     constexpr std::size_t maxSuspects = 4096;
     constexpr std::size_t maxCrashesPerSuspect = 16;
     constexpr std::size_t maxKnownCrashes = 512;
@@ -210,9 +211,16 @@
     const auto answer = m_history.find(suspect);
     if (!answer || now - answer->at > evidenceTime)
         return;
+    rememberAnswer(suspect, *answer, now);
+}
+
+void crash_tracker::rememberAnswer(const crash_suspect& suspect, const observed_answer& answer, instant now)
+{
     auto& latest = m_answers[suspect];
-    if (latest.answer.at < answer->at)
-        latest = { *answer, now };
+    if (latest.answer.at < answer.at)
+        latest = { answer, now };
+    if (m_answers.size() > maxSuspects)
+        m_answers.erase(std::min_element(m_answers.begin(), m_answers.end(), [](const auto& left, const auto& right) { return left.second.answer.at < right.second.answer.at; }));
 }
 
 void crash_tracker::recordAnswer(const std::vector<crash_suspect>& suspects, instant answeredAt, news_origin origin, instant now)
@@ -223,9 +231,7 @@
         const auto refused = m_refusals.find(suspect);
         if (found == m_crashes.end() && refused == m_refusals.end())
             continue;
-        auto& latest = m_answers[suspect];
-        if (latest.answer.at < answeredAt)
-            latest = { { answeredAt, origin }, now };
+        rememberAnswer(suspect, { answeredAt, origin }, now);
         if (found != m_crashes.end()) {
             std::erase_if(found->second, [answeredAt](const observed_crash& item) { return item.at <= answeredAt; });
             if (found->second.empty())
--- a/servers/router/crash_tracker.h
+++ b/servers/router/crash_tracker.h
@@ -77,6 +77,8 @@
     int count(const crash_suspect&, const observed_crashes&) const;
     // Whether no upstream has answered the suspect lately, as far as this router would know.
     bool isNeverAnswered(const crash_suspect&) const;
+    // Keeps the newest answer to a suspect, in place of the oldest of all if there are too many.
+    void rememberAnswer(const crash_suspect&, const observed_answer&, instant now);
     // Takes over what is remembered of answers to a suspect when it is found at a crash.
     void recallAnswer(const crash_suspect&, instant now);
     // Whether the crashes suffice to refuse a suspect for them.
--- a/servers/router/router_answering.cpp
+++ b/servers/router/router_answering.cpp
@@ -19,6 +19,8 @@
     constexpr std::size_t maxBufferedAnswerBytesIfShort = 16 * 1024;
     // An upstream that sends more bytes without the end of an event sends no event stream.
     constexpr std::size_t maxEventBytes = 1024 * 1024;
+    // A larger error answer is not kept beside a retry, since no account holds it once its attempt has ended.
+    constexpr std::size_t maxKeptFailureBytes = 16 * 1024;
     constexpr std::string_view eventStreamType = "text/event-stream";
 
     bool isSuccess(int status)
@@ -204,7 +206,9 @@
     if (!isSuccess(status) && status >= statusInternalServerError && progress.matchedRoute->repeatable()) {
         progress.failedAnswer = std::move(answer);
         progress.failedBody = std::move(body);
-        return failAttempt(progress, number, attempt_end::may_have_run, "status " + std::to_string(status));
+        const auto caller = progress.caller;
+        failAttempt(progress, number, attempt_end::may_have_run, "status " + std::to_string(status));
+        return dropLargeFailure(caller);
     }
     // The upstream has not stated that the request was not run, so the caller must not receive a status that implies it.
     if (impliesNotRun(status))
@@ -231,6 +235,17 @@
         addBrokenAttempt(*upstream, std::move(*uncertainEnd));
 }
 
+// If the retry fails too, the caller gets an error of the router's own in place of a large one.
+void router_reducer::dropLargeFailure(caller_id caller)
+{
+    const auto found = m_requests.find(caller);
+    if (found == m_requests.end() || found->second.failedBody.size() <= maxKeptFailureBytes)
+        return;
+    found->second.failedAnswer.reset();
+    found->second.failedBody.clear();
+    found->second.failedBody.shrink_to_fit();
+}
+
 void router_reducer::answerWithFailure(request_progress& progress)
 {
     if (progress.replyStarted) {
--- a/servers/router/router_crash_detection.cpp
+++ b/servers/router/router_crash_detection.cpp
@@ -1,6 +1,7 @@
 #include "servers/router/router_reducer.h"
 
 #include "core/hash.h"
+#include "core/memory_shares.h"
 
 #include <algorithm>
 
@@ -19,6 +20,22 @@
     constexpr auto connectionCheckTimeout = std::chrono::milliseconds(500);
     // Requests are not sent to an upstream that has just crashed, unless there is no other.
     constexpr auto crashBackoff = std::chrono::milliseconds(1000);
+    // Prompts of some tens of parts leave about so many suspects at an upstream that breaks off all it runs.
+    constexpr std::size_t minBrokenSuspects = 1024;
+
+    // Drops attempts until the others have no more suspects, those with most first. An ordinary prompt has few parts, and what crashes
+    // upstreams is found from several attempts.
+    void limitSuspects(std::vector<broken_attempt>& attempts, std::size_t maxSuspects)
+    {
+        std::size_t suspects = 0;
+        for (const auto& item : attempts)
+            suspects += item.suspects.size();
+        while (suspects > maxSuspects && attempts.size() > 1) {
+            const auto largest = std::max_element(attempts.begin(), attempts.end(), [](const broken_attempt& left, const broken_attempt& right) { return left.suspects.size() < right.suspects.size(); });
+            suspects -= largest->suspects.size();
+            attempts.erase(largest);
+        }
+    }
 
 } // namespace
 
@@ -26,6 +43,7 @@
 {
     std::erase_if(upstream.brokenAttempts, [this](const broken_attempt& item) { return m_now - item.brokenAt > disappearanceWindow; });
     upstream.brokenAttempts.push_back(std::move(broken));
+    limitSuspects(upstream.brokenAttempts, shareOfUpstream(divideMemory(memoryOf(m_options.settings)).brokenSuspects, m_upstreams.size(), minBrokenSuspects));
     if (upstream.crashedAt && m_now - *upstream.crashedAt <= crashAttributionWindow)
         recordCrash(upstream, crashAttributionWindow);
 }
--- a/servers/router/router_reducer.h
+++ b/servers/router/router_reducer.h
@@ -254,6 +254,7 @@
     void completeReply(request_progress&, attempt_number);
     void onCompleteAnswer(request_progress&, attempt_number);
     void onStreamEnd(request_progress&, attempt_number);
+    void dropLargeFailure(caller_id);
     void answerWithFailure(request_progress&);
     void timeOut(request_progress&);
     // Records the end of a request to an engine, and the longest gap of its stream if it is sensitive to gaps.
--- a/tests/drivers/answer_memory_test.cpp
+++ b/tests/drivers/answer_memory_test.cpp
@@ -97,11 +97,11 @@
         asio::streambuf received;
         asio::read_until(socket, received, "\r\n\r\n", failure);
         asio::write(socket, asio::buffer(std::string("HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n")), failure);
-        while (!m_ends && !failure) {
+        do {
             asio::write(socket, asio::buffer(std::string("9\r\ndata: x\n\n\r\n")), failure);
             m_eventsSent += failure ? 0 : 1;
             std::this_thread::sleep_for(std::chrono::milliseconds(5));
-        }
+        } while (!m_ends && !failure);
         asio::write(socket, asio::buffer(std::string("0\r\n\r\n")), failure);
     }
 
