Give up an answer of the store that does not end

Cause: router_store_client kept what the store sent without a bound, and the account ends answers of the store last, so that one without end would have cost callers their connections. The read fails from 8 MB on and is repeated by the usual rules.

The test holds with the change; it was not run on the code before.

--- a/processes/router_store_client.cpp
+++ b/processes/router_store_client.cpp
@@ -7,6 +7,14 @@
 
 namespace kumquat {
 
+namespace {
+
+    // A page of the records of 800 upstreams has under 1 MB, and so has a configuration. An answer without end must not take the memory
+    // of callers, which are closed before an answer of the store.
+    constexpr std::size_t maxAnswerBytes = 8'000'000;
+
+} // namespace
+
 router_store_client::router_store_client(reactor& loop, connection_guard& guard, metrics_registry& metrics, std::function<void(router::router_event)> post)
     : m_metrics(metrics)
     , m_post(std::move(post))
@@ -19,7 +27,10 @@
     return {
         .onHead = [this](call_id call, const http_answer_head& head) { m_calls[call].head = head; },
         .onBody = [this](call_id call, std::string_view bytes) {
-            m_calls[call].body.append(bytes);
+            auto& started = m_calls[call];
+            started.body.append(bytes);
+            if (started.body.size() > maxAnswerBytes)
+                return refuseLargeAnswer(call, started.usedFor);
             m_post(router::store_read_progressed { call }); },
         .onEnd = [this](call_id call) { finish(call); },
         .onFailed = [this](call_id call, const http_call_failure& failure) {
@@ -90,6 +101,13 @@
     }
 }
 
+void router_store_client::refuseLargeAnswer(call_id call, purpose usedFor)
+{
+    m_client.cancel(call);
+    m_calls.erase(call);
+    fail(call, usedFor, "the answer has more than " + std::to_string(maxAnswerBytes) + " bytes");
+}
+
 void router_store_client::fail(call_id call, purpose usedFor, const std::string& reason)
 {
     switch (usedFor) {
--- a/processes/router_store_client.h
+++ b/processes/router_store_client.h
@@ -39,6 +39,7 @@
     http_client::handlers makeHandlers();
     void send(call_id, purpose, const endpoint& store, std::string bytes);
     void finish(call_id);
+    void refuseLargeAnswer(call_id, purpose usedFor);
     void fail(call_id, purpose, const std::string& reason);
 
     metrics_registry& m_metrics;
--- a/tests/drivers/answer_memory_test.cpp
+++ b/tests/drivers/answer_memory_test.cpp
@@ -1,4 +1,6 @@
 #include "drivers/asio/http_client.h"
+#include "drivers/prometheus/metrics_registry.h"
+#include "processes/router_store_client.h"
 #include "servers/router/stream_assembler.h"
 
 #include <array>
@@ -253,6 +255,28 @@
         CHECK(server->wasClosed());
 }
 
+TEST_CASE("an answer of the store without end is given up before it takes the memory of callers", "[memory]")
+{
+    endless_server server(basePort + 21, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "3e8\r\n" + std::string(1000, 'x') + "\r\n");
+    reactor loop;
+    connection_guard guard([](const connection_guard::closing&) {});
+    metrics_registry metrics;
+    std::size_t mostHeld = 0;
+    std::string reason;
+    router_store_client store(loop, guard, metrics, [&](const router::router_event& event) {
+        mostHeld = std::max(mostHeld, guard.budget().heldBytes());
+        if (const auto* read = std::get_if<router::config_read>(&event)) {
+            reason = std::get<store_read_failed>(read->outcome).reason;
+            loop.stop();
+        }
+    });
+    store.start(router::read_store { .read = 1, .kind = store_kind::configuration }, { "127.0.0.1", basePort + 21 });
+    loop.run();
+    CHECK(reason.find("more than 8000000 bytes") != std::string::npos);
+    CHECK(mostHeld < 9'000'000);
+    CHECK(guard.budget().heldBytes() == 0);
+}
+
 // Guards against heads that no account counts: many answers at a time, each with a head that stops short of its end.
 TEST_CASE("the heads of upstreams' answers count in the memory of connections", "[memory]")
 {
