Give each test of turns a port of its own

run_unit_tests.sh runs each test case in a process of its own, several at a time, and the three cases listened on one port. Found by reading; none had failed.

--- a/tests/drivers/http_turns_test.cpp
+++ b/tests/drivers/http_turns_test.cpp
@@ -13,14 +13,16 @@
 
 namespace {
 
-constexpr std::uint16_t port = 24880;
+// Each test uses its own port, counted from this one.
+constexpr std::uint16_t basePort = 24880;
 constexpr std::size_t crowdConnections = 100;
 constexpr std::size_t requestsAhead = 500;
 
 // Runs a server until it has taken a request for /ordinary, and counts those that it took before.
 class turn_fixture {
 public:
-    turn_fixture()
+    explicit turn_fixture(std::uint16_t port)
+        : m_port(port)
     {
         auto opened = http_server::open(m_loop, m_guard, { "127.0.0.1", port },
             { .onRequest = [this](connection_id id, const http_request& request) { answer(id, request); },
@@ -35,7 +37,7 @@
     void send(const std::string& bytes)
     {
         auto& socket = m_callers.emplace_back(m_context);
-        socket.connect({ asio::ip::make_address_v4("127.0.0.1"), port });
+        socket.connect({ asio::ip::make_address_v4("127.0.0.1"), m_port });
         asio::write(socket, asio::buffer(bytes));
     }
 
@@ -74,6 +76,7 @@
         m_server->answer(id, { 404, {}, 0, true }, "");
     }
 
+    std::uint16_t m_port;
     reactor m_loop;
     connection_guard m_guard { [](const connection_guard::closing&) {} };
     std::unique_ptr<http_server> m_server;
@@ -88,7 +91,7 @@
 
 TEST_CASE("a caller that connects behind a crowd which sends ahead waits for two requests of each connection at most", "[http][turns]")
 {
-    turn_fixture fixture;
+    turn_fixture fixture(basePort);
     fixture.sendCrowd();
     fixture.sendOrdinary();
     CHECK(fixture.countBeforeOrdinary() <= 2 * crowdConnections);
@@ -96,7 +99,7 @@
 
 TEST_CASE("a caller that connects while a crowd sends ahead waits for two requests of each connection at most", "[http][turns]")
 {
-    turn_fixture fixture;
+    turn_fixture fixture(basePort + 1);
     fixture.sendCrowd();
     fixture.onFirstTaken([&] { fixture.sendOrdinary(); });
     CHECK(fixture.countBeforeOrdinary() <= 2 * crowdConnections);
@@ -106,7 +109,7 @@
 {
     // The server stops reading above 128 KB and reads 64 KB at a time; a buffer grows by doubling.
     constexpr std::size_t maxHeldBytes = 2 * (131072 + 65536);
-    turn_fixture fixture;
+    turn_fixture fixture(basePort + 2);
     std::string ahead;
     while (ahead.size() < 1'500'000)
         ahead += "GET /crowd HTTP/1.1\r\nHost: h\r\nX-Filler: " + std::string(1000, 'x') + "\r\n\r\n";
