Bound what the dearest heads cost by their size

It fails where the slope on a log scale is 1.1 or more, or where a head that is read at once costs 4 million instructions. The counts leave time out, so that the verdict repeats. hostile_clients_test plays such heads as the form dear_heads.

Not covered: datagrams of peers, the store's objects, and what the reducer does with many prompt parts.

--- a/misc/test.sh
+++ b/misc/test.sh
@@ -19,5 +19,6 @@
 run_tests release
 BENCH_THREADS=$(nproc) misc/bench.sh
 misc/cost_bench.sh
+misc/head_cost.sh
 misc/check_model.sh
 misc/fuzz.sh
--- a/tests/process/hostile_clients_test.sh
+++ b/tests/process/hostile_clients_test.sh
@@ -102,6 +102,7 @@
 play_form body_complete 60 $instance_fds /read/hold
 play_form body_over 60 $instance_fds /read/ordinary
 play_form short_fields 400 $instance_fds /read/ordinary
+play_form dear_heads 60 $instance_fds /read/ordinary
 play_form pipeline 400 $instance_fds /read/large
 play_form slow_read 400 $instance_fds /read/large
 play_form slow_send 300 $lowered_fds /read/ordinary
