Notice a close of a caller that has sent more ahead than is read

Cause: above 128 KB of what was sent ahead a connection is not read, and only a read showed its end.

The check runs over ids, since a caller's end may close other connections too.

Seen: the test of this name in http_turns_test, a caller with 200 kB ahead that closes while its request is in progress: not noticed in 10 s before, noticed now. Not covered: a caller that has sent more than the kernel's buffer takes. Its close follows those bytes, and reaches the router only when it reads them.

--- a/drivers/asio/http_server_connections.cpp
+++ b/drivers/asio/http_server_connections.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <asio/post.hpp>
+#include <poll.h>
 
 namespace kumquat {
 
@@ -19,6 +20,13 @@
     // closes the socket after this time, unless the caller closes it first.
     constexpr auto lingerTimeout = std::chrono::seconds(1);
 
+    // Whether the caller has closed its side, also if bytes that have not been read precede the close.
+    bool isClosedByCaller(asio::ip::tcp::socket& socket)
+    {
+        pollfd state { socket.native_handle(), POLLRDHUP, 0 };
+        return ::poll(&state, 1, 0) > 0;
+    }
+
 } // namespace
 
 caller_connection* http_server::implementation::find(connection_id id)
@@ -97,13 +105,15 @@
         if (failure)
             return;
         const auto now = std::chrono::steady_clock::now();
-        // checkTimeouts() may erase the connection from the map, so the loop runs over a copy of the pointers.
-        std::vector<caller_connection*> connectionsToCheck;
+        // checkTimeouts() may close connections, also others than the one it checks, so the loop runs over a copy of the ids.
+        std::vector<connection_id> connectionsToCheck;
         connectionsToCheck.reserve(self->connections.size());
         for (const auto& [id, connection] : self->connections)
-            connectionsToCheck.push_back(connection.get());
-        for (auto* connection : connectionsToCheck)
-            self->checkTimeouts(*connection, now);
+            connectionsToCheck.push_back(id);
+        for (const auto id : connectionsToCheck) {
+            if (auto* connection = self->find(id))
+                self->checkTimeouts(*connection, now);
+        }
         self->relieve(now);
         self->scheduleTimeoutCheck();
     });
@@ -114,6 +124,11 @@
     using phase = server_connection::phase;
     const auto elapsed = now - connection.state.phaseStart();
     const auto current = connection.state.current();
+    // A connection that is not read shows no end of its bytes.
+    if (current == phase::answering && !connection.readWaitPending && isClosedByCaller(connection.socket)) {
+        callbacks.onDisconnected(connection.id);
+        return close(connection);
+    }
     if (current == phase::idle && elapsed > limits.idleTimeout)
         return close(connection);
     // The complete request, head and body, has to arrive within the sum of both timeouts.
--- a/tests/drivers/http_turns_test.cpp
+++ b/tests/drivers/http_turns_test.cpp
@@ -117,3 +117,31 @@
     fixture.countBeforeOrdinary();
     CHECK(fixture.mostHeldBytes() < maxHeldBytes);
 }
+
+TEST_CASE("a caller that has sent more ahead than the server reads, and closes, is noticed while its request is in progress", "[http][turns]")
+{
+    // Ends a run in which the close goes unnoticed.
+    constexpr auto maxRunTime = std::chrono::seconds(10);
+    constexpr std::uint16_t port = basePort + 3;
+    reactor loop;
+    connection_guard guard { [](const connection_guard::closing&) {} };
+    asio::io_context context;
+    tcp::socket caller(context);
+    bool noticed = false;
+    auto opened = http_server::open(loop, guard, { "127.0.0.1", port },
+        { .onRequest = [&](connection_id, const http_request&) { loop.post([&] { caller.close(); }); },
+            .onDisconnected = [&](connection_id) {
+                noticed = true;
+                loop.stop(); },
+            .onWritable = [](connection_id) {},
+            .onRefused = [](int) {} });
+    REQUIRE(errorOf(opened) == nullptr);
+    caller.connect({ asio::ip::make_address_v4("127.0.0.1"), port });
+    std::string ahead;
+    while (ahead.size() < 200'000)
+        ahead += "GET /crowd HTTP/1.1\r\nHost: h\r\n\r\n";
+    asio::write(caller, asio::buffer(ahead));
+    loop.setTimer(std::chrono::steady_clock::now() + maxRunTime, [&] { loop.stop(); });
+    loop.run();
+    CHECK(noticed);
+}
