--- a/drivers/asio/http_server_closing.cpp
+++ b/drivers/asio/http_server_closing.cpp
@@ -1,6 +1,7 @@
 #include "drivers/asio/http_server_connections.h"
 
 #include <algorithm>
+#include <poll.h>
 
 // How connections of callers are closed: at a timeout, at a bound and in a planned stop. Before a connection is closed that waits for a
 // request, what the kernel has received is read, since closing a socket with unread bytes resets the connection, and the caller would
@@ -19,6 +20,13 @@
     // At the end of the process a caller that sends without end is read this often.
     constexpr int maxLastReads = 16;
 
+    // Whether the caller has closed its side, also if bytes that have not been read precede the close.
+    bool isClosedByCaller(asio::ip::tcp::socket& socket)
+    {
+        pollfd state { socket.native_handle(), POLLRDHUP, 0 };
+        return ::poll(&state, 1, 0) > 0;
+    }
+
     const char* nameOf(server_connection::phase phase)
     {
         static constexpr const char* names[] = { "idle", "reading", "answering", "sending", "closing" };
@@ -99,7 +107,14 @@
 {
     using phase = server_connection::phase;
     auto* connection = find(id);
-    if (!connection || !isOverdue(connection->state, now))
+    if (!connection)
+        return;
+    // A connection that is not read shows no end of its bytes.
+    if (connection->state.current() == phase::answering && !connection->readWaitPending && isClosedByCaller(connection->socket)) {
+        callbacks.onDisconnected(id);
+        return close(*connection);
+    }
+    if (!isOverdue(connection->state, now))
         return;
     connection = readReceived(id);
     if (!connection || !isOverdue(connection->state, now))
