Answer the requests of an entry that stops at its drain limit

What callers saw: at drain_limit_ms their requests got no answer, and the process did not end, since it waits for the answer to each request. Cause: as in the router, stopping looked only at the time; requests in progress were left without an end. Evidence: the new test saw no fail_answer. Fix: each request is failed with what is known of it: draining if it has not run, else outcome_unknown; attempts without a claim are withdrawn.

--- a/servers/entry/entry_recovery.cpp
+++ b/servers/entry/entry_recovery.cpp
@@ -114,6 +114,19 @@
     removeRequest(record);
 }
 
+// The process ends only when each caller has its answer, so that a request without one would hold it for ever.
+void entry_reducer::failAllRequests()
+{
+    while (!m_requests.empty()) {
+        auto& record = m_requests.begin()->second;
+        withdrawAttempt(record);
+        if (record.attempt && record.ran == ran_state::no)
+            record.ran = ran_state::unknown;
+        const bool hasNotRun = record.ran == ran_state::no;
+        failRequest(record, { .code = hasNotRun ? error_code::draining : error_code::outcome_unknown, .message = "the entry stops before the request has ended" });
+    }
+}
+
 void entry_reducer::removeRequest(request_record& record)
 {
     endAttempt(record);
--- a/servers/entry/entry_reducer.cpp
+++ b/servers/entry/entry_reducer.cpp
@@ -88,6 +88,7 @@
         return;
     m_stopped = true;
     m_effects->push_back(log_event { log_level::info, "drain_finished", { { "requests", std::to_string(m_requests.size()) } } });
+    failAllRequests();
     m_effects->push_back(stop_entry {});
 }
 
--- a/servers/entry/entry_reducer.h
+++ b/servers/entry/entry_reducer.h
@@ -132,6 +132,8 @@
     void finishWhenComplete(request_record&);
     void completeRequest(request_record&, const std::string& finishReason, std::uint32_t promptTokens);
     void failRequest(request_record&, caller_error);
+    // Answers every request that is in progress, at the end of a drain.
+    void failAllRequests();
     void removeRequest(request_record&);
     void withdrawAttempt(const request_record&);
     peer_identity self() const { return { m_options.id, m_options.address, m_options.incarnation }; }
--- a/tests/servers/entry_reducer_test.cpp
+++ b/tests/servers/entry_reducer_test.cpp
@@ -120,6 +120,21 @@
     CHECK(only<stop_entry>(fixture.receive(offer_finished { .header = header, .chunkCount = 0 })).size() == 1);
 }
 
+TEST_CASE("an entry that stops at its drain limit answers the requests in progress, with what it knows of them")
+{
+    entry_fixture fixture(0);
+    const auto waiting = fixture.sendRequest("/services/dwumadie/passes");
+    REQUIRE(offersIn(waiting).size() == 1);
+    fixture.step(entry_drain_requested {});
+    fixture.now += std::chrono::milliseconds(600000);
+    const auto effects = fixture.step(entry_timer_due {});
+    const auto failures = only<fail_answer>(effects);
+    REQUIRE(failures.size() == 1);
+    CHECK(failures.front().error.ran == ran_state::unknown);
+    CHECK(only<stop_entry>(effects).size() == 1);
+    CHECK(fixture.reducer.requests().empty());
+}
+
 TEST_CASE("entry dispatches a request that is not repeatable and has a key only after its claim is granted")
 {
     entry_fixture fixture;
