Begin no stream that a stop would cut, and let others end until the process does

Callers saw streams cut in their middle by planned stops.

completion_times keeps how long the latest requests of each route took. A request that most likely outlasts the stop is refused as not run, with Retry-After, if another router is known. Streams are broken off 150 ms before the end of the process, since they need no time for an answer.

In foreign_memory_test an event that was passed on before is repeated where the stream goes on, since the first attempt is now passed on unchanged.

--- a/servers/router/router_answering.cpp
+++ b/servers/router/router_answering.cpp
@@ -196,6 +196,7 @@
     const auto status = attempt.answer->head.status;
     recordRun(progress, attempt, attempt.startedAt);
     recordCompletion(progress, attempt);
+    m_completionTimes.record(progress.matchedRoute->name, m_now - progress.arrivedAt);
     removeAttempt(progress, number);
     emit(end_reply { progress.caller });
     finish(progress, status, "streamed");
@@ -227,8 +228,10 @@
     // An answer without events on a streaming route is a run only if it is a success.
     if (isSuccess(status) || !progress.matchedRoute->streaming)
         recordRun(progress, attempt, attempt.startedAt);
-    if (isSuccess(status))
+    if (isSuccess(status)) {
         recordCompletion(progress, attempt);
+        m_completionTimes.record(progress.matchedRoute->name, m_now - progress.arrivedAt);
+    }
     removeAttempt(progress, number);
     cancelAttempts(progress);
     answer.head.contentLength = body.size();
@@ -275,6 +278,7 @@
 void router_reducer::timeOut(request_progress& progress)
 {
     const bool mayHaveRun = progress.mayHaveRun();
+    m_completionTimes.record(progress.matchedRoute->name, m_now - progress.arrivedAt);
     cancelAttempts(progress);
     if (progress.replyStarted) {
         emit(abort_reply { progress.caller });
--- a/servers/router/router_reducer.cpp
+++ b/servers/router/router_reducer.cpp
@@ -170,6 +170,8 @@
         return closeIdle();
     case timer_kind::last_answers:
         return giveLastAnswers();
+    case timer_kind::break_streams:
+        return breakStreams();
     case timer_kind::stop:
         return emit(stop_router {});
     }
--- a/servers/router/router_reducer.h
+++ b/servers/router/router_reducer.h
@@ -3,6 +3,7 @@
 #include "core/caller_error.h"
 #include "core/timer_queue.h"
 #include "servers/router/cached_part_news.h"
+#include "servers/router/completion_times.h"
 #include "servers/router/crash_tracker.h"
 #include "servers/router/gap_protection.h"
 #include "servers/router/limited_admission.h"
@@ -97,6 +98,8 @@
     // Ends every request that is in progress, with an answer if none has begun.
     void giveLastAnswers();
     void giveLastAnswer(request_progress&);
+    // Breaks off the streams that are in progress, before the process ends.
+    void breakStreams();
     void logCut(const request_progress&);
     bool canServe() const;
     bool keysAreFresh(instant now) const;
@@ -394,6 +397,7 @@
     instant m_storeHealthySince;
     // Present once the process has been asked to stop.
     std::optional<shutdown_plan> m_shutdown;
+    completion_times m_completionTimes;
     instant m_now;
     router_effects* m_effects = nullptr;
     timer_queue<timer_key> m_timers;
--- a/servers/router/router_shutdown.cpp
+++ b/servers/router/router_shutdown.cpp
@@ -16,9 +16,13 @@
 
 std::optional<caller_error> router_reducer::refuseBeforeShutdown(const request_progress& progress) const
 {
-    if (!m_shutdown || m_shutdown->accepts(m_now, progress.deadline))
+    if (!m_shutdown)
         return std::nullopt;
-    return caller_error { error_code::draining, "this router stops before the deadline of the request", ran_state::no, retryAtOtherRouter };
+    // Without another router, a request that may be cut is better off than one that is refused.
+    const auto usualTime = m_peers.count() > 0 ? m_completionTimes.usualTime(progress.matchedRoute->name) : std::nullopt;
+    if (m_shutdown->accepts(m_now, progress.deadline, m_now + usualTime.value_or(duration {})))
+        return std::nullopt;
+    return caller_error { error_code::draining, "this router stops before the request would be answered", ran_state::no, retryAtOtherRouter };
 }
 
 void router_reducer::on(termination_requested&&)
@@ -47,9 +51,30 @@
 {
     if (!m_requests.empty())
         log(log_level::warning, "router_stopped_with_requests", { { "requests", std::to_string(m_requests.size()) } });
-    while (!m_requests.empty())
-        giveLastAnswer(m_requests.begin()->second);
+    std::vector<caller_id> unanswered;
+    for (const auto& [caller, progress] : m_requests) {
+        if (!progress.replyStarted)
+            unanswered.push_back(caller);
+    }
+    for (const auto caller : unanswered)
+        giveLastAnswer(m_requests.at(caller));
     emit(refuse_unread_requests {});
+    setTimer(timer_kind::break_streams, 0, m_shutdown->streamsBreakAt(m_now));
+}
+
+void router_reducer::breakStreams()
+{
+    while (!m_requests.empty()) {
+        auto& progress = m_requests.begin()->second;
+        if (!progress.replyStarted) {
+            giveLastAnswer(progress);
+            continue;
+        }
+        logCut(progress);
+        cancelAttempts(progress);
+        emit(abort_reply { progress.caller });
+        finish(progress, 0, "stream_stopped");
+    }
     setTimer(timer_kind::stop, 0, m_shutdown->endsAt(m_now));
 }
 
@@ -58,10 +83,6 @@
     logCut(progress);
     const bool mayHaveRun = progress.mayHaveRun();
     cancelAttempts(progress);
-    if (progress.replyStarted) {
-        emit(abort_reply { progress.caller });
-        return finish(progress, 0, "stream_stopped");
-    }
     const caller_error refusal = mayHaveRun
         ? caller_error { error_code::timeout, "this router stops, and no complete answer has arrived", ran_state::unknown, std::nullopt }
         : caller_error { error_code::draining, "this router stops, and no upstream has accepted the request", ran_state::no, retryAtOtherRouter };
--- a/servers/router/router_store.cpp
+++ b/servers/router/router_store.cpp
@@ -255,6 +255,7 @@
         updateStreamLifetime();
         m_urgencies = urgency_order(*m_config);
         m_gapProtection.setConfig(*m_config);
+        m_completionTimes.retainRoutes(*m_config);
         log(log_level::info, "config_adopted", { { "config", std::to_string(m_config->version) }, { "revision", toString(position) }, { "routes", std::to_string(m_config->routeCount()) }, { "keys", std::to_string(m_config->keys.size()) } });
         emit(apply_caller_limits { m_config->limits });
     }
--- a/servers/router/router_timer.h
+++ b/servers/router/router_timer.h
@@ -21,6 +21,7 @@
     summary,
     close_idle,
     last_answers,
+    break_streams,
     stop };
 
 // The kind of a timer, and the caller, the call or the upstream to which it belongs.
--- a/servers/router/shutdown_plan.cpp
+++ b/servers/router/shutdown_plan.cpp
@@ -18,6 +18,8 @@
     constexpr auto maxEndMargin = std::chrono::milliseconds(300);
     // What the last answers have to leave the process.
     constexpr auto maxSendTime = std::chrono::milliseconds(500);
+    // The same for the last events of streams. It is shorter, since a stream may end by itself until then.
+    constexpr auto maxEventSendTime = std::chrono::milliseconds(150);
     // Upper bound on each of these two as a share of the grace. An upstream may work on until the last sixth of it.
     constexpr int endShare = 12;
     // If the process was suspended, at least this long remains for the last answers.
@@ -32,16 +34,29 @@
 } // namespace
 
 shutdown_plan::shutdown_plan(instant beginsAt, duration grace)
-    : m_acceptsAllUntil(beginsAt + limitByGrace(maxAcceptanceTime, grace, acceptanceShare))
+    : m_acceptsLikelyUntil(beginsAt + limitByGrace(maxAcceptanceTime, grace, acceptanceShare))
     , m_listenerClosesAt(beginsAt + limitByGrace(deregistrationDelay, grace, deregistrationShare))
     , m_lastAnswersAt(beginsAt + grace - std::min<duration>(maxEndMargin, grace / endShare) - std::min<duration>(maxSendTime, grace / endShare))
+    , m_streamsBreakAt(beginsAt + grace - std::min<duration>(maxEndMargin, grace / endShare) - std::min<duration>(maxEventSendTime, grace / endShare / 2))
     , m_endsAt(beginsAt + grace - std::min<duration>(maxEndMargin, grace / endShare))
 {
 }
 
-instant shutdown_plan::endsAt(instant lastAnswersGivenAt) const
+bool shutdown_plan::accepts(instant now, instant deadline, instant likelyEnd) const
 {
-    return std::max(m_endsAt, lastAnswersGivenAt + minSendTime);
+    if (deadline <= m_lastAnswersAt)
+        return true;
+    return now <= m_acceptsLikelyUntil && likelyEnd <= m_lastAnswersAt;
+}
+
+instant shutdown_plan::streamsBreakAt(instant lastAnswersGivenAt) const
+{
+    return std::max(m_streamsBreakAt, lastAnswersGivenAt);
+}
+
+instant shutdown_plan::endsAt(instant streamsBrokenAt) const
+{
+    return std::max(m_endsAt, streamsBrokenAt + minSendTime);
 }
 
 } // namespace kumquat::router
--- a/servers/router/shutdown_plan.h
+++ b/servers/router/shutdown_plan.h
@@ -11,21 +11,25 @@
     // The platform kills the process when the grace is over.
     shutdown_plan(instant beginsAt, duration grace);
 
-    // Whether a request that comes now is accepted: at first all, then those whose deadline is before the last answers.
-    bool accepts(instant now, instant deadline) const { return now <= m_acceptsAllUntil || deadline <= m_lastAnswersAt; }
+    // Whether a request that comes now is accepted: at first those that are likely to end before the last answers, then those whose
+    // deadline is before them.
+    bool accepts(instant now, instant deadline, instant likelyEnd) const;
     // When the listener and the connections that nobody uses are closed.
     instant listenerClosesAt() const { return m_listenerClosesAt; }
     // When each request that has no answer yet gets one.
     instant lastAnswersAt() const { return m_lastAnswersAt; }
     // Whether a request may still be sent to an upstream.
     bool mayStartAttempts(instant now) const { return now < m_lastAnswersAt; }
-    // When the process ends, whatever is still unsent. Late if the last answers were late, since they have to be sent.
-    instant endsAt(instant lastAnswersGivenAt) const;
+    // When the streams that are still in progress are broken off. Late if the last answers were late.
+    instant streamsBreakAt(instant lastAnswersGivenAt) const;
+    // When the process ends, whatever is still unsent. Late if the streams were broken off late, since what they hold has to be sent.
+    instant endsAt(instant streamsBrokenAt) const;
 
 private:
-    instant m_acceptsAllUntil;
+    instant m_acceptsLikelyUntil;
     instant m_listenerClosesAt;
     instant m_lastAnswersAt;
+    instant m_streamsBreakAt;
     instant m_endsAt;
 };
 
--- a/tests/servers/router/foreign_memory_test.cpp
+++ b/tests/servers/router/foreign_memory_test.cpp
@@ -159,7 +159,7 @@
     fixture.start();
     fixture.request(1, "/look/");
     const auto first = fixture.only<start_attempt>();
-    fixture.step(attempt_aborted { first.attemptNumber, true, "the memory is full", connection_outcome::unknown, true });
+    fixture.step(attempt_aborted { .attemptNumber = first.attemptNumber, .requestSent = true, .reason = "the memory is full", .endedAtMemoryBound = true });
     const auto second = fixture.only<start_attempt>();
     CHECK(second.upstreamId != first.upstreamId);
     CHECK(fixture.all<check_connection>().empty());
@@ -169,7 +169,7 @@
     {
         fixture.request(2, "/pay/");
         const auto attempt = fixture.only<start_attempt>().attemptNumber;
-        fixture.step(attempt_aborted { attempt, true, "the memory is full", connection_outcome::unknown, true });
+        fixture.step(attempt_aborted { .attemptNumber = attempt, .requestSent = true, .reason = "the memory is full", .endedAtMemoryBound = true });
         CHECK(fixture.all<start_attempt>().empty());
         CHECK(fixture.only<refuse_reply>().refusal.ran == ran_state::unknown);
     }
@@ -187,8 +187,12 @@
     CHECK(fixture.only<keep_partial_event>().bytes == 10);
     fixture.step(answer_continued { attempt, ": x\n\nid: 2" });
     CHECK(fixture.only<append_reply>().partialEventBytes == 5);
-    fixture.step(answer_continued { attempt, "\n\nid: 1\n\n" });
+    fixture.step(answer_continued { attempt, "\n\nid: 3\n\n" });
     CHECK(fixture.only<append_reply>().partialEventBytes == 0);
-    fixture.step(answer_continued { attempt, "id: 1\n\n" });
+    // Where the stream goes on, events that were passed on before are dropped.
+    fixture.step(attempt_aborted { .attemptNumber = attempt, .requestSent = true, .reason = "reset" });
+    const auto next = fixture.only<start_attempt>().attemptNumber;
+    fixture.step(answer_started { next, fixture.answer(200, true, true) });
+    fixture.step(answer_continued { next, "id: 1\n\n" });
     CHECK(fixture.only<keep_partial_event>().bytes == 0);
 }
--- a/tests/servers/router/planned_stop_test.cpp
+++ b/tests/servers/router/planned_stop_test.cpp
@@ -152,3 +152,84 @@
     CHECK(fixture.all<start_attempt>().empty());
     CHECK(fixture.replyStatus() == 503);
 }
+
+TEST_CASE("a stream that ends between the last answers and the end of a stop is not broken off", "[router][stop]")
+{
+    router_fixture fixture;
+    fixture.start();
+    fixture.step(termination_requested {});
+    fixture.request(1, "/stream/x");
+    const auto attempt = fixture.only<start_attempt>().attemptNumber;
+    fixture.step(answer_started { attempt, router_fixture::answer(200, true, true) });
+    fixture.step(answer_continued { attempt, "id: 1\ndata: a\n\n" });
+    CHECK(router_fixture::all<abort_reply>(fixture.advance(milliseconds(7400))).empty());
+    fixture.step(answer_ended { attempt });
+    CHECK(fixture.all<end_reply>().size() == 1);
+}
+
+namespace {
+
+// Streams of the route /stream/ have taken 6 s and others a moment, then a stop begins.
+struct long_streams : router_fixture {
+    explicit long_streams(bool hasOtherRouter)
+    {
+        start();
+        auto config = sampleConfig();
+        config.version = 2;
+        config.requiresKeys = false;
+        answerConfigWatch(config, 6);
+        std::vector<attempt_number> attempts;
+        for (caller_id caller = 1; caller <= 8; ++caller) {
+            complete(begin(100 + caller, "/oneshot/x"));
+            attempts.push_back(begin(caller, "/stream/x"));
+        }
+        advance(seconds(6));
+        for (const auto attempt : attempts)
+            complete(attempt);
+        step(termination_requested {});
+        advance(milliseconds(1500));
+        if (hasOtherRouter) {
+            router_digest digest;
+            digest.instance = "entry-2";
+            digest.dataCentre = "dc-a";
+            digest.sequence = 1;
+            step(digest_received { "10.0.0.2", digest });
+        }
+    }
+
+    attempt_number begin(caller_id caller, const std::string& path)
+    {
+        request(caller, path);
+        return only<start_attempt>().attemptNumber;
+    }
+
+    void complete(attempt_number attempt)
+    {
+        step(answer_started { attempt, answer(200, true, true) });
+        step(answer_continued { attempt, "id: 1\ndata: a\n\n" });
+        step(answer_ended { attempt });
+    }
+};
+
+} // namespace
+
+TEST_CASE("a stopping router does not begin a stream that it would most likely cut off", "[router][stop]")
+{
+    long_streams fixture(true);
+    fixture.request(200, "/stream/x");
+    CHECK(fixture.all<start_attempt>().empty());
+    REQUIRE(fixture.all<refuse_reply>().size() == 1);
+    CHECK(httpStatus(fixture.only<refuse_reply>().refusal.code) == 503);
+    CHECK(fixture.only<refuse_reply>().refusal.retryAfter);
+    fixture.request(201, "/oneshot/x");
+    CHECK(fixture.all<start_attempt>().size() == 1);
+    fixture.request(202, "/pay/x");
+    CHECK(fixture.all<start_attempt>().size() == 1);
+}
+
+TEST_CASE("a stopping router that knows no other one begins streams that it may cut off", "[router][stop]")
+{
+    long_streams fixture(false);
+    fixture.request(200, "/stream/x");
+    CHECK(fixture.all<start_attempt>().size() == 1);
+}
