--- a/tests/stand_ins/router_surroundings_main.cpp
+++ b/tests/stand_ins/router_surroundings_main.cpp
@@ -1,5 +1,6 @@
 // Stands in for the store and for one upstream of a router. The store publishes a configuration with one route, /read/, whose answers
-// depend on the path: /read/large has an answer of 8 MB, /read/hold is answered late, and any other path at once.
+// depend on the path: /read/large has an answer of 8 MB, /read/hold is answered late, and any other path at once. The store prints each
+// write of the record of duties and does not answer it.
 
 // The crowd's connections to the upstream are opened at the same time.
 #undef CPPHTTPLIB_LISTEN_BACKLOG
@@ -19,6 +20,8 @@
 
 constexpr std::size_t largeAnswerBytes = 8'000'000;
 constexpr auto holdTime = std::chrono::seconds(6);
+// Longer than a router waits for the answer to a write.
+constexpr auto unansweredTime = std::chrono::seconds(60);
 constexpr auto watchTime = std::chrono::milliseconds(500);
 // One thread serves each connection, and the largest crowd has 400.
 constexpr int upstreamThreads = 420;
@@ -57,6 +60,10 @@
             items.push_back(item("w0", 2, upstreamSpec(upstreamPort)));
         response.set_content(json { { "Items", items }, { "HasMore", false }, { "At", 2 } }.dump(), "application/json");
     });
+    server.Post("/objects/duties", [](const httplib::Request&, httplib::Response&) {
+        std::cout << "duties written" << std::endl;
+        std::this_thread::sleep_for(unansweredTime);
+    });
 }
 
 void answer(const httplib::Request& request, httplib::Response& response)
