--- a/tests/drivers/closing_test.cpp
+++ b/tests/drivers/closing_test.cpp
@@ -211,6 +211,25 @@
     CHECK(fixture.targets.empty());
 }
 
+TEST_CASE("a stop refuses a request whose caller has fallen silent, and does not wait for the rest", "[http][stop]")
+{
+    server_fixture fixture;
+    caller silent(fixture.port);
+    caller slow(fixture.port);
+    silent.send("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nha");
+    slow.send("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nha");
+    REQUIRE(fixture.runUntil([&] { return fixture.server->census().reading == 2; }));
+    std::this_thread::sleep_for(quietTime);
+    slow.send("l");
+    fixture.server->closeAfterAnswers();
+    fixture.server->closeListenerAndIdleConnections();
+    CHECK(fixture.runUntil([&] { return silent.hasEnded(); }));
+    CHECK(silent.has("HTTP/1.1 503"));
+    slow.send("f");
+    CHECK(fixture.runUntil([&] { return slow.hasEnded(); }));
+    CHECK(slow.has("HTTP/1.1 200 OK"));
+}
+
 TEST_CASE("a request that the kernel has received when the process ends is refused, and an answer sent just before arrives", "[http][stop]")
 {
     server_fixture fixture;
