Give the servers of answer_memory_test ports of the system's choice

Two cases of the file listened on one port. Run at the same time, as run_unit_tests.sh does, the second could not bind it and then waited for ever for its other servers: seen once in the whole unit run ("several upstreams that send events without end ..." stood for 3 min 40 s, its process held the other ports and not the shared one). The checks are as they were. Six runs of the file, three at a time, passed.

--- a/tests/drivers/answer_memory_test.cpp
+++ b/tests/drivers/answer_memory_test.cpp
@@ -20,8 +20,6 @@
 
 namespace {
 
-// Each server uses its own port, counted from this one.
-constexpr std::uint16_t basePort = 24100;
 constexpr std::size_t memoryBytes = 4'000'000;
 // Buffers grow by doubling, and both sizes exist while one is copied. The rest is for sockets, events and the test itself.
 constexpr std::size_t allocatedBytes = 3 * memoryBytes + 1'000'000;
@@ -38,14 +36,15 @@
 // A server that answers one request with a beginning and then with one piece again and again, until the client closes the connection.
 class endless_server {
 public:
-    endless_server(std::uint16_t port, std::string beginning, const std::string& piece)
-        : m_acceptor(m_context, { asio::ip::make_address_v4("127.0.0.1"), port })
+    endless_server(std::string beginning, const std::string& piece)
+        : m_acceptor(m_context, { asio::ip::make_address_v4("127.0.0.1"), 0 })
         , m_thread([this, beginning = std::move(beginning), piece] { serve(beginning, piece); })
     {
     }
 
     ~endless_server() { m_thread.join(); }
 
+    std::uint16_t port() const { return m_acceptor.local_endpoint().port(); }
     // The client ended the answer before the server stopped.
     bool wasClosed() const { return m_wasClosed; }
 
@@ -75,8 +74,8 @@
 // A server that answers one request with a stream of small events, which goes on for as long as the faulty ones beside it.
 class sound_server {
 public:
-    explicit sound_server(std::uint16_t port)
-        : m_acceptor(m_context, { asio::ip::make_address_v4("127.0.0.1"), port })
+    sound_server()
+        : m_acceptor(m_context, { asio::ip::make_address_v4("127.0.0.1"), 0 })
         , m_thread([this] { serve(); })
     {
     }
@@ -87,6 +86,7 @@
         m_thread.join();
     }
 
+    std::uint16_t port() const { return m_acceptor.local_endpoint().port(); }
     void end() { m_ends = true; }
     int eventsSent() const { return m_eventsSent; }
 
@@ -127,7 +127,7 @@
     reactor loop;
     connection_guard guard { [](const connection_guard::closing&) {} };
     std::map<call_id, call_state> calls;
-    sound_server sound { basePort };
+    sound_server sound;
     std::size_t faultyCalls = 0;
     std::size_t allocatedAtStart = 0;
     std::size_t mostAllocated = 0;
@@ -176,14 +176,14 @@
         client.start(std::move(call));
     }
 
-    // Runs the sound stream beside faulty calls, whose servers listen at consecutive ports, until all have ended.
-    void run(std::uint16_t firstPort, std::size_t count)
+    // Runs the sound stream beside calls of faulty servers until all have ended.
+    void run(const std::vector<std::uint16_t>& faultyPorts)
     {
-        faultyCalls = count;
+        faultyCalls = faultyPorts.size();
         allocatedAtStart = allocatedNow();
-        start(1, basePort);
-        for (std::size_t index = 0; index < count; ++index)
-            start(2 + index, static_cast<std::uint16_t>(firstPort + index));
+        start(1, sound.port());
+        for (std::size_t index = 0; index < faultyPorts.size(); ++index)
+            start(2 + index, faultyPorts[index]);
         loop.run();
     }
 
@@ -230,9 +230,9 @@
 {
     for (const auto& form : endlessForms()) {
         INFO(form.name);
-        endless_server server(basePort + 1, form.beginning, form.piece);
+        endless_server server(form.beginning, form.piece);
         memory_fixture fixture;
-        fixture.run(basePort + 1, 1);
+        fixture.run({ server.port() });
         fixture.checkSoundStream();
         CHECK(fixture.calls[2].failed);
         if (form.isEnded)
@@ -244,12 +244,14 @@
 {
     constexpr std::size_t count = 12;
     std::vector<std::unique_ptr<endless_server>> servers;
+    std::vector<std::uint16_t> ports;
     for (std::size_t index = 0; index < count; ++index) {
         const auto head = "HTTP/1.1 200 OK\r\nX-Id: " + std::to_string(2 + index) + "\r\nTransfer-Encoding: chunked\r\n\r\n";
-        servers.push_back(std::make_unique<endless_server>(static_cast<std::uint16_t>(basePort + 2 + index), head, "3e8\r\n" + std::string(1000, 'x') + "\r\n"));
+        servers.push_back(std::make_unique<endless_server>(head, "3e8\r\n" + std::string(1000, 'x') + "\r\n"));
+        ports.push_back(servers.back()->port());
     }
     memory_fixture fixture;
-    fixture.run(basePort + 2, count);
+    fixture.run(ports);
     fixture.checkSoundStream();
     for (const auto& server : servers)
         CHECK(server->wasClosed());
@@ -257,7 +259,7 @@
 
 TEST_CASE("an answer of the store without end is given up before it takes the memory of callers", "[memory]")
 {
-    endless_server server(basePort + 21, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "3e8\r\n" + std::string(1000, 'x') + "\r\n");
+    endless_server server("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "3e8\r\n" + std::string(1000, 'x') + "\r\n");
     reactor loop;
     connection_guard guard([](const connection_guard::closing&) {});
     metrics_registry metrics;
@@ -270,7 +272,7 @@
             loop.stop();
         }
     });
-    store.start(router::read_store { .read = 1, .kind = store_kind::configuration }, { "127.0.0.1", basePort + 21 });
+    store.start(router::read_store { .read = 1, .kind = store_kind::configuration }, { "127.0.0.1", server.port() });
     loop.run();
     CHECK(reason.find("more than 8000000 bytes") != std::string::npos);
     CHECK(mostHeld < 9'000'000);
@@ -282,13 +284,13 @@
 {
     constexpr std::size_t headBytes = 60000;
     asio::io_context context;
-    tcp::acceptor acceptor(context, { asio::ip::make_address_v4("127.0.0.1"), basePort + 20 });
+    tcp::acceptor acceptor(context, { asio::ip::make_address_v4("127.0.0.1"), 0 });
     reactor loop;
     connection_guard guard([](const connection_guard::closing&) {});
     http_client client(loop, guard, { .onHead = [](call_id, const http_answer_head&) {}, .onBody = [](call_id, std::string_view) {}, .onEnd = [](call_id) {}, .onFailed = [](call_id, const http_call_failure&) {}, .onConnected = [] {} });
     http_call call;
     call.id = 1;
-    call.target = { "127.0.0.1", basePort + 20 };
+    call.target = { "127.0.0.1", acceptor.local_endpoint().port() };
     call.bytes = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
     client.start(std::move(call));
     tcp::socket socket(context);
