Tell the routers of a data centre of a dropped connection

A router that has lost a request on a connection that had rested now tells its neighbours in one datagram, at most each 5 s, once the upstream has accepted the connection that checks whether it has crashed: an upstream that has crashed ends its connections as well, and is no reason for others to distrust theirs. The neighbours distrust theirs for 10 s; a datagram from another address is ignored.

Tests: a client that was told loses none of the requests that it sends on two connections which their upstream has forgotten; the reducer tells neighbours after the check alone, not after a crash and not twice within 5 s, and believes neighbours alone; the message is encoded in four bytes. They were not run without the change, which adds the interface that they call.

--- a/core/stream_message.h
+++ b/core/stream_message.h
@@ -58,7 +58,12 @@
     bool operator==(const origin_answer&) const = default;
 };
 
-// What routers tell and ask each other about single streams. A message that is lost is not sent again.
-using stream_message = std::variant<save_origin, origin_query, origin_answer>;
+// A living upstream has dropped an idle connection of the sender without notice; others may do so too.
+struct dropped_connection {
+    bool operator==(const dropped_connection&) const = default;
+};
+
+// What routers tell and ask each other at once, about single streams and dropped connections. A message that is lost is not sent again.
+using stream_message = std::variant<save_origin, origin_query, origin_answer, dropped_connection>;
 
 } // namespace kumquat
--- a/drivers/asio/connection_trust.cpp
+++ b/drivers/asio/connection_trust.cpp
@@ -51,4 +51,13 @@
     return true;
 }
 
+void connection_trust::distrust(instant now)
+{
+    if (!isDistrusting(now)) {
+        m_length = shortestDistrust;
+        m_servers.clear();
+    }
+    m_until = std::max(m_until.value_or(now), now + shortestDistrust);
+}
+
 } // namespace kumquat
--- a/drivers/asio/connection_trust.h
+++ b/drivers/asio/connection_trust.h
@@ -23,6 +23,8 @@
     // A reused connection that had rested ended with no byte of an answer. Returns false if that is not taken for a drop, since it came
     // too long after the request was sent or the connection had hardly rested.
     bool recordLoss(const std::string& server, duration rested, duration afterSending, instant now);
+    // Another client has had such a loss.
+    void distrust(instant now);
     // How long connections are distrusted from the last loss on.
     duration distrustTime() const { return m_length; }
 
--- a/drivers/asio/http_client.cpp
+++ b/drivers/asio/http_client.cpp
@@ -44,6 +44,11 @@
     m_implementation->track(*connection);
 }
 
+void http_client::distrustIdleConnections()
+{
+    m_implementation->trust.distrust(std::chrono::steady_clock::now());
+}
+
 void http_client::closeIdleConnections(const endpoint& target)
 {
     m_implementation->closeIdle(target);
--- a/drivers/asio/http_client.h
+++ b/drivers/asio/http_client.h
@@ -56,6 +56,8 @@
     bool connectionReused = false;
     // At least one byte came after the request.
     bool anyBytesReceived = false;
+    // The server had dropped the connection before, as far as that can be told from its end.
+    bool connectionDropped = false;
 };
 
 // An HTTP/1.1 client that runs on the reactor's thread and reuses idle connections. Each connection carries one request
@@ -87,6 +89,8 @@
     void setPaused(call_id, bool paused);
     // States that what was received of the answer so far is no longer kept.
     void recordPassedOn(call_id);
+    // Trusts idle connections for a time as after the loss of a request on one.
+    void distrustIdleConnections();
     // Closes the idle connections to a server; calls in progress continue.
     void closeIdleConnections(const endpoint&);
     // Counts all open connections: connecting, in use and idle.
--- a/drivers/asio/http_client_connections.h
+++ b/drivers/asio/http_client_connections.h
@@ -93,8 +93,8 @@
     void handleEvent(pooled_connection&, const exchange_event&);
     void finishCall(pooled_connection&);
     void failCall(pooled_connection&, const std::string& reason, connection_outcome = connection_outcome::unknown);
-    // A call failed on a reused connection without a byte of an answer.
-    void onLostOnReused(const pooled_connection&);
+    // A call failed on a reused connection without a byte of an answer. Returns whether the server had dropped the connection.
+    bool learnFromLoss(const pooled_connection&);
     void closeIdle(const endpoint&);
     void close(pooled_connection&);
 
--- a/drivers/asio/http_client_pool.cpp
+++ b/drivers/asio/http_client_pool.cpp
@@ -79,21 +79,21 @@
     const bool anyBytesSent = connection.anyBytesSent && !connection.checkedCall;
     const bool isReused = connection.rested.has_value();
     const bool anyBytesReceived = connection.anyBytesReceived;
-    if (call != 0 && isReused && connection.anyBytesSent && !anyBytesReceived)
-        onLostOnReused(connection);
+    const bool isDropped = call != 0 && isReused && connection.anyBytesSent && !anyBytesReceived && learnFromLoss(connection);
     close(connection);
     if (call != 0)
-        callbacks.onFailed(call, { anyBytesSent, reason, outcome, isReused, anyBytesReceived });
+        callbacks.onFailed(call, { anyBytesSent, reason, outcome, isReused, anyBytesReceived, isDropped });
 }
 
-void http_client::implementation::onLostOnReused(const pooled_connection& connection)
+bool http_client::implementation::learnFromLoss(const pooled_connection& connection)
 {
     const auto now = std::chrono::steady_clock::now();
     if (!trust.recordLoss(formatEndpoint(connection.target), *connection.rested, now - connection.sentAt, now))
-        return;
+        return false;
     closeIdle(connection.target);
     if (callbacks.onDropped)
         callbacks.onDropped(connection.target, *connection.rested, trust.distrustTime());
+    return true;
 }
 
 void http_client::implementation::closeIdle(const endpoint& target)
--- a/drivers/cbor/stream_codec.cpp
+++ b/drivers/cbor/stream_codec.cpp
@@ -16,6 +16,7 @@
     constexpr int saveFormat = 1001;
     constexpr int queryFormat = 1002;
     constexpr int answerFormat = 1003;
+    constexpr int droppedFormat = 1004;
 
     // The size of the head of a CBOR array of up to 23 elements, and that of a two-byte integer.
     constexpr std::size_t arrayHeadBytes = 1;
@@ -38,6 +39,8 @@
             return save_origin { { root.at(1).get<std::uint64_t>(), root.at(2).get<std::uint64_t>(), std::chrono::milliseconds(root.at(3).get<std::int64_t>()) }, root.at(4).get<bool>() };
         if (format == queryFormat)
             return origin_query { root.at(1).get<std::uint64_t>(), root.at(2).get<std::uint64_t>(), root.at(3).get<std::string>(), root.at(4).get<std::string>(), root.at(5).get<bool>() };
+        if (format == droppedFormat)
+            return dropped_connection {};
         return origin_answer { root.at(1).get<std::uint64_t>(), decodeOptional(root.at(2)), decodeOptional(root.at(3)) };
     }
 
@@ -48,7 +51,7 @@
     if (bytes.size() < arrayHeadBytes + 3 || static_cast<unsigned char>(bytes[arrayHeadBytes]) != twoByteIntegerHead)
         return false;
     const auto format = static_cast<unsigned char>(bytes[arrayHeadBytes + 1]) * 256 + static_cast<unsigned char>(bytes[arrayHeadBytes + 2]);
-    return format >= saveFormat && format <= answerFormat;
+    return format >= saveFormat && format <= droppedFormat;
 }
 
 std::string encodeStreamMessage(const stream_message& message)
@@ -57,6 +60,7 @@
         [](const save_origin& save) { return json { saveFormat, save.origin.stream, save.origin.version, save.origin.timeLeft.count(), save.isForwarded }; },
         [](const origin_query& query) { return json { queryFormat, query.query, query.stream, query.service, query.replyTo, query.isForwarded }; },
         [](const origin_answer& answer) { return json { answerFormat, answer.query, encodeOptional(answer.version), encodeOptional(answer.onlyVersion) }; },
+        [](const dropped_connection&) { return json::array({ droppedFormat }); },
     };
     std::string bytes;
     json::to_cbor(std::visit(visitor, message), bytes);
--- a/processes/router_process.cpp
+++ b/processes/router_process.cpp
@@ -204,7 +204,7 @@
             .onHead = [this](call_id call, http_answer_head head) { post(router::answer_started { call, platform::decodeAnswer(std::move(head)) }); },
             .onBody = [this](call_id call, std::string_view bytes) { post(router::answer_continued { call, std::string(bytes), m_connectionGuard.budget().memoryIsShort() }); },
             .onEnd = [this](call_id call) { post(router::answer_ended { call }); },
-            .onFailed = [this](call_id call, http_call_failure failure) { post(router::attempt_aborted { call, failure.anyBytesSent, std::move(failure.reason), failure.connection, failure.connectionReused && !failure.anyBytesReceived }); },
+            .onFailed = [this](call_id call, http_call_failure failure) { post(router::attempt_aborted { call, failure.anyBytesSent, std::move(failure.reason), failure.connection, failure.connectionDropped }); },
             .onConnected = [this] { m_metrics.apply(count_metric { "kumquat_router_connections_total", { { "to", "upstream" } } }); },
             .onDropped = [](const endpoint& upstream, duration rested, duration distrustTime) { writeLog({ log_level::warning, "connection_dropped", { { "address", formatEndpoint(upstream) }, { "rested_ms", formatMilliseconds(rested) }, { "distrusted_for_ms", formatMilliseconds(distrustTime) } } }); },
         };
@@ -451,6 +451,7 @@
                 m_connectionChecker.start(check.target, check.timeout, [this, id = check.check](connection_outcome outcome) { post(router::connection_checked { id, outcome }); });
             },
             [this](const router::throttle_attempt& throttle) { m_upstreams.setPaused(throttle.attemptNumber, throttle.paused); },
+            [this](const router::distrust_connections&) { m_upstreams.distrustIdleConnections(); },
             [this](const router::close_upstream_connections& removed) { m_upstreams.closeIdleConnections(removed.target); },
             [this](const router::start_reply& reply) { m_callers->beginAnswer(reply.caller, reply.head); },
             [this](const router::append_reply& reply) {
--- a/servers/router/router_attempts.cpp
+++ b/servers/router/router_attempts.cpp
@@ -240,16 +240,16 @@
         return;
     const auto upstream = findAttempt(*progress, aborted.attemptNumber)->upstream;
     upstream->mayHaveRestarted = upstream->mayHaveRestarted || aborted.requestSent;
+    if (aborted.connectionDropped)
+        recordDroppedConnection(*upstream);
     if (aborted.requestSent)
         recordBrokenAttempt(*progress, *findAttempt(*progress, aborted.attemptNumber));
     if (aborted.outcome == connection_outcome::refused)
         recordRefusedConnection(*upstream);
-    if (aborted.lostOnReused && aborted.requestSent)
-        emit(count_metric { "kumquat_router_lost_on_reused_total", {} });
     // The crash may have ended the request as a refused one.
     if (!findByAttempt(aborted.attemptNumber))
         return;
-    failAttempt(*progress, aborted.attemptNumber, aborted.requestSent ? attempt_end::may_have_run : attempt_end::never_sent, aborted.reason + (aborted.lostOnReused ? ", on a reused connection" : ""));
+    failAttempt(*progress, aborted.attemptNumber, aborted.requestSent ? attempt_end::may_have_run : attempt_end::never_sent, aborted.reason + (aborted.connectionDropped ? ", on a connection that had rested" : ""));
 }
 
 } // namespace kumquat::router
--- a/servers/router/router_crash_detection.cpp
+++ b/servers/router/router_crash_detection.cpp
@@ -4,7 +4,7 @@
 
 #include <algorithm>
 
-// How a router notices that an upstream has crashed.
+// How a router notices that an upstream has crashed, or lives and has dropped an idle connection.
 
 namespace kumquat::router {
 
@@ -17,6 +17,8 @@
     // An upstream whose answers break off often without a crash is checked no more often than this.
     constexpr auto connectionCheckInterval = std::chrono::milliseconds(300);
     constexpr auto connectionCheckTimeout = std::chrono::milliseconds(500);
+    // The neighbours distrust their connections for longer, and are told again only after this time.
+    constexpr auto droppedNewsInterval = std::chrono::seconds(5);
     // Requests are not sent to an upstream that has just crashed, unless there is no other.
     constexpr auto crashBackoff = std::chrono::milliseconds(1000);
 
@@ -66,6 +68,9 @@
         return;
     const auto upstream = found->second;
     m_connectionChecks.erase(found);
+    const bool hasDropped = std::exchange(upstream->hasDroppedConnection, false);
+    if (hasDropped && checked.outcome == connection_outcome::accepted)
+        announceDroppedConnection();
     if (checked.outcome == connection_outcome::refused)
         return recordRefusedConnection(*upstream);
     static constexpr const char* outcomeNames[] = { "accepted", "refused", "unknown" };
@@ -75,6 +80,30 @@
     checkConnection(upstream);
 }
 
+void router_reducer::recordDroppedConnection(upstream_state& upstream)
+{
+    upstream.hasDroppedConnection = true;
+    emit(count_metric { "kumquat_router_dropped_connections_total", {} });
+}
+
+// The connections of other routers may be dropped by the same cause. Each of them would lose a request to learn that.
+void router_reducer::announceDroppedConnection()
+{
+    auto addresses = m_peers.neighbourAddresses();
+    if (addresses.empty() || (m_droppedToldAt && m_now - *m_droppedToldAt < droppedNewsInterval))
+        return;
+    m_droppedToldAt = m_now;
+    emit(send_stream_message { std::move(addresses), dropped_connection {} });
+}
+
+void router_reducer::receive(const std::string& address, dropped_connection&&)
+{
+    if (!m_peers.hasNeighbourAt(address))
+        return;
+    log(log_level::info, "connections_distrusted", { { "from", address } });
+    emit(distrust_connections {});
+}
+
 void router_reducer::recordRefusedConnection(upstream_state& upstream)
 {
     upstream.mayHaveRestarted = true;
--- a/servers/router/router_effect.h
+++ b/servers/router/router_effect.h
@@ -40,6 +40,9 @@
     bool paused = false;
 };
 
+// Trust idle connections to upstreams for a time as after the loss of a request on one.
+struct distrust_connections { };
+
 // Close the idle connections to an upstream that was removed.
 struct close_upstream_connections {
     endpoint target;
@@ -139,7 +142,7 @@
     bool unlessAnswersAreUnsent = false;
 };
 
-using router_effect = std::variant<start_attempt, cancel_attempt, check_connection, throttle_attempt, close_upstream_connections, start_reply, append_reply, end_reply, send_reply, refuse_reply,
+using router_effect = std::variant<start_attempt, cancel_attempt, check_connection, throttle_attempt, distrust_connections, close_upstream_connections, start_reply, append_reply, end_reply, send_reply, refuse_reply,
     abort_reply, read_store, cancel_store_read, call_refusal_store, send_digest, send_stream_message, record_run, apply_caller_limits, close_callers_after_answers, close_idle_callers, stop_router, log_event,
     count_metric, observe_metric>;
 
--- a/servers/router/router_event.h
+++ b/servers/router/router_event.h
@@ -65,8 +65,8 @@
     std::string reason;
     // What came of opening a connection for the attempt.
     connection_outcome outcome = connection_outcome::unknown;
-    // The connection had carried another request and rested since, and no byte of an answer came: it may have been dropped before.
-    bool lostOnReused = false;
+    // The connection had rested and ended at once, without a byte of an answer: the upstream had dropped it before, or has just crashed.
+    bool connectionDropped = false;
 };
 
 // The check of an upstream's connections has ended.
--- a/servers/router/router_reducer.h
+++ b/servers/router/router_reducer.h
@@ -161,6 +161,7 @@
     void receive(const std::string& address, save_origin&&);
     void receive(const std::string& address, origin_query&&);
     void receive(const std::string& address, origin_answer&&);
+    void receive(const std::string& address, dropped_connection&&);
     // Looks up at which version the stream began that a request resumes, and goes on there.
     void resumeEarlier(request_progress&);
     // Decides at which version a stream goes on, from its origin or without it.
@@ -199,6 +200,8 @@
     // requests since it last did.
     void checkConnection(const shared_upstream&);
     void checkConnectionAgain(std::uint32_t upstreamKey);
+    void recordDroppedConnection(upstream_state&);
+    void announceDroppedConnection();
     // The upstream has refused a connection.
     void recordRefusedConnection(upstream_state&);
     // The record of the upstream is gone from the store or is that of another process.
@@ -328,6 +331,8 @@
     std::unordered_map<std::string, instant> m_routesMovedAt;
     // The connection checks that are in progress.
     std::unordered_map<std::uint64_t, shared_upstream> m_connectionChecks;
+    // When the neighbours were last told that an upstream had dropped a connection.
+    std::optional<instant> m_droppedToldAt;
     // Prompt parts that were sent to upstreams since the last digest.
     std::vector<cached_prompt_part> m_recentCachedParts;
     // Prompt parts of all routers of this data centre since the last summary, if this router is the aggregator.
--- a/servers/router/upstream_table.h
+++ b/servers/router/upstream_table.h
@@ -44,6 +44,8 @@
     prompt_cache_model promptCache;
     // A connection broke or was refused since the process there was last known to be that of the record, so that it may be another.
     bool mayHaveRestarted = false;
+    // It has dropped an idle connection, or has crashed; the check of its connections will tell.
+    bool hasDroppedConnection = false;
     // Attempts that ended without their answer. They are suspects if the upstream turns out to have crashed.
     std::vector<broken_attempt> brokenAttempts;
     // When the upstream was last found to have crashed.
--- a/tests/drivers/connection_trust_test.cpp
+++ b/tests/drivers/connection_trust_test.cpp
@@ -91,3 +91,17 @@
     CHECK_FALSE(trust.recordLoss(server, milliseconds(5), soon, start));
     CHECK(trust.mayReuse(server, seconds(1), false, start));
 }
+
+// Guards against news of another router that shorten or lengthen what this one has learned.
+TEST_CASE("a loss of another client is distrusted for the shortest time", "[connections]")
+{
+    connection_trust trust;
+    trust.distrust(start);
+    CHECK_FALSE(trust.mayReuse(server, milliseconds(300), false, start + seconds(9)));
+    CHECK(trust.mayReuse(server, milliseconds(300), true, start + seconds(9)));
+    CHECK(trust.mayReuse(server, milliseconds(300), false, start + seconds(10)));
+    trust.recordLoss(server, milliseconds(800), soon, start + seconds(11));
+    const auto until = start + seconds(11) + trust.distrustTime();
+    trust.distrust(start + seconds(12) - trust.distrustTime());
+    CHECK_FALSE(trust.mayReuse(other, milliseconds(300), false, until - soon));
+}
--- a/tests/drivers/dropped_connections_test.cpp
+++ b/tests/drivers/dropped_connections_test.cpp
@@ -145,9 +145,24 @@
     CHECK(fixture.failures.front().anyBytesSent);
     CHECK(fixture.failures.front().connectionReused);
     CHECK_FALSE(fixture.failures.front().anyBytesReceived);
+    CHECK(fixture.failures.front().connectionDropped);
     CHECK(fixture.drops == 1);
 }
 
+// Guards against a loss at each router where another one has told of its own.
+TEST_CASE("requests that can't be repeated are not sent on dropped connections of which another router has told", "[http][connections]")
+{
+    forgetful_server server;
+    calling_client fixture;
+    fixture.run({ server.port(), server.port() }, false);
+    server.forgetConnections();
+    std::this_thread::sleep_for(restTime);
+    fixture.client.distrustIdleConnections();
+    fixture.run({ server.port() }, false);
+    fixture.run({ server.port() }, false);
+    CHECK(fixture.failures.empty());
+}
+
 // Guards against new connections, which are priced, while upstreams keep theirs.
 TEST_CASE("requests that can't be repeated reuse connections while none are dropped", "[http][connections]")
 {
--- a/tests/drivers/stream_codec_test.cpp
+++ b/tests/drivers/stream_codec_test.cpp
@@ -14,7 +14,8 @@
     return { save_origin { { largeId, 7, std::chrono::milliseconds(12000) }, true },
         origin_query { 5, largeId, "llm", "10.0.0.1", false },
         origin_answer { 5, largeId, std::nullopt },
-        origin_answer { 6, std::nullopt, 9 } };
+        origin_answer { 6, std::nullopt, 9 },
+        dropped_connection {} };
 }
 
 } // namespace
--- a/tests/servers/router/peer_test.cpp
+++ b/tests/servers/router/peer_test.cpp
@@ -170,3 +170,41 @@
     fixture.request(1, "/pay/x");
     CHECK(fixture.replyStatus() == 503);
 }
+
+// Guards against a loss at each router when upstreams begin to drop connections together.
+TEST_CASE("a dropped connection is told to the neighbours once its upstream is known to live, and believed from them alone", "[peers][connections]")
+{
+    const auto loseConnection = [](router_fixture& fixture, caller_id caller) {
+        fixture.request(caller, "/pay/x");
+        const auto attempt = fixture.only<start_attempt>();
+        fixture.step(attempt_aborted { attempt.attemptNumber, true, "reset", connection_outcome::unknown, true });
+        CHECK(fixture.all<send_stream_message>().empty());
+        return fixture.only<check_connection>().check;
+    };
+    router_fixture fixture(withSeeds());
+    fixture.start();
+    fixture.step(digest_received { "10.0.0.1", digestOf("entry-1", 1) });
+    SECTION("told")
+    {
+        fixture.step(connection_checked { loseConnection(fixture, 1), connection_outcome::accepted });
+        const auto told = fixture.only<send_stream_message>();
+        CHECK(told.addresses == std::vector<std::string> { "10.0.0.1" });
+        CHECK(std::holds_alternative<dropped_connection>(told.message));
+        // An upstream is checked again only after a pause.
+        fixture.advance(milliseconds(400));
+        fixture.step(connection_checked { loseConnection(fixture, 2), connection_outcome::accepted });
+        CHECK(fixture.all<send_stream_message>().empty());
+    }
+    SECTION("crashed")
+    {
+        fixture.step(connection_checked { loseConnection(fixture, 1), connection_outcome::refused });
+        CHECK(fixture.all<send_stream_message>().empty());
+    }
+    SECTION("believed")
+    {
+        fixture.step(stream_message_received { "10.0.0.9", dropped_connection {} });
+        CHECK(fixture.all<distrust_connections>().empty());
+        fixture.step(stream_message_received { "10.0.0.1", dropped_connection {} });
+        CHECK(fixture.all<distrust_connections>().size() == 1);
+    }
+}
