--- a/drivers/asio/http_client.cpp
+++ b/drivers/asio/http_client.cpp
@@ -49,6 +49,11 @@
     m_implementation->track(*connection);
 }
 
+void http_client::distrustIdleConnections()
+{
+    m_implementation->trust.distrust(std::chrono::steady_clock::now());
+}
+
 void http_client::closeIdleConnections(const endpoint& target)
 {
     m_implementation->closeIdle(target);
--- a/drivers/asio/http_client.h
+++ b/drivers/asio/http_client.h
@@ -56,6 +56,8 @@
     bool connectionReused = false;
     // At least one byte came after the request.
     bool anyBytesReceived = false;
+    // The server had dropped the connection before, as far as that can be told from its end.
+    bool connectionDropped = false;
     // This process ended the call, because its memory was full and the answer was kept there.
     bool endedAtMemoryBound = false;
 };
@@ -90,6 +92,8 @@
     // States how much is kept of what was received of the body so far, all of it the beginning of an event. Before the first call all
     // of the body counts as kept.
     void recordPartialEvent(call_id, std::size_t keptBytes);
+    // Trusts idle connections for a time as after the loss of a request on one.
+    void distrustIdleConnections();
     // Closes the idle connections to a server; calls in progress continue.
     void closeIdleConnections(const endpoint&);
     // Counts all open connections: connecting, in use and idle.
