Kill only children that are alive at the end of a process test

At its end a test killed every pid that it had started, also of processes that had long ended. With 32,768 pids on a busy machine they come round within minutes, so that a test can kill a process of another one. During one of two runs side by side the stand-in of the workers was killed, at the time at which the other run ended; that this was the cause is suspected, not shown.

The shell's list of running jobs has no child that has ended.

--- a/tests/process/lib.sh
+++ b/tests/process/lib.sh
@@ -10,7 +10,9 @@
 checks_failed=0
 
 stop_all() {
-    for pid in "${pids[@]}"; do
+    local pid
+    # The pids of children that have ended may be in use by processes that this test has not started.
+    for pid in $(jobs -pr); do
         kill -CONT "$pid" 2>/dev/null
         kill -KILL "$pid" 2>/dev/null
     done
