Fail a run of lost requests whose store and workers have ended during it

Without them what the clients saw says nothing of the routers. One run was judged as passed after its stand-in had been killed.

--- a/tests/process/lost_test.sh
+++ b/tests/process/lost_test.sh
@@ -192,6 +192,10 @@
         sleep 0.02
     done
     wait "$clients"
+    if ! kill -0 "$surroundings"; then
+        echo "the surroundings have ended during the run"
+        return 2
+    fi
     for number in "${busy[@]}" "$surroundings"; do kill -KILL "$number"; done
     for number in $(seq 0 $((routers - 1))); do kill -KILL "$(pid_of "router-$number")" 2>/dev/null; done
     wait 2>/dev/null
