Refuse a request that is read in the turn in which the process ends

Seen by the review of the stop, by reading: where the last check for quiet connections and the end of the process are due in one turn, a request whose last bytes lay in the kernel is read, waits as an event behind them, and its connection is closed without an answer. The end now answers 503 where the answer to a request has not begun; nothing can have begun the request, since every other one has had its last answer. The test fails without it.

--- a/drivers/asio/http_server_closing.cpp
+++ b/drivers/asio/http_server_closing.cpp
@@ -168,7 +168,9 @@
 {
     using phase = server_connection::phase;
     auto* connection = readReceived(id);
-    if (connection && connection->state.current() == phase::reading)
+    // A request that was read only now has not been begun.
+    const bool isUnanswered = connection && connection->state.isAnswering() && !connection->state.hasBegunAnswer();
+    if (connection && (isUnanswered || connection->state.current() == phase::reading))
         refuse(*connection, 503);
     connection = find(id);
     if (!connection)
--- a/drivers/asio/server_connection.cpp
+++ b/drivers/asio/server_connection.cpp
@@ -117,6 +117,7 @@
     auto request = m_reader->take();
     m_reader.reset();
     m_isAnswering = true;
+    m_hasBegunAnswer = false;
     m_staysOpen = request.keepAlive;
     m_isHeadRequest = request.method == "HEAD";
     return request;
@@ -135,6 +136,7 @@
 {
     if (!m_isAnswering)
         return;
+    m_hasBegunAnswer = true;
     m_staysOpen = m_staysOpen && head.keepAlive && mayStayOpen;
     m_isChunked = !head.contentLength;
     m_unsent.tail() += formatHead(head, m_staysOpen);
--- a/drivers/asio/server_connection.h
+++ b/drivers/asio/server_connection.h
@@ -53,6 +53,8 @@
     // When the phase began, or when the caller took the last bytes if that was later.
     instant phaseStart() const { return m_phaseStart; }
     bool isAnswering() const { return m_isAnswering; }
+    // The head of the answer to the request in progress has been written.
+    bool hasBegunAnswer() const { return m_hasBegunAnswer; }
 
     // Takes bytes from the caller, and reads on as far as a request may begin.
     received_request receive(std::string_view bytes, const http_read_limits&, instant now);
@@ -93,6 +95,7 @@
     // The memory that the request in progress occupies.
     std::size_t m_requestBytes = 0;
     bool m_isAnswering = false;
+    bool m_hasBegunAnswer = false;
     bool m_staysOpen = true;
     bool m_isHeadRequest = false;
     bool m_isChunked = false;
--- a/tests/drivers/closing_test.cpp
+++ b/tests/drivers/closing_test.cpp
@@ -319,3 +319,19 @@
     CHECK(first.has("HTTP/1.1 200 OK"));
     CHECK(second.has("HTTP/1.1 200 OK"));
 }
+
+TEST_CASE("a request that is read in the turn in which the process ends is refused rather than cut off", "[http][stop]")
+{
+    server_fixture fixture;
+    // The requests wait for the events before them.
+    fixture.onRequest = [](connection_id, const http_request&) {};
+    caller slow(fixture.port);
+    slow.send("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nab");
+    REQUIRE(fixture.runUntil([&] { return fixture.server->census().reading == 1; }));
+    slow.send("cd");
+    std::this_thread::sleep_for(checkTime);
+    fixture.server->refuseUnreadRequests();
+    REQUIRE(fixture.targets.size() == 1);
+    fixture.server->endConnections();
+    CHECK(slow.has("HTTP/1.1 503"));
+}
