Keep the connection of a caller that is still taking its answer at a bound

Seen by the review: a caller whose answer was complete and not sent yet counted as one without a request, and after a second with under 1 KB taken as stalled. It was closed first, before idle connections, since it holds most, and its 200 was cut. It now ranks with those whose request is in progress; at the memory bound these still give way, the largest first. The test fails without it.

--- a/drivers/asio/http_server_connections.cpp
+++ b/drivers/asio/http_server_connections.cpp
@@ -39,7 +39,9 @@
 
 void http_server::implementation::track(const caller_connection& connection)
 {
-    guard.budget().update({ owner, connection.id }, { connection.state.heldBytes(), connection.state.isAnswering(), connection.transferredBytes }, std::chrono::steady_clock::now());
+    // A caller that has not taken its whole answer is worth as much as one whose request is still in progress.
+    const bool isInProgress = connection.state.isAnswering() || !connection.state.unsent().empty();
+    guard.budget().update({ owner, connection.id }, { connection.state.heldBytes(), isInProgress, connection.transferredBytes }, std::chrono::steady_clock::now());
 }
 
 // Closes what has to be closed at a bound, and goes on with what waited.
--- a/tests/drivers/closing_test.cpp
+++ b/tests/drivers/closing_test.cpp
@@ -335,3 +335,20 @@
     fixture.server->endConnections();
     CHECK(slow.has("HTTP/1.1 503"));
 }
+
+TEST_CASE("a caller that is still taking a whole answer keeps its connection when descriptors run out", "[http][stop]")
+{
+    constexpr std::size_t bodyBytes = 32 << 20;
+    server_fixture fixture;
+    fixture.guard.budget().setBounds({ .descriptors = 24 });
+    fixture.onRequest = [&fixture](connection_id id, const http_request&) { fixture.server->answer(id, { 200, {}, bodyBytes, true }, std::string(bodyBytes, 'x')); };
+    caller reader(fixture.port);
+    caller idle(fixture.port);
+    REQUIRE(fixture.runUntilAccepted(2));
+    reader.send(request);
+    REQUIRE(fixture.runUntil([&] { return fixture.server->census().sending == 1; }));
+    fixture.guard.relieve(true, std::chrono::steady_clock::now() + std::chrono::seconds(2));
+    CHECK(fixture.runUntil([&] { reader.receive(); return reader.received.size() > bodyBytes || reader.hasEnded(); }));
+    CHECK(reader.received.size() > bodyBytes);
+    CHECK(idle.hasEnded());
+}
