Keep the listener of a stop open while connections wait at a bound

Seen by the review: a stop accepted what waited in the backlog as far as the bound of descriptors allowed, and then closed the listener in any case, so that the kernel reset the rest with the requests in it. The listener is now closed once the backlog is empty, at the latest with the last answers. The test fails without it.

--- a/drivers/asio/connection_acceptor.cpp
+++ b/drivers/asio/connection_acceptor.cpp
@@ -69,16 +69,17 @@
     return m_acceptor.is_open();
 }
 
-void connection_acceptor::acceptWaiting()
+bool connection_acceptor::acceptWaiting()
 {
     asio::error_code failure;
     for (int accepted = 0; accepted < listenBacklog && m_acceptor.is_open() && m_callbacks.mayAccept(); ++accepted) {
         asio::ip::tcp::socket socket(m_acceptor.get_executor());
         m_acceptor.accept(socket, failure);
         if (failure)
-            return;
+            return failure == asio::error::would_block || failure == asio::error::try_again;
         m_callbacks.onAccepted(std::move(socket));
     }
+    return !m_acceptor.is_open();
 }
 
 void connection_acceptor::resume()
--- a/drivers/asio/connection_acceptor.h
+++ b/drivers/asio/connection_acceptor.h
@@ -28,7 +28,8 @@
     // Starts to listen. Returns an error if the address is not IPv4 or cannot be bound.
     std::optional<error> open(const endpoint&);
     // Accepts the connections that wait now, as far as they may be accepted.
-    void acceptWaiting();
+    // Returns whether none is left; at a bound, some are.
+    bool acceptWaiting();
     // Accepts connections again if one waits because it could not be accepted.
     void resume();
     // Whether a connection waits because it could not be accepted.
--- a/drivers/asio/http_server.cpp
+++ b/drivers/asio/http_server.cpp
@@ -96,8 +96,9 @@
 
 void http_server::closeListenerAndIdleConnections()
 {
-    m_implementation->acceptor->acceptWaiting();
-    m_implementation->acceptor->close();
+    // What waits at a bound is accepted by a later call, as places become free.
+    if (m_implementation->acceptor->acceptWaiting())
+        m_implementation->acceptor->close();
     for (const auto id : m_implementation->connectionIds())
         m_implementation->closeQuiet(id);
 }
@@ -109,6 +110,7 @@
 
 void http_server::refuseUnreadRequests()
 {
+    m_implementation->acceptor->close();
     for (const auto id : m_implementation->connectionIds())
         m_implementation->refuseUnread(id);
 }
--- a/tests/drivers/closing_test.cpp
+++ b/tests/drivers/closing_test.cpp
@@ -352,3 +352,22 @@
     CHECK(reader.received.size() > bodyBytes);
     CHECK(idle.hasEnded());
 }
+
+TEST_CASE("a connection that waits in the backlog at the bound of descriptors is served in a stop", "[http][stop]")
+{
+    server_fixture fixture;
+    fixture.guard.budget().setBounds({ .descriptors = 24 });
+    auto first = std::make_unique<caller>(fixture.port);
+    auto second = std::make_unique<caller>(fixture.port);
+    REQUIRE(fixture.runUntilAccepted(2));
+    caller waiting(fixture.port);
+    waiting.send(request);
+    fixture.server->closeAfterAnswers();
+    fixture.server->closeListenerAndIdleConnections();
+    first.reset();
+    second.reset();
+    REQUIRE(fixture.runUntilAccepted(0));
+    fixture.server->closeListenerAndIdleConnections();
+    CHECK(fixture.runUntil([&] { return waiting.has("ok") || waiting.hasEnded(); }));
+    CHECK(waiting.has("HTTP/1.1 200 OK"));
+}
