Answer what a caller has sent ahead before a stop closes its connection

While such bytes wait, the close is not announced; the last answers of the stop bound how long that goes on.

--- a/drivers/asio/http_server.cpp
+++ b/drivers/asio/http_server.cpp
@@ -38,7 +38,7 @@
     auto* connection = m_implementation->find(id);
     if (!connection)
         return;
-    connection->state.beginAnswer(head, !m_implementation->closingAfterAnswers);
+    connection->state.beginAnswer(head, m_implementation->mayStayOpen(*connection));
     m_implementation->flush(*connection);
 }
 
@@ -68,7 +68,7 @@
     auto* connection = m_implementation->find(id);
     if (!connection)
         return;
-    connection->state.beginAnswer(head, !m_implementation->closingAfterAnswers);
+    connection->state.beginAnswer(head, m_implementation->mayStayOpen(*connection));
     connection->state.appendAnswer(body);
     connection->state.finishAnswer(std::chrono::steady_clock::now());
     m_implementation->endAnswer(*connection);
--- a/drivers/asio/http_server_connections.h
+++ b/drivers/asio/http_server_connections.h
@@ -66,6 +66,8 @@
     void track(const caller_connection&);
     // Copies the ids, since a connection that is looked at may be closed.
     std::vector<connection_id> connectionIds() const;
+    // Whether the connection stays open after the answer that begins now. A request that was sent ahead is answered first.
+    bool mayStayOpen(const caller_connection& connection) const { return !closingAfterAnswers || connection.state.waitingBytes() > 0; }
     void closeAtBound(connection_id);
     void relieve(instant now);
     void addConnection(asio::ip::tcp::socket);
--- a/tests/drivers/closing_test.cpp
+++ b/tests/drivers/closing_test.cpp
@@ -371,3 +371,21 @@
     CHECK(fixture.runUntil([&] { return waiting.has("ok") || waiting.hasEnded(); }));
     CHECK(waiting.has("HTTP/1.1 200 OK"));
 }
+
+TEST_CASE("requests that were sent ahead before a stop are answered, and the last answer announces the close", "[http][stop]")
+{
+    server_fixture fixture;
+    std::vector<connection_id> begun;
+    fixture.onRequest = [&begun](connection_id id, const http_request&) { begun.push_back(id); };
+    caller ahead(fixture.port);
+    ahead.send(request + request);
+    REQUIRE(fixture.runUntil([&] { return begun.size() == 1; }));
+    fixture.server->closeAfterAnswers();
+    fixture.server->answer(begun.front(), { 200, {}, 2, true }, "ok");
+    REQUIRE(fixture.runUntil([&] { return begun.size() == 2 || ahead.hasEnded(); }));
+    CHECK_FALSE(ahead.has("Connection: close"));
+    REQUIRE(begun.size() == 2);
+    fixture.server->answer(begun.back(), { 200, {}, 4, true }, "done");
+    CHECK(fixture.runUntil([&] { return ahead.has("done"); }));
+    CHECK(ahead.has("Connection: close"));
+}
