Read on after the last answer at the memory bound, and end the admin server with the lease

Seen by the review, by reading. A connection whose last answer was sent is read on so that the kernel does not reset it; at the memory bound nothing was read there either, though what is read is discarded. A connection with a request that waits for its turn could be closed as idle after a long suspension. Where the process ends with the release of the lease, the connections of the admin server were not ended like callers' ones.

--- a/drivers/asio/http_server_closing.cpp
+++ b/drivers/asio/http_server_closing.cpp
@@ -88,7 +88,7 @@
     const auto elapsed = now - state.phaseStart();
     switch (state.current()) {
     case phase::idle:
-        return elapsed > limits.idleTimeout;
+        return state.waitingBytes() == 0 && elapsed > limits.idleTimeout;
     case phase::reading:
         // The complete request, head and body, has to arrive within the sum of both timeouts.
         return elapsed > limits.headerTimeout + limits.idleTimeout;
--- a/drivers/asio/http_server_connections.cpp
+++ b/drivers/asio/http_server_connections.cpp
@@ -104,7 +104,9 @@
     // The turn reads on.
     if (connection.awaitsTurn)
         return;
-    const auto readBytes = std::min(buffer.size(), guard.budget().maxReadBytes(connection.state.heldBytes()));
+    // What comes after the last answer is discarded and takes no memory.
+    const bool isDiscarded = connection.state.current() == server_connection::phase::closing;
+    const auto readBytes = isDiscarded ? buffer.size() : std::min(buffer.size(), guard.budget().maxReadBytes(connection.state.heldBytes()));
     if (readBytes == 0) {
         connection.readPaused = true;
         return;
--- a/processes/router_process.cpp
+++ b/processes/router_process.cpp
@@ -92,6 +92,8 @@
         void onAdminRequest(connection_id, const http_request&);
         void refuse(const router::refuse_reply&);
         void stop(const router::stop_router&);
+        // Ends the connections and the process.
+        void end();
         void closeIdleCallers();
         void onStreamMessage(const std::string& host, const std::string& bytes);
         void onDatagram(const std::string& host, const std::string& bytes);
@@ -168,7 +170,7 @@
                     detectStall(); },
                 .afterEvent = [this] {
                     if (m_stopsAfterRelease && !m_duties->isReleasing())
-                        m_reactor.stop();
+                        end();
                     armTimer(); } });
         exchangeDuties();
     }
@@ -456,6 +458,11 @@
         m_stopsAfterRelease = !graceEnds && m_duties && m_duties->isReleasing();
         if (m_stopsAfterRelease)
             return;
+        end();
+    }
+
+    void router_process::end()
+    {
         m_callers->endConnections();
         m_admin->endConnections();
         m_reactor.stop();
