--- a/servers/router/router_crash_detection.cpp
+++ b/servers/router/router_crash_detection.cpp
@@ -19,7 +19,7 @@
     constexpr auto connectionCheckInterval = std::chrono::milliseconds(300);
     constexpr auto connectionCheckTimeout = std::chrono::milliseconds(500);
     // The neighbours distrust their connections for longer, and are told again only after this time.
-    constexpr auto droppedNewsInterval = std::chrono::seconds(5);
+    constexpr auto dropReportInterval = std::chrono::seconds(5);
     // Requests are not sent to an upstream that has just crashed, unless there is no other.
     constexpr auto crashBackoff = std::chrono::milliseconds(1000);
     // Prompts of some tens of parts leave about so many suspects at an upstream that breaks off all it runs.
@@ -108,9 +108,9 @@
 void router_reducer::announceDroppedConnection()
 {
     auto addresses = m_peers.neighbourAddresses();
-    if (addresses.empty() || (m_droppedToldAt && m_now - *m_droppedToldAt < droppedNewsInterval))
+    if (addresses.empty() || (m_dropReportedAt && m_now - *m_dropReportedAt < dropReportInterval))
         return;
-    m_droppedToldAt = m_now;
+    m_dropReportedAt = m_now;
     emit(send_stream_message { std::move(addresses), dropped_connection {} });
 }
 
--- a/servers/router/router_reducer.h
+++ b/servers/router/router_reducer.h
@@ -349,7 +349,7 @@
     // The connection checks that are in progress.
     std::unordered_map<std::uint64_t, shared_upstream> m_connectionChecks;
     // When the neighbours were last told that an upstream had dropped a connection.
-    std::optional<instant> m_droppedToldAt;
+    std::optional<instant> m_dropReportedAt;
     // Prompt parts that were sent to upstreams since the last digest.
     cached_part_news m_recentCachedParts { maxPartsPerDigest };
     // Prompt parts of all routers of this data centre since the last summary, if this router is the aggregator.
--- a/tests/process/hostile_clients_test.sh
+++ b/tests/process/hostile_clients_test.sh
@@ -59,7 +59,6 @@
     write_settings "$fds"
     start_router "$fds"
     router=$!
-    pids+=("$router")
     if ! eventually answers_request; then
         check "$form at $place: the router serves before the crowd comes" false
         return
@@ -67,7 +66,6 @@
     : >"$work/crowd.out"
     "$bin/tests/stand-in-hostile-clients" "$form" "$4" "$5" "$clients" >"$work/crowd.out" 2>>"$work/crowd.log" &
     crowd=$!
-    pids+=("$crowd")
     eventually settled
     descriptors=$(open_fds "$router")
     serves && served_beside=yes
@@ -102,7 +100,7 @@
 play_form body_complete 60 $instance_fds /read/hold
 play_form body_over 60 $instance_fds /read/ordinary
 play_form short_fields 400 $instance_fds /read/ordinary
-play_form dear_heads 60 $instance_fds /read/ordinary
+play_form expensive_heads 60 $instance_fds /read/ordinary
 play_form pipeline 400 $instance_fds /read/large
 play_form slow_read 400 $instance_fds /read/large
 play_form slow_send 300 $lowered_fds /read/ordinary
--- a/tests/process/lib.sh
+++ b/tests/process/lib.sh
@@ -6,7 +6,6 @@
 port_base=${KUMQUAT_PORT_BASE:-20000}
 work=$(mktemp -d)
 network_key=a-network-key-for-tests-of-40-characters
-pids=()
 checks_passed=0
 checks_failed=0
 summary_printed=no
@@ -36,7 +35,6 @@
     shift
     "$@" >>"$work/$name.out" 2>>"$work/$name.log" &
     started=$!
-    pids+=("$started")
     echo "$started" >"$work/$name.pid"
 }
 
--- a/tests/stand_ins/hostile_clients_main.cpp
+++ b/tests/stand_ins/hostile_clients_main.cpp
@@ -164,7 +164,7 @@
 
 // Requests without a key whose heads have nearly the legal size. One half of each is a Connection header that lists many names, the other
 // half many fields.
-client_plan dearHeads(const std::string& path)
+client_plan expensiveHeads(const std::string& path)
 {
     constexpr std::size_t requestsAhead = 25;
     std::string head = "GET " + path + " HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: dear\r\nConnection: b";
@@ -222,8 +222,8 @@
     }
     if (form == "short_fields")
         return shortFields(path, number);
-    if (form == "dear_heads")
-        return dearHeads(path);
+    if (form == "expensive_heads")
+        return expensiveHeads(path);
     if (form == "pipeline")
         return client_plan { .block = requestHead("GET", path, number, ""), .blockBytes = 400000 };
     if (form == "slow_send")
