--- a/tests/drivers/closing_test.cpp
+++ b/tests/drivers/closing_test.cpp
@@ -338,7 +338,7 @@
 
 TEST_CASE("a caller that is still taking a whole answer keeps its connection when descriptors run out", "[http][stop]")
 {
-    constexpr std::size_t bodyBytes = 32 << 20;
+    static constexpr std::size_t bodyBytes = 32 << 20;
     server_fixture fixture;
     fixture.guard.budget().setBounds({ .descriptors = 24 });
     fixture.onRequest = [&fixture](connection_id id, const http_request&) { fixture.server->answer(id, { 200, {}, bodyBytes, true }, std::string(bodyBytes, 'x')); };
