--- a/bench/harness/head_forms.h
+++ b/bench/harness/head_forms.h
@@ -8,7 +8,7 @@
 
 namespace kumquat_bench {
 
-// Bytes from outside that are as dear to read as their size allows, and the code that reads them.
+// Bytes from outside that are as expensive to read as their size allows, and the code that reads them.
 struct head_form {
     std::string name;
     // Returns input of about that many bytes.
--- a/bench/head_cost_main.cpp
+++ b/bench/head_cost_main.cpp
@@ -4,7 +4,7 @@
 #include <cstdio>
 #include <valgrind/callgrind.h>
 
-// Reads each of the dearest heads and bodies in two sizes. Under callgrind it dumps one file of counts for each, named "FORM BYTES"; without it the
+// Reads each of the most expensive heads and bodies in two sizes. Under callgrind it dumps one file of counts for each, named "FORM BYTES"; without it the
 // times are printed. misc/head_cost.sh checks the counts.
 
 namespace {
--- a/core/memory_relief.cpp
+++ b/core/memory_relief.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-    // Whoever holds less than the mean divided by this does not cause the shortage.
+    // A holder of less than the mean divided by this does not cause the shortage.
     constexpr std::size_t smallShareDivisor = 16;
 
     bool mayBeEnded(holder_rank rank, const memory_level& level, bool wasAtBound)
--- a/misc/head_cost.sh
+++ b/misc/head_cost.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Counts the instructions that the dearest heads and bodies of callers and upstreams cost (bench/harness/head_forms.cpp) in two sizes,
+# Counts the instructions that the most expensive heads and bodies of callers and upstreams cost (bench/harness/head_forms.cpp) in two sizes,
 # and fails when a cost grows faster than its size, or when a head of the largest legal size costs too much. Callgrind's counts
 # are deterministic. The times printed at the end depend on the machine and are not checked.
 set -euo pipefail
