--- a/drivers/asio/http_server.cpp
+++ b/drivers/asio/http_server.cpp
@@ -38,7 +38,7 @@
     auto* connection = m_implementation->find(id);
     if (!connection)
         return;
-    connection->state.beginAnswer(head, !m_implementation->closingAfterAnswers);
+    connection->state.beginAnswer(head, m_implementation->mayStayOpen(*connection));
     m_implementation->flush(*connection);
 }
 
@@ -68,7 +68,7 @@
     auto* connection = m_implementation->find(id);
     if (!connection)
         return;
-    connection->state.beginAnswer(head, !m_implementation->closingAfterAnswers);
+    connection->state.beginAnswer(head, m_implementation->mayStayOpen(*connection));
     connection->state.appendAnswer(body);
     connection->state.finishAnswer(std::chrono::steady_clock::now());
     m_implementation->endAnswer(*connection);
@@ -96,8 +96,9 @@
 
 void http_server::closeListenerAndIdleConnections()
 {
-    m_implementation->acceptor->acceptWaiting();
-    m_implementation->acceptor->close();
+    // What waits at a bound is accepted by a later call, as places become free.
+    if (m_implementation->acceptor->acceptWaiting())
+        m_implementation->acceptor->close();
     for (const auto id : m_implementation->connectionIds())
         m_implementation->closeQuiet(id);
 }
@@ -109,6 +110,7 @@
 
 void http_server::refuseUnreadRequests()
 {
+    m_implementation->acceptor->close();
     for (const auto id : m_implementation->connectionIds())
         m_implementation->refuseUnread(id);
 }
--- a/drivers/asio/http_server_closing.cpp
+++ b/drivers/asio/http_server_closing.cpp
@@ -88,7 +88,7 @@
     const auto elapsed = now - state.phaseStart();
     switch (state.current()) {
     case phase::idle:
-        return elapsed > limits.idleTimeout;
+        return state.waitingBytes() == 0 && elapsed > limits.idleTimeout;
     case phase::reading:
         // The complete request, head and body, has to arrive within the sum of both timeouts.
         return elapsed > limits.headerTimeout + limits.idleTimeout;
@@ -168,7 +168,9 @@
 {
     using phase = server_connection::phase;
     auto* connection = readReceived(id);
-    if (connection && connection->state.current() == phase::reading)
+    // A request that was read only now has not been begun.
+    const bool isUnanswered = connection && connection->state.isAnswering() && !connection->state.hasBegunAnswer();
+    if (connection && (isUnanswered || connection->state.current() == phase::reading))
         refuse(*connection, 503);
     connection = find(id);
     if (!connection)
--- a/tests/drivers/closing_test.cpp
+++ b/tests/drivers/closing_test.cpp
@@ -319,3 +319,73 @@
     CHECK(first.has("HTTP/1.1 200 OK"));
     CHECK(second.has("HTTP/1.1 200 OK"));
 }
+
+TEST_CASE("a request that is read in the turn in which the process ends is refused rather than cut off", "[http][stop]")
+{
+    server_fixture fixture;
+    // The requests wait for the events before them.
+    fixture.onRequest = [](connection_id, const http_request&) {};
+    caller slow(fixture.port);
+    slow.send("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nab");
+    REQUIRE(fixture.runUntil([&] { return fixture.server->census().reading == 1; }));
+    slow.send("cd");
+    std::this_thread::sleep_for(checkTime);
+    fixture.server->refuseUnreadRequests();
+    REQUIRE(fixture.targets.size() == 1);
+    fixture.server->endConnections();
+    CHECK(slow.has("HTTP/1.1 503"));
+}
+
+TEST_CASE("a caller that is still taking a whole answer keeps its connection when descriptors run out", "[http][stop]")
+{
+    constexpr std::size_t bodyBytes = 32 << 20;
+    server_fixture fixture;
+    fixture.guard.budget().setBounds({ .descriptors = 24 });
+    fixture.onRequest = [&fixture](connection_id id, const http_request&) { fixture.server->answer(id, { 200, {}, bodyBytes, true }, std::string(bodyBytes, 'x')); };
+    caller reader(fixture.port);
+    caller idle(fixture.port);
+    REQUIRE(fixture.runUntilAccepted(2));
+    reader.send(request);
+    REQUIRE(fixture.runUntil([&] { return fixture.server->census().sending == 1; }));
+    fixture.guard.relieve(true, std::chrono::steady_clock::now() + std::chrono::seconds(2));
+    CHECK(fixture.runUntil([&] { reader.receive(); return reader.received.size() > bodyBytes || reader.hasEnded(); }));
+    CHECK(reader.received.size() > bodyBytes);
+    CHECK(idle.hasEnded());
+}
+
+TEST_CASE("a connection that waits in the backlog at the bound of descriptors is served in a stop", "[http][stop]")
+{
+    server_fixture fixture;
+    fixture.guard.budget().setBounds({ .descriptors = 24 });
+    auto first = std::make_unique<caller>(fixture.port);
+    auto second = std::make_unique<caller>(fixture.port);
+    REQUIRE(fixture.runUntilAccepted(2));
+    caller waiting(fixture.port);
+    waiting.send(request);
+    fixture.server->closeAfterAnswers();
+    fixture.server->closeListenerAndIdleConnections();
+    first.reset();
+    second.reset();
+    REQUIRE(fixture.runUntilAccepted(0));
+    fixture.server->closeListenerAndIdleConnections();
+    CHECK(fixture.runUntil([&] { return waiting.has("ok") || waiting.hasEnded(); }));
+    CHECK(waiting.has("HTTP/1.1 200 OK"));
+}
+
+TEST_CASE("requests that were sent ahead before a stop are answered, and the last answer announces the close", "[http][stop]")
+{
+    server_fixture fixture;
+    std::vector<connection_id> begun;
+    fixture.onRequest = [&begun](connection_id id, const http_request&) { begun.push_back(id); };
+    caller ahead(fixture.port);
+    ahead.send(request + request);
+    REQUIRE(fixture.runUntil([&] { return begun.size() == 1; }));
+    fixture.server->closeAfterAnswers();
+    fixture.server->answer(begun.front(), { 200, {}, 2, true }, "ok");
+    REQUIRE(fixture.runUntil([&] { return begun.size() == 2 || ahead.hasEnded(); }));
+    CHECK_FALSE(ahead.has("Connection: close"));
+    REQUIRE(begun.size() == 2);
+    fixture.server->answer(begun.back(), { 200, {}, 4, true }, "done");
+    CHECK(fixture.runUntil([&] { return ahead.has("done"); }));
+    CHECK(ahead.has("Connection: close"));
+}
