--- a/review/lib-3.sh
+++ b/review/lib-3.sh
@@ -9,7 +9,7 @@
     local pid
     for pid in "${started[@]}"; do kill -KILL "$pid" 2>/dev/null; done
     wait 2>/dev/null
-    rm -rf "$work"
+    [ -z "${KEEP:-}" ] || cp "$work"/*.log "$KEEP"; rm -rf "$work"
 }
 trap end_all EXIT
 for program in target/kumquat-router "$stand_ins/ports"; do
