--- a/review/stand_ins_3/many_parts_main.cc
+++ b/review/stand_ins_3/many_parts_main.cc
@@ -1,4 +1,4 @@
-// Case 13. The store and nine model workers of the deployment dhammasiri-kumquat, and a crowd of callers that are not controlled. With
+// Case 14. The store and nine model workers of the deployment dhammasiri-kumquat, and a crowd of callers that are not controlled. With
 // trouble each of them names as many parts of a prompt as fit into a head of legal size; without it, three. Judges the memory of the
 // router's process against that of its machine.
 //
