--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
 # Case 11: streams that hold events of two software versions after the store was silent for three seconds. See claim.txt.
+export TROUBLE=${TROUBLE:-1}
 cd "$(dirname "$0")/../.." || exit 2
 . review/lib-3.sh
 read -r store w0 w1 w2 w3 front ready peer <<<"$("$stand_ins/ports" 8)"
