Ask for free ports on the loopback address

What: the stand-in that names free ports binds to 127.0.0.1. Why: every address in a case is a loopback address.

--- a/review/stand_ins_3/ports_main.cc
+++ b/review/stand_ins_3/ports_main.cc
@@ -10,7 +10,7 @@
     std::vector<int> sockets;
     for (int number = 0; number < count; ++number) {
         const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
-        auto address = stand_in::addressOf("0.0.0.0", 0);
+        auto address = stand_in::addressOf("127.0.0.1", 0);
         socklen_t size = sizeof address;
         if (::bind(socket, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0)
             return stand_in::exitNotRun;
