Take a watch that fails late for what it is, and notice silences by confirmations

Callers saw: requests reached upstreams for up to two seconds longer than they may after their records had been removed from the store (DRAIN), some twenty seconds after a short silence of the store.

Cause: a router that regains the store keeps records that are missing for two seconds, since they may have expired in its silence. It took the time of its return from its own reads alone. A watch whose answer was lost in a silence fails 20.9 s after its start, when the store has answered others all the while: the store seemed to come back then, and what was removed in the two seconds after it was kept.

Change: a read that fails says nothing of the store if that has answered a later one, of this router or of another one. The return of the store is seen in the confirmations of the configuration, which come at least every two seconds, so that routers that only watch notice it too. The confirmations move to a file of their own.

The store of the simulated fleets names its own revision in a list of the configuration, as the platform's does, and can be silent.

--- /dev/null
+++ b/servers/router/router_confirmations.cpp
@@ -0,0 +1,92 @@
+#include "servers/router/router_reducer.h"
+
+#include "servers/router/store_timeouts.h"
+
+#include <algorithm>
+
+// How a router makes sure that the configuration that it has read is still the newest, and notices silences of the store. One router
+// reads the configuration often; the others learn by digests that it has not changed.
+
+namespace kumquat::router {
+
+namespace {
+
+    // One of the routers reads the configuration this often, to confirm that no key was revoked.
+    constexpr auto confirmationInterval = std::chrono::milliseconds(750);
+    // Each router whose instance name sorts earlier delays this router's confirmation by this much, so that as a rule only
+    // the first one reads the store.
+    constexpr auto confirmationDelayPerPeer = std::chrono::milliseconds(150);
+    // The same for each other data centre whose name sorts earlier. It is longer, since a confirmation takes longer from there.
+    constexpr auto confirmationDelayPerDataCentre = std::chrono::milliseconds(800);
+    constexpr auto maxConfirmationDelay = std::chrono::milliseconds(2500);
+    constexpr auto confirmationBackoff = std::chrono::milliseconds(1000);
+
+    // std::optional orders nothing before every value.
+    std::optional<instant> latest(std::optional<instant> first, std::optional<instant> second)
+    {
+        return std::max(first, second);
+    }
+
+} // namespace
+
+// Reads the configuration from the store if no router has confirmed it recently.
+void router_reducer::confirmConfig()
+{
+    if (!m_config || m_confirmation.read != 0 || m_now < m_confirmation.notBefore)
+        return;
+    const auto delay = confirmationDelayPerPeer * static_cast<int>(m_peers.neighboursSortedBefore()) + confirmationDelayPerDataCentre * static_cast<int>(m_peers.dataCentresSortedBefore());
+    const auto maxAge = std::min<duration>(confirmationInterval + delay, maxConfirmationDelay);
+    const auto confirmed = configConfirmedAt();
+    if (confirmed && m_now - *confirmed < maxAge)
+        return;
+    m_confirmation.read = ++m_lastId;
+    m_confirmation.startedAt = m_now;
+    emit(read_store { m_confirmation.read, store_kind::configuration, {}, std::nullopt, {} });
+    setTimer(timer_kind::read_timeout, m_confirmation.read, m_now + readTimeout);
+}
+
+void router_reducer::acceptConfirmation(config_read&& read)
+{
+    m_timers.cancel({ timer_kind::read_timeout, m_confirmation.read });
+    m_confirmation.read = 0;
+    if (!followEra(read.era))
+        return;
+    auto* page = std::get_if<store_page<shared_config>>(&read.outcome);
+    if (!page) {
+        const auto* failed = std::get_if<store_read_failed>(&read.outcome);
+        log(log_level::warning, "confirmation_failed", { { "reason", failed ? failed->reason : "the store did not answer with a list" }, { "config", std::to_string(m_config->version) } });
+        m_confirmation.notBefore = m_now + confirmationBackoff;
+        return;
+    }
+    m_confirmation.confirmedAt = m_confirmation.startedAt;
+    detectStoreReturn();
+    applyConfig({ std::move(page->entries), std::nullopt, {} });
+}
+
+// A router that has only watches in progress learns from the confirmations of the others that the store was silent.
+void router_reducer::detectStoreReturn()
+{
+    const auto confirmed = configConfirmedAt();
+    const bool isAnswering = confirmed && m_now - *confirmed <= maxConfirmationGap;
+    if (isAnswering && !m_storeIsAnswering)
+        m_storeHealthySince = m_now;
+    m_storeIsAnswering = isAnswering;
+}
+
+std::optional<instant> router_reducer::ownConfirmedAt() const
+{
+    if (!m_config || m_storedConfigVersion < m_config->version)
+        return m_confirmedBeforeRestore;
+    return latest(m_confirmedBeforeRestore, latest(m_configWatcher.confirmedAt(), m_confirmation.confirmedAt));
+}
+
+std::optional<instant> router_reducer::configConfirmedAt() const
+{
+    const auto ownConfirmation = ownConfirmedAt();
+    // Confirmations by other routers count only once this router has read the configuration itself.
+    if (!ownConfirmation)
+        return std::nullopt;
+    return latest(ownConfirmation, m_peers.confirmedAt(m_configPosition, m_config->version));
+}
+
+} // namespace kumquat::router
--- a/servers/router/router_peers.cpp
+++ b/servers/router/router_peers.cpp
@@ -166,6 +166,7 @@
     m_retryLimiter.setOptions(retryOptions());
     refreshShares();
     m_upstreamWatcher.setBatchDelay(recordBatchDelay());
+    detectStoreReturn();
     detectStaleWatch();
     if (!keysAreFresh(m_now))
         restartVersionHistory();
--- a/servers/router/router_reducer.h
+++ b/servers/router/router_reducer.h
@@ -286,10 +286,16 @@
     void removeExpiredUpstreams();
     // Abandons the read of that kind that is in progress, if there is one.
     void cancelRead(store_kind);
+    void updateStoreHealth(const std::string& failure, bool wasHealthy, instant readStartedAt);
+
+    // Confirmations that what was read from the store is still the newest.
     void confirmConfig();
     void acceptConfirmation(config_read&&);
+    // Notices that the store answers again after a time without any confirmation.
+    void detectStoreReturn();
+    // When the store last confirmed the configuration in force to this router itself, and to any router.
     std::optional<instant> ownConfirmedAt() const;
-    void updateStoreHealth(const std::string& failure, bool wasHealthy);
+    std::optional<instant> configConfirmedAt() const;
 
     // Restores of the store from an older copy.
     // Follows the era that an answer of the store names. Returns false if the answer can't be used, because it is of another
@@ -320,7 +326,6 @@
     read_positions readPositions() const;
     duration recordBatchDelay() const;
     retry_limiter_options retryOptions() const;
-    std::optional<instant> configConfirmedAt() const;
 
     template <typename Effect>
     void emit(Effect&& effect) { m_effects->emplace_back(std::forward<Effect>(effect)); }
@@ -376,6 +381,10 @@
         instant notBefore;
         std::optional<instant> confirmedAt;
     } m_confirmation;
+    // The store has confirmed the configuration lately, to this router or to another one.
+    bool m_storeIsAnswering = false;
+    // A read has failed since which the store has not been known to answer.
+    bool m_storeIsLost = true;
     shared_config m_config;
     urgency_order m_urgencies;
     gap_protection m_gapProtection;
@@ -398,7 +407,7 @@
     std::uint64_t m_configRead = 0;
     // The upstream records have been listed once.
     bool m_upstreamsListed = false;
-    // When the store first answered again after its last failure.
+    // When the store first answered again after its last silence or failure.
     instant m_storeHealthySince;
     // Present once the process has been asked to stop.
     std::optional<shutdown_plan> m_shutdown;
--- a/servers/router/router_restores.cpp
+++ b/servers/router/router_restores.cpp
@@ -7,16 +7,6 @@
 
 namespace kumquat::router {
 
-namespace {
-
-    // std::optional orders nothing before every value.
-    std::optional<instant> latest(std::optional<instant> left, std::optional<instant> right)
-    {
-        return std::max(left, right);
-    }
-
-} // namespace
-
 bool router_reducer::followEra(std::optional<std::uint64_t> era)
 {
     if (!era || era == m_storeEra)
@@ -72,20 +62,4 @@
     return m_config && !m_peers.knowsLostConfig(m_configPosition, m_config->version);
 }
 
-std::optional<instant> router_reducer::ownConfirmedAt() const
-{
-    if (!m_config || m_storedConfigVersion < m_config->version)
-        return m_confirmedBeforeRestore;
-    return latest(m_confirmedBeforeRestore, latest(m_configWatcher.confirmedAt(), m_confirmation.confirmedAt));
-}
-
-std::optional<instant> router_reducer::configConfirmedAt() const
-{
-    const auto ownConfirmation = ownConfirmedAt();
-    // Confirmations by other routers count only once this router has read the configuration itself.
-    if (!ownConfirmation)
-        return std::nullopt;
-    return latest(ownConfirmation, m_peers.confirmedAt(m_configPosition, m_config->version));
-}
-
 } // namespace kumquat::router
--- a/servers/router/router_store.cpp
+++ b/servers/router/router_store.cpp
@@ -1,6 +1,7 @@
 #include "servers/router/router_reducer.h"
 
 #include "core/overloaded.h"
+#include "servers/router/store_timeouts.h"
 
 namespace kumquat::router {
 
@@ -10,18 +11,6 @@
     constexpr auto watchTimeoutAlone = std::chrono::milliseconds(6000);
     // The same for a router with peers, whose digests reveal changes that a failed watch misses.
     constexpr auto watchTimeoutWithPeers = std::chrono::milliseconds(20000);
-    // A read fails if nothing arrives for this time: from its start for a page of a list, from the end of its watch timeout for
-    // a watch, and from the last part that arrived for both.
-    constexpr auto readTimeout = std::chrono::milliseconds(900);
-    // One of the routers reads the configuration this often, to confirm that no key was revoked.
-    constexpr auto confirmationInterval = std::chrono::milliseconds(750);
-    // Each router whose instance name sorts earlier delays this router's confirmation by this much, so that as a rule only
-    // the first one reads the store.
-    constexpr auto confirmationDelayPerPeer = std::chrono::milliseconds(150);
-    // The same for each other data centre whose name sorts earlier. It is longer, since a confirmation takes longer from there.
-    constexpr auto confirmationDelayPerDataCentre = std::chrono::milliseconds(800);
-    constexpr auto maxConfirmationDelay = std::chrono::milliseconds(2500);
-    constexpr auto confirmationBackoff = std::chrono::milliseconds(1000);
 
 } // namespace
 
@@ -73,12 +62,16 @@
         m_watchLag.postpone(m_now);
 }
 
-void router_reducer::updateStoreHealth(const std::string& failure, bool wasHealthy)
+// A read that fails says nothing of the store if that has answered a later one.
+void router_reducer::updateStoreHealth(const std::string& failure, bool wasHealthy, instant readStartedAt)
 {
+    if (!failure.empty())
+        m_storeIsLost = m_storeIsLost || configConfirmedAt() <= readStartedAt;
     if (!failure.empty() && wasHealthy)
         log(log_level::warning, "store_lost", { { "reason", failure } });
     if (failure.empty() && !wasHealthy) {
-        m_storeHealthySince = m_now;
+        if (std::exchange(m_storeIsLost, false))
+            m_storeHealthySince = m_now;
         log(log_level::info, "store_regained", { { "records", toString(positionOf(m_upstreamWatcher.revision())) }, { "config_revision", toString(positionOf(m_configWatcher.revision())) } });
     }
 }
@@ -93,7 +86,7 @@
         return;
     const bool wasHealthy = m_upstreamWatcher.healthy();
     auto update = m_upstreamWatcher.onOutcome(std::move(read.outcome), m_now);
-    updateStoreHealth(update.failure, wasHealthy);
+    updateStoreHealth(update.failure, wasHealthy, m_upstreamWatcher.readStartedAt());
     applyUpstreams(std::move(update));
 }
 
@@ -109,43 +102,10 @@
         return;
     const bool wasHealthy = m_configWatcher.healthy();
     auto update = m_configWatcher.onOutcome(std::move(read.outcome), m_now);
-    updateStoreHealth(update.failure, wasHealthy);
+    updateStoreHealth(update.failure, wasHealthy, m_configWatcher.readStartedAt());
     applyConfig(std::move(update));
 }
 
-// Reads the configuration from the store if no router has confirmed it recently.
-void router_reducer::confirmConfig()
-{
-    if (!m_config || m_confirmation.read != 0 || m_now < m_confirmation.notBefore)
-        return;
-    const auto delay = confirmationDelayPerPeer * static_cast<int>(m_peers.neighboursSortedBefore()) + confirmationDelayPerDataCentre * static_cast<int>(m_peers.dataCentresSortedBefore());
-    const auto maxAge = std::min<duration>(confirmationInterval + delay, maxConfirmationDelay);
-    const auto confirmed = configConfirmedAt();
-    if (confirmed && m_now - *confirmed < maxAge)
-        return;
-    m_confirmation.read = ++m_lastId;
-    m_confirmation.startedAt = m_now;
-    emit(read_store { m_confirmation.read, store_kind::configuration, {}, std::nullopt, {} });
-    setTimer(timer_kind::read_timeout, m_confirmation.read, m_now + readTimeout);
-}
-
-void router_reducer::acceptConfirmation(config_read&& read)
-{
-    m_timers.cancel({ timer_kind::read_timeout, m_confirmation.read });
-    m_confirmation.read = 0;
-    if (!followEra(read.era))
-        return;
-    auto* page = std::get_if<store_page<shared_config>>(&read.outcome);
-    if (!page) {
-        const auto* failed = std::get_if<store_read_failed>(&read.outcome);
-        log(log_level::warning, "confirmation_failed", { { "reason", failed ? failed->reason : "the store did not answer with a list" }, { "config", std::to_string(m_config->version) } });
-        m_confirmation.notBefore = m_now + confirmationBackoff;
-        return;
-    }
-    m_confirmation.confirmedAt = m_confirmation.startedAt;
-    applyConfig({ std::move(page->entries), std::nullopt, {} });
-}
-
 void router_reducer::applyUpstreams(store_update<upstream_record>&& update)
 {
     bool versionsMayDiffer = update.listedNames.has_value();
--- a/servers/router/store_watcher.h
+++ b/servers/router/store_watcher.h
@@ -68,6 +68,9 @@
     // answer.
     void setBatchDelay(duration batchDelay) { m_batchDelay = batchDelay; }
 
+    // When the last read was started.
+    instant readStartedAt() const { return m_readStartedAt; }
+
     // Lists the objects again at the next read. What was confirmed so far stays confirmed.
     void relist()
     {
--- a/tests/support/fleet_fixture.h
+++ b/tests/support/fleet_fixture.h
@@ -148,10 +148,15 @@
     int refusalWrites = 0;
     // Whether a router is cut off from the store, so that its reads have no answer.
     std::function<bool(std::size_t)> isStoreCut = [](std::size_t) { return false; };
+    // Whether the store is silent to a router: reads that it starts now never have an answer, nor has a watch that had one now.
+    std::function<bool(std::size_t)> isStoreSilent = [](std::size_t) { return false; };
     // The upstreams that the store lists.
     std::vector<upstream_record> records { router_fixture::makeUpstream("app-1", "app", 1003) };
 
 private:
+    // A watch of at most this time is answered at once.
+    static constexpr auto shortWatch = milliseconds(10);
+
     struct node {
         std::size_t number = 0;
         std::string address;
@@ -162,6 +167,7 @@
         // The watch of the upstream records that waits for a change, or 0, and the revision since which it watches.
         std::uint64_t upstreamWatch = 0;
         std::uint64_t watchedSince = 0;
+        duration watchTime {};
     };
 
     std::unique_ptr<node> makeNode(std::size_t position, const std::string& dataCentre)
@@ -230,6 +236,8 @@
                 send(target.address, *message);
             if (const auto* read = std::get_if<read_store>(&effect))
                 answer(target, *read);
+            if (const auto* cancelled = std::get_if<cancel_store_read>(&effect); cancelled && cancelled->read == target.upstreamWatch)
+                target.upstreamWatch = 0;
             if (const auto* call = std::get_if<call_refusal_store>(&effect))
                 answer(target, *call);
         }
@@ -276,24 +284,31 @@
             return;
         store_changes<upstream_record> changes { {}, m_revision };
         std::copy_if(m_changes.begin(), m_changes.end(), std::back_inserter(changes.entries), [&target](const auto& change) { return change.revision > target.watchedSince; });
-        if (!changes.entries.empty())
-            step(target, upstreams_read { std::exchange(target.upstreamWatch, 0), std::move(changes) });
+        if (changes.entries.empty() && target.watchTime > shortWatch)
+            return;
+        const auto watch = std::exchange(target.upstreamWatch, 0);
+        if (!isStoreSilent(target.number))
+            step(target, upstreams_read { watch, std::move(changes) });
     }
 
-    // Lists are answered at once, watches of the upstream records when one of them has changed, watches of the configuration never.
+    // Lists and short watches are answered at once, long watches of the upstream records when one of them has changed, those of the
+    // configuration never.
     void answer(node& target, const read_store& read)
     {
+        if (isStoreSilent(target.number))
+            return;
         if (read.sinceRevision) {
             if (read.kind != store_kind::upstreams)
                 return;
             target.upstreamWatch = read.read;
             target.watchedSince = *read.sinceRevision;
+            target.watchTime = read.wait;
             return answerWatch(target);
         }
         if (isStoreCut(target.number))
             return;
         if (read.kind == store_kind::configuration)
-            return step(target, config_read { read.read, store_page<shared_config> { { { "main", 5, std::make_shared<const routing_config>(router_fixture::sampleConfig()) } }, false, 5 } });
+            return step(target, config_read { read.read, store_page<shared_config> { { { "main", 5, std::make_shared<const routing_config>(router_fixture::sampleConfig()) } }, false, m_revision } });
         store_page<upstream_record> page;
         page.revision = m_revision;
         for (const auto& record : records)
--- a/tests/support/virtual_store.h
+++ b/tests/support/virtual_store.h
@@ -234,7 +234,7 @@
         if (item.request.kind == store_kind::configuration) {
             ++counts.configs;
             static const auto config = std::make_shared<const routing_config>(router_fixture::sampleConfig());
-            return send(std::move(item), config_read { id, store_page<shared_config> { { { "main", configRevision, config } }, false, configRevision }, std::nullopt }, m_options.configBytes);
+            return send(std::move(item), config_read { id, store_page<shared_config> { { { "main", configRevision, config } }, false, m_revision }, std::nullopt }, m_options.configBytes);
         }
         ++counts.lists;
         store_page<upstream_record> page;
