Renew watches that may have met a silence of the store, and check them against its revision

Cause: a watch is the only call that can say that a record has changed, and its silence looks the same whether nothing has changed or its answer is lost. The records of upstreams hung on one watch of 20 s. When a change came right before a silence of the store, all routers sent their next watch into it; they compare only with each other, so none was behind.

Change, by the ways that such a wait can be doubted: - A confirmation of the configuration names the revision of the store. If it is newer than what the watch has shown, the watch is replaced by a check, which is a watch that doesn't wait. What a check finds is logged (watch_missed_changes). - When a confirmation succeeds after a failed one, a read after a failed one, or confirmations come again after a gap of two seconds, the watches that were started before are begun anew, spread over the time in which changes are batched. - A router that others have been ahead of for 100 ms checks at once, and lists everything again only after the tolerance as before. - A stalled process checks too, since the answer of its watch may have waited in the socket. - Digests tell how long ago the records were confirmed (format 7). A stream that goes on where no record was confirmed for two seconds is only sent to an upstream that states its start; until now the age of the configuration stood for that.

A silent watch costs nothing more while the store's revision stands still; otherwise one check for each confirmation that shows a newer one, by one router.

The size of a digest's array in usage_codec_test grows by the new element.

--- a/core/router_digest.h
+++ b/core/router_digest.h
@@ -124,8 +124,10 @@
     // The version of the configuration in force, or 0. After a restore of the store it may be newer than the version at
     // configPosition.
     std::uint64_t configVersion = 0;
-    // The newest position of an upstream record that the router has read.
+    // The newest position of an upstream record that the router has read, and the time since the store last confirmed to the router
+    // itself that there was no newer one.
     store_position upstreamPosition;
+    std::optional<std::chrono::milliseconds> recordsAge;
     // Some of the routers that the sender knows, others in each digest.
     std::vector<router_contact> members;
     load_slice slice;
--- a/drivers/cbor/digest_codec.cpp
+++ b/drivers/cbor/digest_codec.cpp
@@ -29,6 +29,7 @@
         config_version,
         upstream_era,
         upstream_revision,
+        records_age,
         members,
         slice_index,
         slice_count,
@@ -45,7 +46,7 @@
         // Only digests of routers that report the use of upstreams have this element.
         fleet = field_count };
 
-    constexpr int formatVersion = 6;
+    constexpr int formatVersion = 7;
     // How many consecutive numbers of a flat list encode one load, one cached prompt part, one crash and one suspect.
     constexpr std::size_t numbersPerLoad = 4;
     constexpr std::size_t numbersPerPart = 3;
@@ -167,6 +168,16 @@
         return list;
     }
 
+    json encodeAge(const std::optional<std::chrono::milliseconds>& age)
+    {
+        return age ? json(age->count()) : json();
+    }
+
+    std::optional<std::chrono::milliseconds> decodeAge(const json& age)
+    {
+        return age.is_null() ? std::nullopt : std::optional(std::chrono::milliseconds(age.get<std::int64_t>()));
+    }
+
     json encodeCrashes(const std::vector<crash_report>& reports)
     {
         json list = json::array();
@@ -196,10 +207,10 @@
         digest.leaving = root.at(leaving).get<bool>();
         digest.storeEra = root.at(store_era).get<std::uint64_t>();
         digest.configPosition = { root.at(config_era).get<std::uint64_t>(), root.at(config_revision).get<std::uint64_t>() };
-        if (!root.at(config_age).is_null())
-            digest.configAge = std::chrono::milliseconds(root.at(config_age).get<std::int64_t>());
+        digest.configAge = decodeAge(root.at(config_age));
         digest.configVersion = root.at(config_version).get<std::uint64_t>();
         digest.upstreamPosition = { root.at(upstream_era).get<std::uint64_t>(), root.at(upstream_revision).get<std::uint64_t>() };
+        digest.recordsAge = decodeAge(root.at(records_age));
         const auto& memberList = root.at(members);
         for (std::size_t index = 0; index + valuesPerMember <= memberList.size(); index += valuesPerMember)
             digest.members.push_back({ memberList[index].get<std::string>(), memberList[index + 1].get<std::string>() });
@@ -243,9 +254,8 @@
     json versionList = json::array();
     for (const auto& [version, time] : digest.soleVersions)
         versionList.insert(versionList.end(), { version, time.count() });
-    const json age = digest.configAge ? json(digest.configAge->count()) : json();
     json root { formatVersion, digest.scope == digest_scope::data_centre, digest.instance, digest.dataCentre, digest.routers, digest.relayed, digest.incarnation, digest.sequence, digest.leaving, digest.storeEra,
-        digest.configPosition.era, digest.configPosition.revision, age, digest.configVersion, digest.upstreamPosition.era, digest.upstreamPosition.revision, std::move(memberList), digest.slice.index, digest.slice.count, std::move(loadList), std::move(partList),
+        digest.configPosition.era, digest.configPosition.revision, encodeAge(digest.configAge), digest.configVersion, digest.upstreamPosition.era, digest.upstreamPosition.revision, encodeAge(digest.recordsAge), std::move(memberList), digest.slice.index, digest.slice.count, std::move(loadList), std::move(partList),
         encodeCrashes(digest.crashNews.crashes), encodeSuspects(digest.crashNews.answered), encodeSuspects(digest.crashNews.refused), std::move(leavingList), encodeLimits(digest.limits), std::move(versionList), encodeReservations(digest.reservations) };
     if (digest.fleet)
         root.push_back(encodeFleet(*digest.fleet));
--- a/servers/router/peer_group.cpp
+++ b/servers/router/peer_group.cpp
@@ -64,8 +64,12 @@
     sender.configPosition = digest.configPosition;
     sender.configVersion = digest.configVersion;
     sender.configConfirmedAt.reset();
+    sender.recordsConfirmedAt.reset();
+    const auto transitTime = maxTransitTime * (digest.relayed ? 2 : 1);
     if (digest.configAge && now >= m_confirmationsNotBefore)
-        sender.configConfirmedAt = now - *digest.configAge - maxTransitTime * (digest.relayed ? 2 : 1);
+        sender.configConfirmedAt = now - *digest.configAge - transitTime;
+    if (digest.recordsAge && now >= m_confirmationsNotBefore)
+        sender.recordsConfirmedAt = now - *digest.recordsAge - transitTime;
     sender.upstreamPosition = digest.upstreamPosition;
     sender.leavingUpstreams = digest.leavingUpstreams;
     replaceLoads(sender, digest);
@@ -151,8 +155,10 @@
 
 void peer_group::discardConfirmations()
 {
-    for (auto& [name, peer] : m_peers)
+    for (auto& [name, peer] : m_peers) {
         peer.configConfirmedAt.reset();
+        peer.recordsConfirmedAt.reset();
+    }
 }
 
 void peer_group::distrustConfirmations(instant until)
@@ -258,6 +264,26 @@
     return latest;
 }
 
+std::optional<instant> peer_group::recordsConfirmedAt(store_position records) const
+{
+    std::optional<instant> latest;
+    for (const auto& [name, peer] : m_peers) {
+        if (peer.upstreamPosition <= records)
+            latest = std::max(latest, peer.recordsConfirmedAt);
+    }
+    return latest;
+}
+
+std::optional<instant> peer_group::recordsConfirmedInDataCentre(store_position records) const
+{
+    std::optional<instant> latest;
+    for (const auto& [name, peer] : m_peers) {
+        if (isNeighbour(peer) && peer.upstreamPosition <= records)
+            latest = std::max(latest, peer.recordsConfirmedAt);
+    }
+    return latest;
+}
+
 std::size_t peer_group::neighboursSortedBefore() const
 {
     return static_cast<std::size_t>(std::count_if(m_peers.begin(), m_peers.end(), [this](const auto& item) { return isNeighbour(item.second) && item.first < m_instance; }));
--- a/servers/router/peer_group.h
+++ b/servers/router/peer_group.h
@@ -29,7 +29,7 @@
     bool accept(const std::string& address, const router_digest&, instant now);
     // Removes the senders whose last digest is too old.
     void expire(instant now);
-    // Discards the times at which the other routers confirmed their configuration.
+    // Discards the times at which the other routers confirmed their configuration and their records.
     void discardConfirmations();
     // Discards them, and ignores those of digests that are read before the given time.
     void distrustConfirmations(instant until);
@@ -87,6 +87,11 @@
     std::optional<instant> confirmedAt(store_position config, std::uint64_t version) const;
     // The same, for the routers of this data centre only.
     std::optional<instant> confirmedInDataCentre(store_position config, std::uint64_t version) const;
+    // The latest time at which another router confirmed with the store that no upstream record was newer than those that it had read, of
+    // the routers that have read none beyond the position.
+    std::optional<instant> recordsConfirmedAt(store_position records) const;
+    // The same, for the routers of this data centre only.
+    std::optional<instant> recordsConfirmedInDataCentre(store_position records) const;
     // Another router has a newer version in force, although it has read no newer position: the store has lost that version
     // in a restore.
     bool knowsLostConfig(store_position config, std::uint64_t version) const;
@@ -108,6 +113,7 @@
         std::uint64_t configVersion = 0;
         std::optional<instant> configConfirmedAt;
         store_position upstreamPosition;
+        std::optional<instant> recordsConfirmedAt;
         std::vector<outstanding_load> loads;
         std::vector<leaving_upstream> leavingUpstreams;
     };
--- a/servers/router/router_attempts.cpp
+++ b/servers/router/router_attempts.cpp
@@ -97,7 +97,10 @@
     if (!lastEvent)
         return;
     const auto& named = progress.request->resumedRequestId;
-    log(log_level::info, "stream_resumed", { { "request", progress.request->requestId }, { "first_request", named.empty() ? "unnamed" : named }, { "after_event", std::to_string(*lastEvent) } });
+    const auto confirmed = recordsConfirmedAt();
+    log(log_level::info, "stream_resumed",
+        { { "request", progress.request->requestId }, { "first_request", named.empty() ? "unnamed" : named }, { "after_event", std::to_string(*lastEvent) },
+            { "records_age_ms", confirmed ? formatMilliseconds(m_now - *confirmed) : "never" } });
 }
 
 void router_reducer::recordPromptPlacement(upstream_state& upstream, const request_progress& progress)
--- a/servers/router/router_confirmations.cpp
+++ b/servers/router/router_confirmations.cpp
@@ -1,11 +1,13 @@
 #include "servers/router/router_reducer.h"
 
+#include "core/hash.h"
 #include "servers/router/store_timeouts.h"
 
 #include <algorithm>
 
-// How a router makes sure that the configuration that it has read is still the newest, and notices silences of the store. One router
-// reads the configuration often; the others learn by digests that it has not changed.
+// How a router makes sure that what it has read from the store is still the newest. A watch can't show that: while it waits, nothing
+// has changed or its answer is lost. One router reads the configuration often, which the store answers at once. The revision of the
+// store in that answer also shows whether the watch of the upstream records can be trusted. The other routers learn both by digests.
 
 namespace kumquat::router {
 
@@ -56,23 +58,69 @@
         const auto* failed = std::get_if<store_read_failed>(&read.outcome);
         log(log_level::warning, "confirmation_failed", { { "reason", failed ? failed->reason : "the store did not answer with a list" }, { "config", std::to_string(m_config->version) } });
         m_confirmation.notBefore = m_now + confirmationBackoff;
+        m_confirmation.hasFailed = true;
         return;
     }
     m_confirmation.confirmedAt = m_confirmation.startedAt;
     detectStoreReturn();
+    if (std::exchange(m_confirmation.hasFailed, false))
+        renewWatches(m_confirmation.startedAt);
+    confirmRecords(page->revision);
     applyConfig({ std::move(page->entries), std::nullopt, {} });
 }
 
+// The store counts the changes of all its objects in one revision. If it is newer than what was read of the upstream records, the
+// watch may have lost an answer, or other objects have changed.
+void router_reducer::confirmRecords(std::uint64_t storeRevision)
+{
+    if (m_upstreamWatcher.revision() >= storeRevision)
+        return m_upstreamWatcher.confirm(m_confirmation.startedAt);
+    if (m_upstreamWatcher.waitsSinceBefore(m_confirmation.startedAt))
+        checkRecords();
+}
+
+void router_reducer::checkRecords()
+{
+    emit(count_metric { "kumquat_router_record_checks_total", {} });
+    cancelRead(store_kind::upstreams);
+    m_upstreamWatcher.check();
+}
+
+// Begins to wait anew wherever a watch may have met the silence that is over now. Many routers notice that at the same time.
+void router_reducer::renewWatches(instant startedBefore)
+{
+    const auto spread = hashBytes(m_options.settings.instance, m_lastId) % static_cast<std::uint64_t>(recordBatchDelay().count());
+    const auto renewAt = m_now + duration(spread);
+    const auto renew = [&](auto& watcher, store_kind kind) {
+        if (!watcher.waitsSinceBefore(startedBefore))
+            return;
+        cancelRead(kind);
+        watcher.renew(renewAt);
+    };
+    renew(m_upstreamWatcher, store_kind::upstreams);
+    renew(m_configWatcher, store_kind::configuration);
+}
+
 // A router that has only watches in progress learns from the confirmations of the others that the store was silent.
 void router_reducer::detectStoreReturn()
 {
     const auto confirmed = configConfirmedAt();
     const bool isAnswering = confirmed && m_now - *confirmed <= maxConfirmationGap;
-    if (isAnswering && !m_storeIsAnswering)
+    if (isAnswering && !m_storeIsAnswering) {
         m_storeHealthySince = m_now;
+        renewWatches(*confirmed);
+    }
     m_storeIsAnswering = isAnswering;
 }
 
+// Other routers have probably missed them too, and are told at the next opportunity.
+void router_reducer::reportMissedChanges(std::size_t count)
+{
+    log(log_level::warning, "watch_missed_changes", { { "changes", std::to_string(count) }, { "records", toString(positionOf(m_upstreamWatcher.revision())) } });
+    m_idleDigests = 0;
+    m_idleSummaries = 0;
+}
+
 std::optional<instant> router_reducer::ownConfirmedAt() const
 {
     if (!m_config || m_storedConfigVersion < m_config->version)
@@ -89,4 +137,12 @@
     return latest(ownConfirmation, m_peers.confirmedAt(m_configPosition, m_config->version));
 }
 
+std::optional<instant> router_reducer::recordsConfirmedAt() const
+{
+    const auto ownConfirmation = m_upstreamWatcher.confirmedAt();
+    if (!ownConfirmation)
+        return std::nullopt;
+    return latest(ownConfirmation, m_peers.recordsConfirmedAt(readPositions().records));
+}
+
 } // namespace kumquat::router
--- a/servers/router/router_origins.cpp
+++ b/servers/router/router_origins.cpp
@@ -2,6 +2,7 @@
 
 #include "core/hash.h"
 #include "servers/router/rotation.h"
+#include "servers/router/store_timeouts.h"
 
 #include <algorithm>
 #include <map>
@@ -17,8 +18,6 @@
     // A stream may go on in answer to a second request when the first one has reached the route's timeout.
     constexpr int requestsPerStream = 2;
     constexpr std::size_t maxSoleVersionsPerDigest = 4;
-    // The store answers at least one of the routers within this time, unless it is silent or this router is cut off.
-    constexpr auto maxSilence = std::chrono::milliseconds(2000);
     // Longer than any stream lives.
     constexpr auto maxAdoptedTime = std::chrono::minutes(10);
 
@@ -127,12 +126,12 @@
     if (!progress.matchedRoute->resumable || !isStated)
         return std::nullopt;
     const bool goesOn = progress.requiredVersion.has_value();
-    const auto confirmed = configConfirmedAt();
-    const bool isStoreSilent = !confirmed || m_now - *confirmed > maxSilence;
+    const auto confirmed = recordsConfirmedAt();
+    const bool areRecordsOld = !confirmed || m_now - *confirmed > maxConfirmationGap;
     // A new stream may begin elsewhere than the record says if other routers have newer records.
     const bool isBehind = m_peers.newestUpstreamPosition() > readPositions().records;
     const bool hasSeveralVersions = !onlyVersionOf(progress.service);
-    const bool isUncertain = upstream.mayHaveRestarted || (goesOn && isStoreSilent) || (hasSeveralVersions && (goesOn || isBehind));
+    const bool isUncertain = upstream.mayHaveRestarted || (goesOn && areRecordsOld) || (hasSeveralVersions && (goesOn || isBehind));
     return isUncertain ? std::optional(upstream.record.startedUnixMs) : std::nullopt;
 }
 
--- a/servers/router/router_peers.cpp
+++ b/servers/router/router_peers.cpp
@@ -11,7 +11,9 @@
     constexpr auto heartbeatInterval = std::chrono::milliseconds(400);
     // The first digests without load follow at the usual interval, since one alone may be lost.
     constexpr int repeatedIdleDigests = 3;
-    // If other routers have known of a change for longer than this, this router's watch is assumed to have failed silently.
+    // If other routers have known of a change for longer than this, this router checks what has changed.
+    constexpr auto checkTolerance = std::chrono::milliseconds(100);
+    // After this time its watch is assumed to have failed silently, and everything is listed again.
     constexpr auto watchLagTolerance = std::chrono::milliseconds(400);
     // Each answer to a watch is a load on the store, so each router waits longer between watches the more routers there are.
     constexpr auto batchDelayPerPeer = std::chrono::milliseconds(15);
@@ -131,6 +133,8 @@
     m_census.unsettle(m_now);
     cancelRead(store_kind::configuration);
     m_configWatcher.relist();
+    if (m_upstreamWatcher.waitsSinceBefore(m_now))
+        checkRecords();
     restartVersionHistory();
 }
 
@@ -202,6 +206,8 @@
     // routers confirm one another for ever.
     if (const auto confirmed = ownConfirmedAt())
         digest.configAge = std::chrono::ceil<std::chrono::milliseconds>(m_now - *confirmed);
+    if (const auto confirmed = m_upstreamWatcher.confirmedAt())
+        digest.recordsAge = std::chrono::ceil<std::chrono::milliseconds>(m_now - *confirmed);
     digest.members = m_peers.sampleContacts();
     addLoads(digest, ownLoads(), m_digestSlice++);
     digest.crashNews = m_crashes.ownNews(maxCrashNewsPerDigest, m_now);
@@ -264,6 +270,8 @@
     const auto confirmed = m_config ? std::max(ownConfirmedAt(), m_peers.confirmedInDataCentre(m_configPosition, m_config->version)) : std::nullopt;
     if (confirmed)
         summary.configAge = std::chrono::ceil<std::chrono::milliseconds>(m_now - *confirmed);
+    if (const auto own = m_upstreamWatcher.confirmedAt())
+        summary.recordsAge = std::chrono::ceil<std::chrono::milliseconds>(m_now - *std::max(own, m_peers.recordsConfirmedInDataCentre(readPositions().records)));
     summary.members = m_peers.sampleContacts();
     addLoads(summary, m_peers.sumOfDataCentre(ownLoads()), m_summarySlice++);
     summary.crashNews = m_crashes.dataCentreNews(maxCrashNewsPerDigest, m_now);
@@ -290,6 +298,8 @@
     const auto own = readPositions();
     const read_positions others { m_peers.newestConfigPosition(), m_peers.newestUpstreamPosition() };
     m_watchLag.update(own, others, m_now);
+    if (m_watchLag.exceeds(checkTolerance, m_now) && own.records < others.records && m_upstreamWatcher.waitsSinceBefore(m_now - checkTolerance))
+        checkRecords();
     if (!m_watchLag.exceeds(watchLagTolerance + recordBatchDelay(), m_now) || !m_upstreamsListed || !m_config)
         return;
     log(log_level::warning, "watch_behind_peers", { { "config_revision", toString(own.config) }, { "peers_config", toString(others.config) }, { "record", toString(own.records) }, { "peers_record", toString(others.records) } });
--- a/servers/router/router_reducer.h
+++ b/servers/router/router_reducer.h
@@ -291,11 +291,21 @@
     // Confirmations that what was read from the store is still the newest.
     void confirmConfig();
     void acceptConfirmation(config_read&&);
+    // Compares the upstream records that were read with the revision that the store has.
+    void confirmRecords(std::uint64_t storeRevision);
+    // Replaces the watch of the upstream records, whose answer may be lost, by a check of what has changed.
+    void checkRecords();
+    // Cancels the watches that were started before the time, and starts them again.
+    void renewWatches(instant startedBefore);
     // Notices that the store answers again after a time without any confirmation.
     void detectStoreReturn();
+    // Logs that a check has found so many changes.
+    void reportMissedChanges(std::size_t count);
     // When the store last confirmed the configuration in force to this router itself, and to any router.
     std::optional<instant> ownConfirmedAt() const;
     std::optional<instant> configConfirmedAt() const;
+    // The latest time at which the store is known to have had no upstream record that is newer than those of this router.
+    std::optional<instant> recordsConfirmedAt() const;
 
     // Restores of the store from an older copy.
     // Follows the era that an answer of the store names. Returns false if the answer can't be used, because it is of another
@@ -380,6 +390,8 @@
         instant startedAt;
         instant notBefore;
         std::optional<instant> confirmedAt;
+        // The last read has failed.
+        bool hasFailed = false;
     } m_confirmation;
     // The store has confirmed the configuration lately, to this router or to another one.
     bool m_storeIsAnswering = false;
--- a/servers/router/router_store.cpp
+++ b/servers/router/router_store.cpp
@@ -11,13 +11,16 @@
     constexpr auto watchTimeoutAlone = std::chrono::milliseconds(6000);
     // The same for a router with peers, whose digests reveal changes that a failed watch misses.
     constexpr auto watchTimeoutWithPeers = std::chrono::milliseconds(20000);
+    // A check of what has changed is a watch that doesn't wait.
+    constexpr auto checkTimeout = std::chrono::milliseconds(1);
 
 } // namespace
 
 void router_reducer::startRead(store_kind kind, const store_read_request& request)
 {
     const auto id = ++m_lastId;
-    const auto watchTimeout = m_peers.count() > 0 ? watchTimeoutWithPeers : watchTimeoutAlone;
+    const auto longWatch = m_peers.count() > 0 ? watchTimeoutWithPeers : watchTimeoutAlone;
+    const auto watchTimeout = request.isCheck ? checkTimeout : longWatch;
     // A list that was cut off because it takes long would never end.
     if (!request.sinceRevision)
         m_watchLag.postpone(m_now);
@@ -72,6 +75,7 @@
     if (failure.empty() && !wasHealthy) {
         if (std::exchange(m_storeIsLost, false))
             m_storeHealthySince = m_now;
+        renewWatches(m_now);
         log(log_level::info, "store_regained", { { "records", toString(positionOf(m_upstreamWatcher.revision())) }, { "config_revision", toString(positionOf(m_configWatcher.revision())) } });
     }
 }
@@ -85,8 +89,11 @@
     if (!followEra(read.era))
         return;
     const bool wasHealthy = m_upstreamWatcher.healthy();
+    const bool wasCheck = m_upstreamWatcher.isChecking();
     auto update = m_upstreamWatcher.onOutcome(std::move(read.outcome), m_now);
     updateStoreHealth(update.failure, wasHealthy, m_upstreamWatcher.readStartedAt());
+    if (wasCheck && !update.entries.empty())
+        reportMissedChanges(update.entries.size());
     applyUpstreams(std::move(update));
 }
 
--- a/servers/router/store_watcher.h
+++ b/servers/router/store_watcher.h
@@ -20,6 +20,8 @@
     std::string after;
     // For a watch: the revision since which changes are requested. Absent for a list.
     std::optional<std::uint64_t> sinceRevision;
+    // The watch is a check: it asks for an answer at once, also if nothing has changed.
+    bool isCheck = false;
 };
 
 // What one read of the store changes for one kind of object.
@@ -35,7 +37,8 @@
 // Follows the objects of one kind in the store: lists them, then watches for changes since the start of the list. The pages of
 // a list are returned as they arrive. A page that can't be read is read again, after a random pause that grows with the
 // failures, so that many routers that start at once don't repeat their reads together. A watch that fails, or whose history
-// of changes the store no longer has, leads to a new list.
+// of changes the store no longer has, leads to a new list. The silence of a watch proves nothing, since its answer may be lost: whoever
+// knows of newer changes has it replaced by a check.
 template <typename Value>
 class store_watcher {
 public:
@@ -52,8 +55,9 @@
             return std::nullopt;
         m_readInProgress = true;
         m_readStartedAt = now;
+        m_readIsCheck = m_watching && std::exchange(m_checkWanted, false);
         if (m_watching)
-            return store_read_request { {}, m_revision };
+            return store_read_request { {}, m_revision, m_readIsCheck };
         return store_read_request { m_listAfter, std::nullopt };
     }
 
@@ -68,9 +72,33 @@
     // answer.
     void setBatchDelay(duration batchDelay) { m_batchDelay = batchDelay; }
 
+    // Whether a watch waits for changes that was started before that time, so that its silence may be the loss of its answer.
+    bool waitsSinceBefore(instant time) const { return m_watching && m_readInProgress && !m_readIsCheck && m_readStartedAt < time; }
+    bool isChecking() const { return m_readInProgress && m_readIsCheck; }
     // When the last read was started.
     instant readStartedAt() const { return m_readStartedAt; }
 
+    // Abandons the watch in progress, and checks at the next read what has changed.
+    void check()
+    {
+        m_readInProgress = false;
+        m_checkWanted = true;
+    }
+
+    // Abandons the watch in progress, and watches again from that time on.
+    void renew(instant notBefore)
+    {
+        m_readInProgress = false;
+        m_nextReadAt = notBefore;
+    }
+
+    // The store is known to have had nothing newer at that time than what was returned.
+    void confirm(instant time)
+    {
+        if (m_confirmedAt)
+            m_confirmedAt = std::max(*m_confirmedAt, time);
+    }
+
     // Lists the objects again at the next read. What was confirmed so far stays confirmed.
     void relist()
     {
@@ -145,8 +173,7 @@
     {
         recordAnswer();
         m_revision = std::max(m_revision, changes.revision);
-        if (m_confirmedAt)
-            m_confirmedAt = std::max(*m_confirmedAt, now - watchDetectionDelay);
+        confirm(m_readIsCheck ? m_readStartedAt : now - watchDetectionDelay);
         if (!changes.entries.empty())
             m_nextReadAt = now + m_batchDelay;
         return { std::move(changes.entries), std::nullopt, {} };
@@ -185,12 +212,15 @@
     void restartList()
     {
         m_watching = false;
+        m_checkWanted = false;
         m_listAfter.clear();
         m_listedNames.clear();
     }
 
     std::uint64_t m_seed;
     bool m_readInProgress = false;
+    bool m_readIsCheck = false;
+    bool m_checkWanted = false;
     bool m_watching = false;
     // The list that is in progress: the name after which it continues, the names so far, and the revision of its first page.
     std::string m_listAfter;
--- a/tests/drivers/digest_codec_test.cpp
+++ b/tests/drivers/digest_codec_test.cpp
@@ -15,6 +15,7 @@
     digest.storeEra = 3;
     digest.configPosition = { 3, 41 };
     digest.configAge = std::chrono::milliseconds(120);
+    digest.recordsAge = std::chrono::milliseconds(340);
     digest.configVersion = 12;
     digest.upstreamPosition = { 2, 40 };
     digest.scope = digest_scope::data_centre;
@@ -43,6 +44,7 @@
     CHECK(decodedDigest.configVersion == digest.configVersion);
     CHECK(decodedDigest.upstreamPosition == digest.upstreamPosition);
     CHECK(decodedDigest.configAge == digest.configAge);
+    CHECK(decodedDigest.recordsAge == digest.recordsAge);
     CHECK(decodedDigest.scope == digest.scope);
     CHECK(decodedDigest.dataCentre == digest.dataCentre);
     CHECK(decodedDigest.routers == digest.routers);
--- a/tests/drivers/usage_codec_test.cpp
+++ b/tests/drivers/usage_codec_test.cpp
@@ -56,8 +56,8 @@
 {
     router_digest digest;
     const auto without = encodeDigest(digest);
-    // An array of the 28 elements that every digest has.
-    CHECK(without.substr(0, 2) == "\x98\x1c");
+    // An array of the 29 elements that every digest has.
+    CHECK(without.substr(0, 2) == "\x98\x1d");
     digest.fleet = fleet_state { unix_time(std::chrono::milliseconds(1'767'225'600'123)), std::nullopt };
     const auto withTime = encodeDigest(digest);
     CHECK(withTime.size() - without.size() <= 12);
