Let a stream go on only where the upstream states its start

Cause: the class of the fault before: a fact that only the store's watch can bring was taken as true while nothing contradicted it. The start was asked only where there was a reason to doubt the record, and in the first two seconds of a silence there was none.

Change: whatever is known, a stream that goes on is sent over a connection on which the engine has stated the start of its record. It costs a round trip and a probe for each resumption, which are few; new streams ask as before. The condition on the age of the records is gone with it.

--- a/servers/router/router_origins.cpp
+++ b/servers/router/router_origins.cpp
@@ -118,20 +118,18 @@
         saveOrigin(progress);
 }
 
-// A record may be older than its upstream, which may have started again under the same id with another version. While a service
-// has only one version and the store answers, the start matters only where a connection has broken. Plain services do not state theirs.
+// A record may be older than its upstream, which may have started again under the same id with another version. No record shows that
+// in time, so a stream goes on only where the upstream states the start of its record. Plain services do not state theirs.
 std::optional<std::int64_t> router_reducer::requiredStart(const request_progress& progress, const upstream_state& upstream) const
 {
     const bool isStated = progress.targetsEngine && upstream.record.startedUnixMs != 0;
     if (!progress.matchedRoute->resumable || !isStated)
         return std::nullopt;
     const bool goesOn = progress.requiredVersion.has_value();
-    const auto confirmed = recordsConfirmedAt();
-    const bool areRecordsOld = !confirmed || m_now - *confirmed > maxConfirmationGap;
     // A new stream may begin elsewhere than the record says if other routers have newer records.
     const bool isBehind = m_peers.newestUpstreamPosition() > readPositions().records;
     const bool hasSeveralVersions = !onlyVersionOf(progress.service);
-    const bool isUncertain = upstream.mayHaveRestarted || (goesOn && areRecordsOld) || (hasSeveralVersions && (goesOn || isBehind));
+    const bool isUncertain = goesOn || upstream.mayHaveRestarted || (hasSeveralVersions && isBehind);
     return isUncertain ? std::optional(upstream.record.startedUnixMs) : std::nullopt;
 }
 
