Drop the trailer fields of requests as they come

Cause: the reader of requests kept trailer fields as header fields. No limit of the head applied to them, the account of the connection did not count their text, and they would have been forwarded as header fields.

--- a/drivers/http_parser/request_reader.cpp
+++ b/drivers/http_parser/request_reader.cpp
@@ -43,6 +43,9 @@
         };
         callbacks.on_header_field = [](http_parser* parser, const char* bytes, std::size_t size) {
             auto& reader = readerOf<Implementation>(parser);
+            // Trailer fields are not forwarded, so they are dropped as they come.
+            if (reader.headParsed)
+                return 0;
             if (reader.lastWasValue || reader.request.headers.empty()) {
                 if (reader.request.headers.size() >= reader.limits.maxHeaderFields) {
                     reader.current = request_reader::state::header_too_large;
@@ -56,6 +59,8 @@
         };
         callbacks.on_header_value = [](http_parser* parser, const char* bytes, std::size_t size) {
             auto& reader = readerOf<Implementation>(parser);
+            if (reader.headParsed)
+                return 0;
             reader.lastWasValue = true;
             reader.request.headers.back().value.append(bytes, size);
             return 0;
--- a/tests/drivers/request_reader_test.cpp
+++ b/tests/drivers/request_reader_test.cpp
@@ -105,3 +105,21 @@
     reader.feed("ab");
     CHECK(reader.current() == state::complete);
 }
+
+// Guards against callers that fill the memory with trailer fields, which nobody reads and no account counts.
+TEST_CASE("trailer fields are dropped as they come", "[http]")
+{
+    request_reader reader({ 1024, 64 });
+    reader.feed(post("Transfer-Encoding: chunked\r\n", "2\r\nab\r\n0\r\n"));
+    REQUIRE(reader.current() == state::reading);
+    const auto heldBytes = reader.heldBytes();
+    for (int field = 0; field < 500; ++field)
+        reader.feed("X-Trailer-" + std::to_string(field) + ": " + std::string(80, 'x') + "\r\n");
+    REQUIRE(reader.current() == state::reading);
+    CHECK(reader.heldBytes() == heldBytes);
+    reader.feed("\r\n");
+    REQUIRE(reader.current() == state::complete);
+    const auto request = reader.take();
+    CHECK(request.headers.size() == 2);
+    CHECK(request.body == "ab");
+}
