Keep the prompt parts of a request in a bounded number

Cause: each four bytes of the list became 16 that live as long as the request, beside the head, and no account counted them.

Change: 256 parts are kept, 4 KB. The tokens of further ones are added to the last, which takes the id of the prompt's own last part, so that the sum and the request's own part stay right.

--- a/tests/platform/request_codec_test.cpp
+++ b/tests/platform/request_codec_test.cpp
@@ -2,6 +2,7 @@
 #include "platform/request_codec.h"
 
 #include <catch2/catch.hpp>
+#include <numeric>
 
 using namespace kumquat;
 using namespace kumquat::platform;
@@ -118,3 +119,18 @@
     CHECK_FALSE(good.notRun);
     CHECK(good.head.headers.size() == 2);
 }
+
+// Guards against heads of legal size whose parts occupy many times what they take in the head.
+TEST_CASE("a prompt in thousands of parts is kept in a bounded number, with all its tokens and its own part", "[platform]")
+{
+    std::string list;
+    for (int part = 0; part < 4000; ++part)
+        list += "1:1,";
+    auto request = sampleRequest();
+    std::erase_if(request.headers, [](const http_header& header) { return header.name == "X-Prompt-Prefix"; });
+    request.headers.push_back({ "X-Prompt-Prefix", list + "ff:7" });
+    const auto parts = decoded(std::move(request)).prompt.parts;
+    CHECK(parts.size() <= 256);
+    CHECK(parts.back().id == 0xff);
+    CHECK(std::accumulate(parts.begin(), parts.end(), 0, [](int sum, const prompt_part& part) { return sum + part.tokens; }) == 4007);
+}
