Close callers that wait for their upstream last when memory runs short

Cause: a caller with a request in progress counted as stalled when nothing had crossed its connection for a second. One that waits for its upstream transfers nothing either, and nothing is due from it, while a slow reader that takes a little each second never stalled.

Change: the load of a connection says whether its caller awaits its upstream, that is, has taken all that has come of its answer. Such a caller isn't stalled, and ranks behind all others with a request in progress unless it holds more than they do on average, so that large requests are not safe because they wait.

--- a/core/connection_budget.cpp
+++ b/core/connection_budget.cpp
@@ -87,7 +87,20 @@
     return m_heldBytes < pressureBytes() ? answerReadBytes : smallAnswerReadBytes;
 }
 
-std::optional<holder_rank> connection_budget::rankOf(const tracked_connection& tracked, instant now)
+std::size_t connection_budget::meanInProgress() const
+{
+    std::size_t sum = 0;
+    std::size_t count = 0;
+    for (const auto& [key, tracked] : m_connections) {
+        if (tracked.side != connection_side::caller || !tracked.load.requestInProgress)
+            continue;
+        sum += tracked.load.heldBytes;
+        ++count;
+    }
+    return count == 0 ? 0 : sum / count;
+}
+
+std::optional<holder_rank> connection_budget::rankOf(const tracked_connection& tracked, std::size_t meanInProgress, instant now)
 {
     const auto& load = tracked.load;
     if (tracked.side != connection_side::caller && load.answerBytes == 0)
@@ -97,6 +110,8 @@
     if (tracked.side == connection_side::upstream)
         return load.partialEventBytes > ordinaryEventBytes ? holder_rank::endless_answer : holder_rank::kept_answer;
     const bool stalled = now - tracked.progressAt >= stallTime;
+    if (load.requestInProgress && load.awaitsUpstream)
+        return load.heldBytes <= meanInProgress ? holder_rank::caller_awaiting_upstream : holder_rank::caller_in_progress;
     if (load.requestInProgress)
         return stalled && load.heldBytes > 0 ? holder_rank::stalled_caller_in_progress : holder_rank::caller_in_progress;
     return stalled ? holder_rank::stalled_caller : holder_rank::waiting_caller;
@@ -108,8 +123,9 @@
     if (m_heldBytes < pressureBytes() && !lacksDescriptors)
         return {};
     std::vector<memory_holder> holders;
+    const auto mean = meanInProgress();
     for (const auto& [key, tracked] : m_connections) {
-        if (const auto rank = rankOf(tracked, now))
+        if (const auto rank = rankOf(tracked, mean, now))
             holders.push_back({ key, *rank, tracked.load.heldBytes, tracked.progressAt });
     }
     std::vector<connection_key> selected;
--- a/core/connection_budget.h
+++ b/core/connection_budget.h
@@ -23,6 +23,8 @@
     // Memory of requests that have not been answered and of answers that have not been sent.
     std::size_t heldBytes = 0;
     bool requestInProgress = false;
+    // The caller has taken all that has come of its answer, and waits for the upstream. Nothing is due from it.
+    bool awaitsUpstream = false;
     // Bytes received and sent since the connection was opened.
     std::uint64_t transferredBytes = 0;
     // Of the memory: what was received of an answer and has not been passed on. Without it the connection of an upstream or of the
@@ -92,8 +94,10 @@
     // Bytes above which less is read and buffered, a share of the bound.
     std::size_t pressureBytes() const { return m_bounds.memoryBytes / 4 * 3; }
     std::size_t maxConnections() const;
-    // Nothing if closing the connection releases nothing of its own.
-    static std::optional<holder_rank> rankOf(const tracked_connection&, instant now);
+    // Nothing if closing the connection releases nothing of its own. `meanInProgress` is what a caller with a request in progress holds
+    // on average.
+    static std::optional<holder_rank> rankOf(const tracked_connection&, std::size_t meanInProgress, instant now);
+    std::size_t meanInProgress() const;
 
     connection_bounds m_bounds;
     std::unordered_map<connection_key, tracked_connection, connection_key_hash> m_connections;
--- a/core/memory_relief.h
+++ b/core/memory_relief.h
@@ -33,6 +33,8 @@
     kept_answer,
     stalled_caller_in_progress,
     caller_in_progress,
+    // A caller that waits for its upstream and holds no more than callers with a request in progress do on average.
+    caller_awaiting_upstream,
     // An answer of the store, whose size its reader bounds.
     store_answer
 };
--- a/drivers/asio/http_client_connections.cpp
+++ b/drivers/asio/http_client_connections.cpp
@@ -40,7 +40,12 @@
     const auto requestBytes = connection.connectingBytes + connection.unsentBytes.capacity() + checkedBytes;
     connection.trackedParserBytes = connection.state.heldBytes();
     const auto answerBytes = connection.trackedParserBytes + connection.checkBody.size() + connection.keptHeadBytes + connection.keptBodyBytes;
-    guard.budget().update({ owner, connection.id }, { requestBytes + answerBytes, connection.call != 0, 0, answerBytes, connection.partialEventBytes }, std::chrono::steady_clock::now());
+    connection_load load;
+    load.heldBytes = requestBytes + answerBytes;
+    load.requestInProgress = connection.call != 0;
+    load.answerBytes = answerBytes;
+    load.partialEventBytes = connection.partialEventBytes;
+    guard.budget().update({ owner, connection.id }, load, std::chrono::steady_clock::now());
 }
 
 void http_client::implementation::endAtMemoryBound(std::uint64_t connectionId)
--- a/drivers/asio/http_server_connections.cpp
+++ b/drivers/asio/http_server_connections.cpp
@@ -41,7 +41,12 @@
 {
     // A caller that has not taken its whole answer is worth as much as one whose request is still in progress.
     const bool isInProgress = connection.state.isAnswering() || !connection.state.unsent().empty();
-    guard.budget().update({ owner, connection.id }, { connection.state.heldBytes(), isInProgress, connection.transferredBytes }, std::chrono::steady_clock::now());
+    connection_load load;
+    load.heldBytes = connection.state.heldBytes();
+    load.requestInProgress = isInProgress;
+    load.awaitsUpstream = connection.state.isAnswering() && connection.state.unsent().empty();
+    load.transferredBytes = connection.transferredBytes;
+    guard.budget().update({ owner, connection.id }, load, std::chrono::steady_clock::now());
 }
 
 // Closes what has to be closed at a bound, and goes on with what waited.
--- a/tests/core/connection_budget_test.cpp
+++ b/tests/core/connection_budget_test.cpp
@@ -165,4 +165,34 @@
     CHECK(budget.connectionCount() == 0);
 }
 
+// Guards against callers whose requests are at work being closed without an answer for memory that slow readers hold.
+TEST_CASE("callers that wait for their upstream are closed after those that have not taken their answers", "[connection]")
+{
+    connection_budget budget({ .memoryBytes = memoryBytes, .descriptors = 4100 });
+    constexpr std::uint64_t readers = 400;
+    constexpr std::uint64_t ordinary = 40;
+    for (std::uint64_t id = 1; id <= ordinary; ++id)
+        addCaller(budget, id, { .heldBytes = 34000, .requestInProgress = true, .awaitsUpstream = true });
+    // The readers take a little each second, so none has stalled.
+    for (std::uint64_t id = 1001; id <= 1000 + readers; ++id)
+        addCaller(budget, id, { .heldBytes = memoryBytes / readers, .requestInProgress = true }, start + seconds(3));
+    const auto selected = budget.selectToClose(false, start + seconds(3));
+    REQUIRE_FALSE(selected.empty());
+    CHECK(std::none_of(selected.begin(), selected.end(), [](const connection_key& key) { return key.id <= ordinary; }));
+}
+
+// Guards against large requests that are safe at the bound because they wait.
+TEST_CASE("a caller that waits for its upstream and holds more than others is closed before them", "[connection]")
+{
+    connection_budget budget({ .memoryBytes = memoryBytes, .descriptors = 4100 });
+    for (std::uint64_t id = 1; id <= 5; ++id)
+        addCaller(budget, id, { .heldBytes = largeBody + id, .requestInProgress = true, .awaitsUpstream = true });
+    for (std::uint64_t id = 11; id <= 50; ++id)
+        addCaller(budget, id, { .heldBytes = 34000, .requestInProgress = true }, start + seconds(3));
+    const auto selected = budget.selectToClose(false, start + seconds(3));
+    REQUIRE_FALSE(selected.empty());
+    CHECK(selected.front() == callerKey(5));
+    CHECK(std::all_of(selected.begin(), selected.end(), [](const connection_key& key) { return key.id <= 5; }));
+}
+
 } // namespace kumquat
