Start the sidecar again after its predecessor has ended, in the test of spread documents

The test started the successor of a killed sidecar at once; when the predecessor still held its admin port, the sidecar ended with "the address is in use" and three checks failed with it (once, on a clone beside other load). It waits for the end of the killed process now. The checks stay as they are.

--- a/tests/process/config_spread_test.sh
+++ b/tests/process/config_spread_test.sh
@@ -97,6 +97,8 @@
 start entry-3 $bin/kumquat-entry --settings "$(entry_settings entry-3 82 74 94 "$with_store | . + {document_peers: [\"$(peer 72)\"]}")"
 check "an entry that starts while the store is unavailable has the document" eventually in_force 5 94
 kill -KILL "$(pid_of dwumadie-1)"
+# Its ports are free once it has ended.
+wait "$(pid_of dwumadie-1)" 2>/dev/null
 start dwumadie-1 $bin/kumquat-sidecar --settings "$work/dwumadie-1.json"
 check "a sidecar that restarts while the store is unavailable has the document" eventually in_force 5 93
 control '{"down": false}'
