--- a/tests/drivers/request_reader_test.cpp
+++ b/tests/drivers/request_reader_test.cpp
@@ -123,3 +123,12 @@
     CHECK(request.headers.size() == 2);
     CHECK(request.body == "ab");
 }
+
+TEST_CASE("a trailer section without an end is refused", "[http]")
+{
+    request_reader reader({ 1024, 64 });
+    reader.feed(post("Transfer-Encoding: chunked\r\n", "0\r\n"));
+    for (int field = 0; field < 2000 && reader.current() == state::reading; ++field)
+        reader.feed("X-Trailer: " + std::string(80, 'x') + "\r\n");
+    CHECK(reader.current() == state::malformed);
+}
