Renew no watches at the first reads of a router that starts

A router begins its watches anew when it regains the store. The first answer that it ever has is counted as a return as well, so that a router which starts could cancel and repeat the watch of its other kind: one call more a router, at the moment at which all may start. It renews only once it has read both kinds. The cases of [lost-watch], [router], [dissemination] and [fleet-restart] pass (118, without [slow]).

--- a/servers/router/router_store.cpp
+++ b/servers/router/router_store.cpp
@@ -75,7 +75,9 @@
     if (failure.empty() && !wasHealthy) {
         if (std::exchange(m_storeIsLost, false))
             m_storeHealthySince = m_now;
-        renewWatches(m_now);
+        // The first reads of a router that starts have lost nothing.
+        if (m_upstreamsListed && m_config)
+            renewWatches(m_now);
         log(log_level::info, "store_regained", { { "records", toString(positionOf(m_upstreamWatcher.revision())) }, { "config_revision", toString(positionOf(m_configWatcher.revision())) } });
     }
 }
