Wait for the server's end before asking whether the client had closed it, in the test of endless answers

The call had failed, and what was held and allocated stayed under the bounds, so the client had ended the answer. The server's thread notes that only with its next write, and the test asked at once. Traced: with 100 ms of sleep before that note, six of the nine forms fail in each run, and pass with this change.

The test now joins the server's thread, which ends when it is closed or has sent all, before it asks. What it asks is the same.

--- a/tests/drivers/answer_memory_test.cpp
+++ b/tests/drivers/answer_memory_test.cpp
@@ -42,13 +42,23 @@
     {
     }
 
-    ~endless_server() { m_thread.join(); }
+    ~endless_server() { awaitEnd(); }
 
     std::uint16_t port() const { return m_acceptor.local_endpoint().port(); }
-    // The client ended the answer before the server stopped.
-    bool wasClosed() const { return m_wasClosed; }
+    // The client ended the answer before the server stopped. The server notices that with its next write, which may come later.
+    bool wasClosed()
+    {
+        awaitEnd();
+        return m_wasClosed;
+    }
 
 private:
+    void awaitEnd()
+    {
+        if (m_thread.joinable())
+            m_thread.join();
+    }
+
     void serve(const std::string& beginning, const std::string& piece)
     {
         tcp::socket socket(m_context);
