Silence the store right after changes in the soak, and look for late requests at workers that leave

The soak drew its faults uniformly in time, so that no watch of all routers went into a silence, and its store ended every watch after half a second.

Seeds from 2001 on aim silences at changes: a record written, a configuration published, the lease of the duties renewed. The proxy silences its links on request. Watches there wait as long as they ask for. Requests that reach a worker late count where nothing was done to their router for the contact time. A worker that starts again states that in its report in all kinds of seeds, and its record says ready again.

--- a/tests/process/router_soak_test.sh
+++ b/tests/process/router_soak_test.sh
@@ -9,6 +9,9 @@
 # part, and its caller repeats it, several times at once.
 # From seed 1001 on, workers of several versions serve side by side, which the routers reach without the proxy, and callers take up
 # streams that break off; routers are killed, terminated, suspended and reloaded, also all at once.
+# From seed 2001 on, the store is silent right after a state has changed in it: a record or a configuration was written, or a lease
+# renewed. Later a worker leaves, and gets no request after the drain time from routers that were in touch. In even seeds routers are
+# only reloaded, in odd ones they are also killed, terminated and suspended. These seeds last 20 s at least.
 # One router at a time reports to a stand-in of the platform's API, which is slow, silent or busy at times, except in the seeds with
 # planned work only. What arrives there is judged after each seed. In every fifth seed from 1 on, below 1000, faults end after
 # SOAK_SECONDS and the callers go on, so that the reports that follow are judged too.
@@ -28,6 +31,7 @@
 proxied_store_port=$(port 650)
 proxied_worker_port=$(port 660)
 platform_api_port=$(port 670)
+silence_port=$(port 680)
 # How often each router was started.
 starts=()
 
@@ -85,6 +89,7 @@
     # later on must not make the routers forget it.
     [[ $1 = crashes || $1 = repeats ]] && signal=$((SECONDS < seed_started + 10 ? 4 : signal))
     [ "$1" = restores ] && signal=$((signal % 2 + 3))
+    [ "$1" = silences ] && signal=4
     [ "$1" = versions ] && [ $((RANDOM % 8)) -eq 0 ] && kill_all_routers
     case $signal in
     0) record_event killed "$router" && kill -KILL "$pid" 2>/dev/null ;;
@@ -100,7 +105,7 @@
     # Each router has a separate link to the store, so that a fault can separate one router alone from the store.
     for number in $(seq 0 $((routers - 1))); do links+=("$((proxied_store_port + number))" "$store_port"); done
     for number in $(seq 0 $((workers - 1))); do links+=("$((proxied_worker_port + number))" "$((worker_port + number))"); done
-    start "proxy-$1" "$bin/tests/soak-fault-proxy" "$2" "$3" "${links[@]}"
+    start "proxy-$1" "$bin/tests/soak-fault-proxy" "$2" "$3" "$silence_port" "$routers" "${links[@]}"
 }
 
 # run_soak SEED: runs the routers, the proxy and soak-router-world for one seed, and returns the exit code of the latter.
@@ -109,7 +114,12 @@
     seed_started=$SECONDS
     rm -f "$work/events"
     local pause left ports=() world kind=all proxy_seed=$1 advertised_worker_port=$proxied_worker_port
-    if [ "$1" -gt 1000 ]; then
+    local faults seconds=$seconds
+    if [ "$1" -gt 2000 ]; then
+        kind=silences
+        proxy_seed=0
+        [ "$seconds" -ge 20 ] || seconds=20
+    elif [ "$1" -gt 1000 ]; then
         kind=versions
         advertised_worker_port=$worker_port
     elif [ $(($1 % 5)) -eq 0 ]; then
@@ -127,13 +137,15 @@
     for number in $(seq 0 $((routers - 1))); do
         ports+=("$(port $((600 + number)))")
     done
+    faults=$kind
+    [ "$kind" = silences ] && [ $(($1 % 2)) -eq 1 ] && faults=all
     local calm=$calm_seconds fault_seconds=0
     [ -z "$calm" ] && calm=$(($1 % 5 == 1 && $1 < 1000 ? 12 : 0))
     # The world waits a second before the faults.
     [ "$calm" -gt 0 ] && fault_seconds=$((seconds + 1))
     start_proxy "$1" "$proxy_seed" "$fault_seconds"
     local proxy=$started
-    start "world-$1" "$bin/tests/soak-router-world" "$store_port" "$worker_port" "$advertised_worker_port" "$1" "$seconds" "$kind" "$platform_api_port" "$calm" "$work/events" "${ports[@]}"
+    start "world-$1" "$bin/tests/soak-router-world" "$store_port" "$worker_port" "$advertised_worker_port" "$1" "$seconds" "$kind" "$platform_api_port" "$calm" "$work/events" "$silence_port" "${ports[@]}"
     world=$started
     for number in $(seq 0 $((routers - 1))); do start_router "$number"; done
     sleep 2
@@ -143,7 +155,7 @@
             sleep 0.2
             continue
         fi
-        inject_fault "$kind"
+        inject_fault "$faults"
         # Two of three seeds pause up to 3 or 6 s between signals, so that a router is not restarted while it is separated from the
         # store and its configuration becomes stale.
         pause=$(($1 % 3 * (RANDOM % 4)))
@@ -165,7 +177,7 @@
 }
 
 # Seeds 15, 25, 30 and 35 have shown a fault: a router with a grace time of 3 s accepted requests that it then cut off.
-for seed in ${SOAK_SEEDS:-1 2 3 4 9 15 1001}; do
+for seed in ${SOAK_SEEDS:-1 2 3 4 9 15 1001 2001 2002}; do
     check "soak with seed $seed violates no guarantee" run_soak "$seed"
 done
 summary
--- a/tests/soak/fault_proxy_main.cpp
+++ b/tests/soak/fault_proxy_main.cpp
@@ -1,6 +1,6 @@
 // A loopback TCP proxy that injects network faults, determined by a seed: it delays bytes, blocks one or both directions,
 // resets connections and refuses new ones. Within a connection it never drops, changes or reorders bytes: blocked bytes are
-// forwarded later or are discarded together with their connection.
+// forwarded later or are discarded together with their connection. Silences of the first links come on request.
 
 #include <algorithm>
 #include <array>
@@ -232,21 +232,74 @@
     std::mt19937 m_random;
 };
 
+// Silences the first links when a datagram asks for it, which has a time in milliseconds as text. Bytes that meet the silence are lost
+// with their connections: these stay silent after it, until they are closed, while new connections work.
+class silence_control {
+public:
+    silence_control(asio::io_context& context, std::vector<std::unique_ptr<proxied_link>>& links, std::size_t silencedLinks, unsigned short port)
+        : m_socket(context, asio::ip::udp::endpoint(asio::ip::address_v4::loopback(), port))
+        , m_timer(context)
+        , m_links(links)
+        , m_silencedLinks(std::min(silencedLinks, links.size()))
+    {
+        receive();
+    }
+
+private:
+    void receive()
+    {
+        m_socket.async_receive(asio::buffer(m_buffer), [this](asio::error_code failure, std::size_t size) {
+            if (!failure)
+                silence(milliseconds(std::atoi(std::string(m_buffer.data(), size).c_str())));
+            receive();
+        });
+    }
+
+    void silence(milliseconds span)
+    {
+        // Blocked bytes are forwarded only after the end of the silence, when their connections are already silent.
+        const auto blockedUntil = std::chrono::steady_clock::now() + span + 2 * blockCheckInterval;
+        for (std::size_t index = 0; index < m_silencedLinks; ++index)
+            m_links[index]->state().blockedUntil = { blockedUntil, blockedUntil };
+        m_timer.expires_after(span);
+        m_timer.async_wait([this](asio::error_code failure) {
+            if (!failure)
+                end();
+        });
+    }
+
+    void end()
+    {
+        for (std::size_t index = 0; index < m_silencedLinks; ++index) {
+            auto& state = m_links[index]->state();
+            state.silentBeforeGeneration = state.generation + 1;
+            state.blockedUntil = {};
+        }
+    }
+
+    asio::ip::udp::socket m_socket;
+    asio::steady_timer m_timer;
+    std::vector<std::unique_ptr<proxied_link>>& m_links;
+    std::size_t m_silencedLinks;
+    std::array<char, 32> m_buffer {};
+};
+
 } // namespace
 
-// Arguments: seed, seconds of faults (0 if they never end), then a listening port and a target port for each link. With seed 0 no fault
-// is injected.
+// Arguments: seed, seconds of faults (0 if they never end), UDP port and number of the links that can be silenced, then a listening
+// port and a target port for each link. With seed 0 no fault is injected at random.
 int main(int argumentCount, char** arguments)
 {
-    if (argumentCount < 5 || argumentCount % 2 == 0) {
-        std::cerr << "usage: soak-fault-proxy SEED SECONDS (PORT TARGET_PORT)...\n";
+    if (argumentCount < 7 || argumentCount % 2 == 0) {
+        std::cerr << "usage: soak-fault-proxy SEED SECONDS SILENCE_PORT SILENCED_LINKS (PORT TARGET_PORT)...\n";
         return 2;
     }
     asio::io_context context;
     std::vector<std::unique_ptr<proxied_link>> links;
-    for (int index = 3; index + 1 < argumentCount; index += 2)
+    for (int index = 5; index + 1 < argumentCount; index += 2)
         links.push_back(std::make_unique<proxied_link>(context, static_cast<unsigned short>(std::atoi(arguments[index])), static_cast<unsigned short>(std::atoi(arguments[index + 1]))));
     const auto seed = static_cast<unsigned>(std::atoi(arguments[1]));
+    silence_control silences(context, links, static_cast<std::size_t>(std::atoi(arguments[4])), static_cast<unsigned short>(std::atoi(arguments[3])));
     std::unique_ptr<fault_schedule> faults;
     if (seed != 0)
         faults = std::make_unique<fault_schedule>(context, links, seed, std::chrono::seconds(std::atoi(arguments[2])));
--- a/tests/soak/router_world_main.cpp
+++ b/tests/soak/router_world_main.cpp
@@ -5,6 +5,7 @@
 #include "tests/soak/soak_process_events.h"
 #include "tests/soak/soak_record.h"
 #include "tests/soak/soak_repeating_caller.h"
+#include "tests/soak/soak_silences.h"
 #include "tests/soak/soak_store.h"
 #include "tests/soak/soak_stream_caller.h"
 #include "tests/soak/soak_usage_judge.h"
@@ -65,6 +66,10 @@
     // Workers of two and three versions serve side by side, crash and start again with another version, and all callers follow
     // streams over several requests.
     bool changesVersions = false;
+    // The store is silent right after changes, and workers leave a while later.
+    bool silencesStore = false;
+    // The UDP port at which the proxy takes requests for silences.
+    int silencePort = 0;
     std::vector<int> routers;
 };
 
@@ -181,7 +186,7 @@
             const auto action = m_random() % 8;
             if (action == 1)
                 m_store.injectFaults();
-            if (action == 2 && !m_options.crashesWorkers)
+            if (action == 2 && !m_options.crashesWorkers && !m_options.silencesStore)
                 toggleDraining();
             if (m_options.restoresStore)
                 restoreStore(action == 3);
@@ -340,7 +345,7 @@
 {
     soak_record record;
     const bool injectsFaults = !options.plannedWorkOnly;
-    soak_store store({ .port = options.storePort, .workerPort = options.advertisedWorkerPort, .workers = workerCount, .requestDeadlineMs = requestDeadlineMs, .seed = options.seed, .injectsFaults = injectsFaults && !options.restoresStore && !options.crashesWorkers, .delaysDutyWrites = injectsFaults, .usageWindow = soak_usage_judge::windowLength });
+    soak_store store({ .port = options.storePort, .workerPort = options.advertisedWorkerPort, .workers = workerCount, .requestDeadlineMs = requestDeadlineMs, .seed = options.seed, .injectsFaults = injectsFaults && !options.restoresStore && !options.crashesWorkers && !options.silencesStore, .delaysDutyWrites = injectsFaults, .allowsLongWatches = options.silencesStore, .usageWindow = soak_usage_judge::windowLength });
     soak_platform_api platformApi({ .port = options.platformApiPort, .routers = static_cast<int>(options.routers.size()), .seed = options.seed + 400, .injectsFaults = injectsFaults, .rejectHolder = [&store](std::uint64_t token, milliseconds span) { store.rejectHolder(token, span); } });
     std::vector<std::atomic<int>> versions(workerCount);
     for (int number = 0; number < workerCount; ++number) {
@@ -349,6 +354,10 @@
     }
     std::vector<std::unique_ptr<soak_worker>> workers;
     workers.reserve(workerCount);
+    soak_silences silences({ .seed = options.seed + 1100, .controlPort = options.silencePort, .drainTime = drainDeadline, .duration = options.duration, .routers = options.routers }, store, workers, record);
+    std::function<void(const std::string&)> onLateRequest;
+    if (options.silencesStore)
+        onLateRequest = [&silences](const std::string& id) { silences.recordLateRequest(id); };
     for (int number = 0; number < workerCount; ++number) {
         const auto& version = versions[static_cast<std::size_t>(number)];
         workers.push_back(std::make_unique<soak_worker>(soak_worker::options {
@@ -357,6 +366,7 @@
                                                             .seed = options.seed + 1000 + static_cast<unsigned>(number),
                                                             .injectsFaults = !options.plannedWorkOnly && !options.crashesWorkers,
                                                             .onRestart = [&store, &version, number] { store.restart(number, version.load()); },
+                                                            .onLateRequest = onLateRequest,
                                                             .checksPauses = options.restoresStore,
                                                             .namesLimits = options.restoresStore,
                                                             .marksVersions = options.changesVersions,
@@ -376,6 +386,8 @@
     threads.emplace_back([&options, &store] { publishVersions(options, store); });
     if (options.changesVersions)
         threads.emplace_back([&] { changeVersions(options, workers, versions); });
+    if (options.silencesStore)
+        threads.emplace_back([&silences] { silences.run(); });
     const auto end = steady::now() + options.duration + options.calmDuration;
     if (options.repeatsCrashingRequest) {
         threads.emplace_back([&options, &record, end] {
@@ -400,6 +412,8 @@
     std::this_thread::sleep_for(milliseconds(requestDeadlineMs));
     record.checkRefusals();
     judgeReports(options, store, platformApi, faultsEndedAt, record);
+    if (options.silencesStore)
+        silences.judge(soak_process_events(options.processEvents));
     if (options.changesVersions)
         std::cout << "new_streams=" << record.newStreams << " begun=" << record.begunCount << " taken_up=" << record.takeUps << " went_on=" << record.wentOnCount << " joined=" << record.joinedStreams() << std::endl;
     if (options.repeatsCrashingRequest)
@@ -412,12 +426,12 @@
 } // namespace
 
 // Arguments: store port, first worker port, first worker port in the worker records, seed, seconds,
-// all, planned, restores, crashes, repeats or versions (kinds of faults), port of the platform's API, seconds without faults after
-// that, file of what is done to the processes, router ports.
+// all, planned, restores, crashes, repeats, versions or silences (kinds of faults), port of the platform's API, seconds without faults
+// after that, file of what is done to the processes, UDP port of the proxy for silences, router ports.
 int main(int argumentCount, char** arguments)
 {
-    if (argumentCount < 11) {
-        std::cerr << "usage: soak-router-world STORE_PORT WORKER_PORT ADVERTISED_WORKER_PORT SEED SECONDS all|planned|restores|crashes|repeats|versions API_PORT CALM_SECONDS EVENTS_FILE ROUTER_PORT...\n";
+    if (argumentCount < 12) {
+        std::cerr << "usage: soak-router-world STORE_PORT WORKER_PORT ADVERTISED_WORKER_PORT SEED SECONDS all|planned|restores|crashes|repeats|versions|silences API_PORT CALM_SECONDS EVENTS_FILE SILENCE_PORT ROUTER_PORT...\n";
         return 2;
     }
     soak_options options;
@@ -431,10 +445,12 @@
     options.repeatsCrashingRequest = std::string(arguments[6]) == "repeats";
     options.crashesWorkers = std::string(arguments[6]) == "crashes" || options.repeatsCrashingRequest;
     options.changesVersions = std::string(arguments[6]) == "versions";
+    options.silencesStore = std::string(arguments[6]) == "silences";
     options.platformApiPort = std::atoi(arguments[7]);
     options.calmDuration = seconds(std::atoi(arguments[8]));
     options.processEvents = arguments[9];
-    for (int index = 10; index < argumentCount; ++index)
+    options.silencePort = std::atoi(arguments[10]);
+    for (int index = 11; index < argumentCount; ++index)
         options.routers.push_back(std::atoi(arguments[index]));
     runSoak(options);
 }
--- a/tests/soak/soak_process_events.h
+++ b/tests/soak/soak_process_events.h
@@ -33,6 +33,16 @@
         return found != m_resumptions.end() && std::any_of(found->second.begin(), found->second.end(), [&](time_point resumed) { return resumed <= time && time - resumed <= span; });
     }
 
+    // Whether anything was done to the router, or it was absent, in this span.
+    bool wasDisturbed(int router, time_point from, time_point to) const
+    {
+        const auto found = m_actions.find(router);
+        const auto isWithin = [&](time_point time) { return time >= from && time <= to; };
+        const auto stopped = m_stoppedAt.find(router);
+        const bool isAbsent = stopped != m_stoppedAt.end() && stopped->second <= to;
+        return isAbsent || (found != m_actions.end() && std::any_of(found->second.begin(), found->second.end(), isWithin));
+    }
+
     // Whether a router was made to end, was absent or was started in this span.
     bool anyRouterAbsent(time_point from, time_point to) const
     {
@@ -51,6 +61,7 @@
     void record(time_point time, const std::string& action, int router)
     {
         m_last = std::max(m_last, time);
+        m_actions[router].push_back(time);
         if (action == "resumed")
             m_resumptions[router].push_back(time);
         if (action == "killed" || action == "terminated")
@@ -62,6 +73,8 @@
         m_stoppedAt.erase(router);
     }
 
+    // When anything was done to each router.
+    std::map<int, std::vector<time_point>> m_actions;
     std::map<int, std::vector<time_point>> m_resumptions;
     // Routers that were made to end and have not been started again.
     std::map<int, time_point> m_stoppedAt;
--- a/tests/soak/soak_store.h
+++ b/tests/soak/soak_store.h
@@ -39,6 +39,8 @@
         bool injectsFaults = false;
         // Some writes of the duty record are executed late, after the router has given up waiting for the answer.
         bool delaysDutyWrites = false;
+        // Watches wait as long as they ask for, or else for half a second at most.
+        bool allowsLongWatches = false;
         // The time that one report of usage covers. With 0 there is no duty record at first.
         std::chrono::seconds usageWindow { 0 };
     };
@@ -116,6 +118,30 @@
         putLocked("servers", "w" + std::to_string(worker), workerSpec(worker));
     }
 
+    // Removes a worker's record.
+    void removeRecord(int worker)
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto name = "w" + std::to_string(worker);
+        m_objects["servers"].erase(name);
+        recordChange("servers", { { "Metadata", { { "Name", name }, { "Revision", ++m_revision } } } }, true);
+    }
+
+    // Writes a worker's record with another number of slots.
+    void changeSlots(int worker)
+    {
+        const std::lock_guard lock(m_mutex);
+        ++m_workers[worker].slots;
+        putLocked("servers", "w" + std::to_string(worker), workerSpec(worker));
+    }
+
+    // Waits until a router has written the duty record, or for this time.
+    void waitForDutyWrite(std::chrono::milliseconds longest)
+    {
+        std::unique_lock lock(m_mutex);
+        m_changed.wait_for(lock, longest, [this, written = m_dutyWrites.size()] { return m_dutyWrites.size() > written; });
+    }
+
     // Sets the version in a worker's record, as before its first start.
     void setVersion(int worker, int version)
     {
@@ -129,6 +155,7 @@
     {
         const std::lock_guard lock(m_mutex);
         ++m_workers[worker].starts;
+        m_workers[worker].isDraining = false;
         m_workers[worker].version = version.value_or(m_workers[worker].version);
         putLocked("servers", "w" + std::to_string(worker), workerSpec(worker));
     }
@@ -211,6 +238,7 @@
 
     static constexpr int serverThreads = 64;
     static constexpr auto maxWatchDuration = std::chrono::milliseconds(500);
+    static constexpr auto maxLongWatchDuration = std::chrono::milliseconds(30000);
 
     // As late as the platform's store executes a write that it has not answered.
     static constexpr auto maxWriteDelay = std::chrono::milliseconds(6000);
@@ -223,6 +251,7 @@
         bool isDraining = false;
         int starts = 1;
         int version = 1;
+        int slots = 16;
     };
 
     struct copy {
@@ -235,12 +264,13 @@
         std::string kind;
         int revision = 0;
         json object;
+        bool isRemoval = false;
     };
 
     json workerSpec(int number)
     {
-        const auto& [isDraining, starts, version] = m_workers[number];
-        return { { "Service", "app" }, { "Address", "127.0.0.1:" + std::to_string(m_options.workerPort + number) }, { "Zone", "z" }, { "Version", "v" + std::to_string(version) }, { "Slots", 16 }, { "State", isDraining ? "draining" : "ready" }, { "born", starts } };
+        const auto& [isDraining, starts, version, slots] = m_workers[number];
+        return { { "Service", "app" }, { "Address", "127.0.0.1:" + std::to_string(m_options.workerPort + number) }, { "Zone", "z" }, { "Version", "v" + std::to_string(version) }, { "Slots", slots }, { "State", isDraining ? "draining" : "ready" }, { "born", starts } };
     }
 
     json configSpec(int version) const
@@ -262,9 +292,15 @@
         ++m_revision;
         const json object { { "Metadata", { { "Name", name }, { "Revision", m_revision } } }, { "Spec", spec } };
         m_objects[kind][name] = object;
+        recordChange(kind, object, false);
+    }
+
+    // Adds the change of the present revision to the history, and keeps a copy of all objects.
+    void recordChange(const std::string& kind, const json& object, bool isRemoval)
+    {
         if (m_history.empty())
             m_historyStart = m_revision - 1;
-        m_history.push_back({ kind, m_revision, object });
+        m_history.push_back({ kind, m_revision, object, isRemoval });
         const auto now = clock::now();
         m_copies.push_back({ now, m_revision, m_objects });
         std::erase_if(m_copies, [now](const copy& item) { return now - item.madeAt > maxCopyAge; });
@@ -375,14 +411,20 @@
         }
         const std::string kind = request.matches[1];
         if (request.has_param("Watch"))
-            return watch(kind, std::stoi(request.get_param_value("Watch")), lock, response);
+            return watch(kind, std::stoi(request.get_param_value("Watch")), watchDuration(request), lock, response);
         json items = json::array();
         for (const auto& [name, object] : m_objects[kind])
             items.push_back(object);
         response.set_content(json { { "Items", items }, { "HasMore", false }, { "At", m_revision } }.dump(), "application/json");
     }
 
-    void watch(const std::string& kind, int afterRevision, std::unique_lock<std::mutex>& lock, httplib::Response& response)
+    std::chrono::milliseconds watchDuration(const httplib::Request& request) const
+    {
+        const auto asked = std::chrono::milliseconds(std::atoi(request.get_param_value("WaitMs").c_str()));
+        return std::min<std::chrono::milliseconds>(asked, m_options.allowsLongWatches ? maxLongWatchDuration : maxWatchDuration);
+    }
+
+    void watch(const std::string& kind, int afterRevision, std::chrono::milliseconds longest, std::unique_lock<std::mutex>& lock, httplib::Response& response)
     {
         json events = json::array();
         const int eraAtStart = m_era;
@@ -390,11 +432,11 @@
         const auto collect = [&] {
             for (const auto& item : m_history) {
                 if (item.kind == kind && item.revision > afterRevision)
-                    events.push_back({ { "Deleted", false }, { "Object", item.object } });
+                    events.push_back({ { "Deleted", item.isRemoval }, { "Object", item.object } });
             }
             return !events.empty();
         };
-        m_changed.wait_for(lock, maxWatchDuration, [&] { return isLost() || collect(); });
+        m_changed.wait_for(lock, longest, [&] { return isLost() || collect(); });
         if (isLost()) {
             response.status = 410;
             return;
--- a/tests/soak/soak_worker.h
+++ b/tests/soak/soak_worker.h
@@ -44,6 +44,8 @@
         bool injectsFaults = false;
         // Called when the worker has crashed and started again.
         std::function<void()> onRestart = [] {};
+        // Called with the id of a request that arrives later than expected. Without it, that violates a guarantee.
+        std::function<void(const std::string&)> onLateRequest;
         // Whether routers that send requests during a pause that the worker asked for violate a guarantee.
         bool checksPauses = false;
         // Whether the worker names limits, and routers that exceed them violate a guarantee.
@@ -57,6 +59,7 @@
         : m_id("w" + std::to_string(workerOptions.number))
         , m_port(workerOptions.port)
         , m_onRestart(workerOptions.onRestart)
+        , m_onLateRequest(workerOptions.onLateRequest)
         , m_injectsFaults(workerOptions.injectsFaults)
         , m_checksPauses(workerOptions.checksPauses)
         , m_namesLimits(workerOptions.namesLimits)
@@ -157,10 +160,9 @@
                 continue;
             close();
             std::this_thread::sleep_for(restartTime);
-            if (m_marksVersions) {
+            if (m_marksVersions)
                 m_version = m_nextVersion.load();
-                ++m_starts;
-            }
+            ++m_starts;
             m_crashed = false;
             open();
             m_onRestart();
@@ -233,6 +235,13 @@
         return m_noRequestsAfter && std::chrono::steady_clock::now() > *m_noRequestsAfter;
     }
 
+    void recordLateRequest(const std::string& id)
+    {
+        if (m_onLateRequest)
+            return m_onLateRequest(id);
+        m_record.recordViolation("a draining upstream received", id);
+    }
+
     void serve(const httplib::Request& request, httplib::Response& response)
     {
         if (request.path == "/report")
@@ -244,7 +253,7 @@
             return;
         }
         if (isRequestUnexpected())
-            m_record.recordViolation("a draining upstream received", id);
+            recordLateRequest(id);
         stateLeaving(response);
         checkPause(id);
         checkLimit(id);
@@ -305,6 +314,7 @@
     std::string m_id;
     int m_port;
     std::function<void()> m_onRestart;
+    std::function<void(const std::string&)> m_onLateRequest;
     bool m_injectsFaults;
     bool m_checksPauses;
     bool m_namesLimits;
