Check records of upstreams that nobody has confirmed for 2.5 s, and tell the age of what is known

Confirmations by the store's revision notice that, but only on the paths that were thought of: nothing asked how old the records are, whatever the reason.

knowledgeAge() in router_freshness answers for each kind of knowledge from the store how old it is and how old it may be. keysAreFresh uses it. While the store answers, a router whose records have not been confirmed for longer checks them, whatever has kept the confirmations away (a confirming router whose own reads of the records fail, for example).

--- a/processes/router_process.cpp
+++ b/processes/router_process.cpp
@@ -413,6 +413,11 @@
         exchangeDuties();
         m_metrics.apply(gauge_metric { "kumquat_router_connection_bytes", {}, static_cast<double>(m_connectionGuard.budget().heldBytes()) });
         m_metrics.apply(gauge_metric { "kumquat_router_open_connections", {}, static_cast<double>(m_connectionGuard.budget().connectionCount()) });
+        for (const auto kind : router::knowledgeKinds) {
+            const auto age = m_reducer.knowledgeAge(kind, std::chrono::steady_clock::now()).age;
+            if (age)
+                m_metrics.apply(gauge_metric { "kumquat_router_knowledge_age_seconds", { { "kind", router::toString(kind) } }, std::chrono::duration<double>(*age).count() });
+        }
         m_metrics.apply(gauge_metric { "kumquat_router_dropped_log_lines", {}, static_cast<double>(droppedLogLines()) });
         flushBoundedLog();
     }
--- a/servers/router/router_admission.cpp
+++ b/servers/router/router_admission.cpp
@@ -10,9 +10,6 @@
 
 namespace {
 
-    // Requests with a key are refused once the last confirmation of the configuration is older than this share of the
-    // revocation deadline, the time after which a revoked key must be refused.
-    constexpr double keyFreshnessShare = 0.9;
     constexpr auto retryAfterStartup = std::chrono::milliseconds(500);
     // If the store is healthy, a router has read the configuration and the upstream records within this time of its start.
     // Requests that arrive earlier wait, since callers that lost their connection to the predecessor reconnect at once.
@@ -44,13 +41,6 @@
     return m_config && (m_upstreamsListed || m_upstreams.size() > 0);
 }
 
-bool router_reducer::keysAreFresh(instant now) const
-{
-    const auto confirmed = configConfirmedAt();
-    const auto maxAge = std::chrono::duration_cast<duration>(m_options.settings.revocationDeadline * keyFreshnessShare);
-    return confirmed && now - *confirmed < maxAge && configIsNewest();
-}
-
 void router_reducer::on(request_arrived&& arrived)
 {
     request_progress progress;
--- a/servers/router/router_peers.cpp
+++ b/servers/router/router_peers.cpp
@@ -172,6 +172,8 @@
     m_upstreamWatcher.setBatchDelay(recordBatchDelay());
     detectStoreReturn();
     detectStaleWatch();
+    checkOutdatedRecords();
+    reportFreshness();
     if (!keysAreFresh(m_now))
         restartVersionHistory();
     confirmConfig();
--- a/servers/router/router_reducer.h
+++ b/servers/router/router_reducer.h
@@ -6,6 +6,7 @@
 #include "servers/router/completion_times.h"
 #include "servers/router/crash_tracker.h"
 #include "servers/router/gap_protection.h"
+#include "servers/router/knowledge_age.h"
 #include "servers/router/limited_admission.h"
 #include "servers/router/origin_replicas.h"
 #include "servers/router/peer_group.h"
@@ -22,6 +23,7 @@
 #include "servers/router/version_history.h"
 #include "servers/router/watch_lag.h"
 
+#include <set>
 #include <unordered_map>
 
 namespace kumquat::router {
@@ -52,6 +54,8 @@
     const upstream_table& upstreams() const { return m_upstreams; }
     const shared_config& config() const { return m_config; }
     const peer_group& peers() const { return m_peers; }
+    // How old what this router knows from the store is.
+    knowledge_age knowledgeAge(knowledge, instant now) const;
 
 private:
     // So many prompt parts fit into a digest that has nothing else to report.
@@ -102,6 +106,7 @@
     void breakStreams();
     void logCut(const request_progress&);
     bool canServe() const;
+    // Whether the configuration is new enough for its keys to be accepted.
     bool keysAreFresh(instant now) const;
     void refuse(caller_id, const std::string& requestId, const caller_error&);
 
@@ -307,6 +312,12 @@
     // The latest time at which the store is known to have had no upstream record that is newer than those of this router.
     std::optional<instant> recordsConfirmedAt() const;
 
+    // Limits on the age of what was read.
+    // Checks the upstream records if nothing has confirmed them for too long.
+    void checkOutdatedRecords();
+    // Logs when knowledge has become outdated, and when it has been confirmed again.
+    void reportFreshness();
+
     // Restores of the store from an older copy.
     // Follows the era that an answer of the store names. Returns false if the answer can't be used, because it is of another
     // era than the reads before it.
@@ -395,6 +406,8 @@
     } m_confirmation;
     // The store has confirmed the configuration lately, to this router or to another one.
     bool m_storeIsAnswering = false;
+    // The kinds of knowledge that were last reported as outdated.
+    std::set<knowledge> m_outdated;
     // A read has failed since which the store has not been known to answer.
     bool m_storeIsLost = true;
     shared_config m_config;
