Begin streams only at engines that have stated the start of their record on the connection

Cause: the version of a stream is that of the record of its upstream, and a new stream's upstream was asked for its start only where something gave reason for doubt. An engine that starts again under its id while it runs nothing and the store is silent gives none.

A stream now begins and goes on only on a connection on which the engine has stated the start of its record. It is asked once a connection: a process that ends takes its connections with it. A record that changes under a running stream no longer makes the stream's version uncertain. mayHaveRestarted has no reader left and goes; the check of it in foreign_memory_test becomes one that an answer ended for want of memory counts as no crash of its upstream.

All tests of [resumption] and [stream-version], the slow ones included, pass.

--- a/drivers/asio/http_client.h
+++ b/drivers/asio/http_client.h
@@ -21,6 +21,9 @@
 struct identity_check {
     // The serialized request, which must be safe to send. Empty if the server is not asked.
     std::string bytes;
+    // Names the expected server. A connection on which it has been accepted under that name leads to it for as long as it is open, so
+    // that it isn't asked again there.
+    std::string identity;
     // Whether the server is the expected one, by the status and the body of its answer.
     std::function<bool(int status, const std::string& body)> accepts;
     // How often the server is asked again on a new connection if it has closed the one of the check.
--- a/drivers/asio/http_client_connections.cpp
+++ b/drivers/asio/http_client_connections.cpp
@@ -126,7 +126,7 @@
     connectionOfCall[call.id] = connection.id;
     connection.paused = false;
     connection.anyBytesSent = false;
-    if (!call.identityCheck.bytes.empty())
+    if (needsIdentityCheck(connection, call))
         return startIdentityCheck(connection, std::move(call));
     if (call.maySend && !call.maySend())
         return failLater(connection, "the call is not to be sent any more");
--- a/drivers/asio/http_client_connections.h
+++ b/drivers/asio/http_client_connections.h
@@ -25,6 +25,8 @@
     // The call whose request follows once the server has identified itself, and the answer to the identity check so far.
     std::optional<http_call> checkedCall;
     int checkStatus = 0;
+    // The identity under which the server was accepted on this connection, or empty.
+    std::string acceptedIdentity;
     std::string checkBody;
     // Bytes of the request that have not been written to the socket.
     std::string unsentBytes;
@@ -86,6 +88,8 @@
     void connect(http_call);
     void onConnected(pooled_connection&, const asio::error_code&);
     void startCall(pooled_connection&, http_call);
+    // Whether the server has to identify itself on the connection before it gets the call.
+    static bool needsIdentityCheck(const pooled_connection&, const http_call&);
     void startIdentityCheck(pooled_connection&, http_call);
     void handleCheckEvent(pooled_connection&, const exchange_event&);
     void finishIdentityCheck(pooled_connection&);
--- a/drivers/asio/http_client_identity.cpp
+++ b/drivers/asio/http_client_identity.cpp
@@ -12,6 +12,12 @@
 
 } // namespace
 
+bool http_client::implementation::needsIdentityCheck(const pooled_connection& connection, const http_call& call)
+{
+    const auto& check = call.identityCheck;
+    return !check.bytes.empty() && (check.identity.empty() || check.identity != connection.acceptedIdentity);
+}
+
 void http_client::implementation::startIdentityCheck(pooled_connection& connection, http_call call)
 {
     connection.checkStatus = 0;
@@ -44,6 +50,7 @@
         return failCall(connection, "another process answers at the address");
     if (!connection.state.isReusable() && check.retries-- == 0)
         return failCall(connection, "the server closed the connection after the identity check");
+    connection.acceptedIdentity = check.identity;
     auto call = *std::exchange(connection.checkedCall, std::nullopt);
     if (!connection.state.isReusable()) {
         close(connection);
--- a/drivers/asio/http_client_pool.cpp
+++ b/drivers/asio/http_client_pool.cpp
@@ -63,7 +63,7 @@
         const bool isOpen = candidate->idleExpiry > now && isQuiet(candidate->socket);
         candidate->rested = now - candidate->idleSince;
         // The identity check proves the connection before the request is sent.
-        const bool mayBeLost = call.mayBeLost || !call.identityCheck.bytes.empty();
+        const bool mayBeLost = call.mayBeLost || needsIdentityCheck(*candidate, call);
         const bool isTrusted = trust.mayReuse(server, *candidate->rested, mayBeLost, now);
         if (isOpen && isTrusted)
             return candidate;
--- a/processes/router_process.cpp
+++ b/processes/router_process.cpp
@@ -485,7 +485,7 @@
                 call.expectedHeader = { platform::requestIdHeader, attempt.request->requestId };
                 call.mayBeLost = attempt.mayBeLost;
                 if (attempt.requiredStartUnixMs)
-                    call.identityCheck = { platform::encodeReportRequest(attempt.target), [start = *attempt.requiredStartUnixMs](int status, const std::string& body) { return platform::isReportOf(start, status, body); } };
+                    call.identityCheck = { platform::encodeReportRequest(attempt.target), std::to_string(*attempt.requiredStartUnixMs), [start = *attempt.requiredStartUnixMs](int status, const std::string& body) { return platform::isReportOf(start, status, body); } };
                 m_upstreams.start(std::move(call));
             },
             [this](const router::cancel_attempt& cancel) { m_upstreams.cancel(cancel.attemptNumber); },
--- a/servers/router/router_answering.cpp
+++ b/servers/router/router_answering.cpp
@@ -33,8 +33,6 @@
     auto& attempt = *findAttempt(*progress, started.attemptNumber);
     const auto& answer = started.answer;
     acceptStatements(*attempt.upstream, answer);
-    if (attempt.identifiesUpstream)
-        attempt.upstream->mayHaveRestarted = false;
     if (answer.wrongUpstream) {
         attempt.upstream->staleAddress = true;
         log(log_level::warning, "upstream_misdirected", { { "upstream", attempt.upstream->record.id }, { "address", formatEndpoint(attempt.upstream->record.address) }, { "record", toString(attempt.upstream->position) } });
--- a/servers/router/router_attempts.cpp
+++ b/servers/router/router_attempts.cpp
@@ -243,7 +243,6 @@
         return;
     const auto upstream = findAttempt(*progress, aborted.attemptNumber)->upstream;
     const bool brokeOff = aborted.requestSent && !aborted.endedAtMemoryBound;
-    upstream->mayHaveRestarted = upstream->mayHaveRestarted || brokeOff;
     if (aborted.connectionDropped)
         recordDroppedConnection(*upstream);
     if (brokeOff)
--- a/servers/router/router_crash_detection.cpp
+++ b/servers/router/router_crash_detection.cpp
@@ -124,7 +124,6 @@
 
 void router_reducer::recordRefusedConnection(upstream_state& upstream)
 {
-    upstream.mayHaveRestarted = true;
     recordCrash(upstream, crashAttributionWindow);
 }
 
--- a/servers/router/router_origins.cpp
+++ b/servers/router/router_origins.cpp
@@ -105,6 +105,8 @@
 
 std::uint64_t router_reducer::versionOf(const active_attempt& attempt) const
 {
+    if (attempt.identifiesUpstream)
+        return attempt.upstream->versionKey;
     const auto current = m_upstreams.find(attempt.upstream->record.id);
     const bool isReplaced = current && current->versionKey != attempt.upstream->versionKey;
     return isReplaced ? uncertainOrigin : attempt.upstream->versionKey;
@@ -118,19 +120,15 @@
         saveOrigin(progress);
 }
 
-// A record may be older than its upstream, which may have started again under the same id with another version. No record shows that
-// in time, so a stream goes on only where the upstream states the start of its record. Plain services do not state theirs.
-std::optional<std::int64_t> router_reducer::requiredStart(const request_progress& progress, const upstream_state& upstream) const
+// A record may be older than its upstream, which may have started again under the same id with another version, and no record shows that
+// in time. A stream therefore begins and goes on only on a connection on which the upstream has stated the start of its record. Plain
+// services do not state theirs.
+std::optional<std::int64_t> router_reducer::requiredStart(const request_progress& progress, const upstream_state& upstream)
 {
     const bool isStated = progress.targetsEngine && upstream.record.startedUnixMs != 0;
     if (!progress.matchedRoute->resumable || !isStated)
         return std::nullopt;
-    const bool goesOn = progress.requiredVersion.has_value();
-    // A new stream may begin elsewhere than the record says if other routers have newer records.
-    const bool isBehind = m_peers.newestUpstreamPosition() > readPositions().records;
-    const bool hasSeveralVersions = !onlyVersionOf(progress.service);
-    const bool isUncertain = goesOn || upstream.mayHaveRestarted || (hasSeveralVersions && isBehind);
-    return isUncertain ? std::optional(upstream.record.startedUnixMs) : std::nullopt;
+    return upstream.record.startedUnixMs;
 }
 
 // The record of another process has arrived while attempts were running, so it may be that process which has written their events.
--- a/servers/router/router_reducer.h
+++ b/servers/router/router_reducer.h
@@ -114,8 +114,8 @@
     // Starts an attempt at the upstream that the policy selects. Returns false if there is none or the time is too short.
     bool dispatch(request_progress&, const char* cause);
     void startAttempt(request_progress&, const placement&, const char* cause);
-    // The start that an upstream has to state before a stream goes on there, or nothing if its record is enough.
-    std::optional<std::int64_t> requiredStart(const request_progress&, const upstream_state&) const;
+    // The start that an upstream has to state before it gets a stream, or nothing if its record is enough.
+    static std::optional<std::int64_t> requiredStart(const request_progress&, const upstream_state&);
     // Logs that an attempt goes on with a stream which an earlier attempt or request has begun.
     void logResumption(const request_progress&);
     void recordPromptPlacement(upstream_state&, const request_progress&);
--- a/servers/router/upstream_table.h
+++ b/servers/router/upstream_table.h
@@ -42,8 +42,6 @@
     // Attempts that have delivered their first event.
     int streams = 0;
     prompt_cache_model promptCache;
-    // A connection broke or was refused since the process there was last known to be that of the record, so that it may be another.
-    bool mayHaveRestarted = false;
     // It has dropped an idle connection, or has crashed; the check of its connections will tell.
     bool hasDroppedConnection = false;
     // Attempts that ended without their answer. They are suspects if the upstream turns out to have crashed.
--- a/tests/drivers/http_loop_test.cpp
+++ b/tests/drivers/http_loop_test.cpp
@@ -372,7 +372,7 @@
 // Accepts a server that answers "me".
 identity_check checkForMe()
 {
-    return { "GET /who HTTP/1.1\r\nHost: h\r\n\r\n", [](int status, const std::string& body) { return status == 200 && body == "me"; } };
+    return { "GET /who HTTP/1.1\r\nHost: h\r\n\r\n", "me", [](int status, const std::string& body) { return status == 200 && body == "me"; } };
 }
 
 const std::string answerOfCall = "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 3\r\n\r\nnew";
@@ -389,6 +389,21 @@
     CHECK(fixture.connections == 1);
 }
 
+// Guards against a question for each request where one for each connection is enough, and against trust in another identity.
+TEST_CASE("a server is asked who it is once on each connection, and again for another identity", "[http]")
+{
+    const auto answerTo = [](int id) { return "HTTP/1.1 200 OK\r\nX-Id: " + std::to_string(id) + "\r\nContent-Length: 3\r\n\r\nnew"; };
+    const std::string identity = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nme";
+    scripted_server server(basePort + 31, connection_scripts { { { identity, answerTo(1), answerTo(2), identity, answerTo(3) } } });
+    client_fixture fixture;
+    CHECK(fixture.run(1, basePort + 31, checkForMe()).body == "new");
+    CHECK(fixture.run(2, basePort + 31, checkForMe()).body == "new");
+    auto other = checkForMe();
+    other.identity = "me, started later";
+    CHECK(fixture.run(3, basePort + 31, std::move(other)).body == "new");
+    CHECK(fixture.connections == 1);
+}
+
 TEST_CASE("a server that is another one or breaks off gets no request after the identity check", "[http]")
 {
     const auto [number, answer] = GENERATE(table<int, std::string>({
--- a/tests/servers/router/foreign_memory_test.cpp
+++ b/tests/servers/router/foreign_memory_test.cpp
@@ -164,7 +164,7 @@
     CHECK(second.upstreamId != first.upstreamId);
     CHECK(fixture.all<check_connection>().empty());
     CHECK(fixture.reducer.upstreams().find(first.upstreamId)->brokenAttempts.empty());
-    CHECK_FALSE(fixture.reducer.upstreams().find(first.upstreamId)->mayHaveRestarted);
+    CHECK_FALSE(fixture.reducer.upstreams().find(first.upstreamId)->crashedAt);
     SECTION("a request that may not be repeated ends as one that may have run")
     {
         fixture.request(2, "/pay/");
--- a/tests/servers/router/resumption_test.cpp
+++ b/tests/servers/router/resumption_test.cpp
@@ -350,6 +350,32 @@
     }
 }
 
+// Guards against a stream that begins at a process which is not that of the record, and goes on at the version of the record.
+TEST_CASE("streams that begin at upstreams which have started again unnoticed while the store is silent are not joined", "[resumption]")
+{
+    const auto names = GENERATE(std::vector<std::string> { "v1" }, std::vector<std::string> { "v1", "v3" });
+    for (unsigned seed = 1; seed <= 10; ++seed) {
+        CAPTURE(names.size(), seed);
+        resumption_fixture site(fleetOf(smallFleet, seed), versions(6, names));
+        site.run(seconds(26));
+        bool isSilent = true;
+        site.fleet.isStoreCut = [&](std::size_t) { return isSilent; };
+        site.stopNewStreams();
+        site.run(seconds(2));
+        const auto before = site.upstreamsOf("v1");
+        for (std::size_t number = 0; number < 3; ++number)
+            site.restart(before[number], "v2", false);
+        site.resumeNewStreams();
+        site.run(milliseconds(1200));
+        for (std::size_t number = 0; number < 3; ++number)
+            site.crash(before[number]);
+        site.run(milliseconds(800));
+        isSilent = false;
+        site.run(seconds(2));
+        CHECK(site.joinedStreams() <= 2);
+    }
+}
+
 TEST_CASE("a version with two upstreams left goes on with its streams, and one with none left refuses them for good", "[resumption]")
 {
     resumption_fixture site(fleetOf(smallFleet), versions(4, { "v1", "v2" }));
--- a/tests/support/resumption_fixture.h
+++ b/tests/support/resumption_fixture.h
@@ -137,6 +137,11 @@
     }
     // Sends no new streams from now on.
     void stopNewStreams() { m_startsStreams = false; }
+    void resumeNewStreams()
+    {
+        m_startsStreams = true;
+        m_nextStream = fleet.now();
+    }
 
     // Streams whose callers received events of several versions.
     int joinedStreams() const
