Let the workers of the soak state the start that their records name

In the soak a worker that came back from draining got a new start in its record and went on to state the old one, and each side counted starts by itself. So a later start of the worker could equal the start in the record of an earlier version, which no platform's start in milliseconds does, and what came back from draining got no streams at all. The record now has the start that the worker states.

--- a/tests/soak/router_world_main.cpp
+++ b/tests/soak/router_world_main.cpp
@@ -219,10 +219,13 @@
             m_drainingWorker.setLeaving(m_isDraining, drainDeadline + maxSuspension);
             // The worker returns as its own successor, without its record having told of the leaving.
             if (!m_isDraining)
-                m_store.restart(0);
+                m_store.restart(0, m_drainingWorker.startAgain());
             return;
         }
-        m_store.setDraining(0, m_isDraining);
+        if (m_isDraining)
+            m_store.setDraining(0, true);
+        else
+            m_store.restart(0, m_drainingWorker.startAgain());
         const bool mustStopRequests = m_isDraining && m_options.plannedWorkOnly;
         m_drainingWorker.expectNoRequestsAfter(mustStopRequests ? std::optional(steady::now() + drainDeadline) : std::nullopt);
     }
@@ -365,7 +368,7 @@
                                                             .port = options.workerPort + number,
                                                             .seed = options.seed + 1000 + static_cast<unsigned>(number),
                                                             .injectsFaults = !options.plannedWorkOnly && !options.crashesWorkers,
-                                                            .onRestart = [&store, &version, number] { store.restart(number, version.load()); },
+                                                            .onRestart = [&store, &version, number](int start) { store.restart(number, start, version.load()); },
                                                             .onLateRequest = onLateRequest,
                                                             .checksPauses = options.restoresStore,
                                                             .namesLimits = options.restoresStore,
--- a/tests/soak/soak_store.h
+++ b/tests/soak/soak_store.h
@@ -108,12 +108,10 @@
         return found == m_publishedAt.end() ? clock::duration {} : clock::now() - found->second;
     }
 
-    // Writes a worker's record. A worker that is ready again after it was draining has restarted.
+    // Writes a worker's record.
     void setDraining(int worker, bool isDraining)
     {
         const std::lock_guard lock(m_mutex);
-        if (m_workers[worker].isDraining && !isDraining)
-            ++m_workers[worker].starts;
         m_workers[worker].isDraining = isDraining;
         putLocked("servers", "w" + std::to_string(worker), workerSpec(worker));
     }
@@ -150,11 +148,11 @@
         putLocked("servers", "w" + std::to_string(worker), workerSpec(worker));
     }
 
-    // Writes the record of a worker that has restarted, with another version if one is given.
-    void restart(int worker, std::optional<int> version = {})
+    // Writes the record of a worker that has restarted, with the start that it states, and with another version if one is given.
+    void restart(int worker, int start, std::optional<int> version = {})
     {
         const std::lock_guard lock(m_mutex);
-        ++m_workers[worker].starts;
+        m_workers[worker].start = start;
         m_workers[worker].isDraining = false;
         m_workers[worker].version = version.value_or(m_workers[worker].version);
         putLocked("servers", "w" + std::to_string(worker), workerSpec(worker));
@@ -249,7 +247,7 @@
 
     struct worker_state {
         bool isDraining = false;
-        int starts = 1;
+        int start = 1;
         int version = 1;
         int slots = 16;
     };
@@ -269,8 +267,8 @@
 
     json workerSpec(int number)
     {
-        const auto& [isDraining, starts, version, slots] = m_workers[number];
-        return { { "Service", "app" }, { "Address", "127.0.0.1:" + std::to_string(m_options.workerPort + number) }, { "Zone", "z" }, { "Version", "v" + std::to_string(version) }, { "Slots", slots }, { "State", isDraining ? "draining" : "ready" }, { "born", starts } };
+        const auto& [isDraining, start, version, slots] = m_workers[number];
+        return { { "Service", "app" }, { "Address", "127.0.0.1:" + std::to_string(m_options.workerPort + number) }, { "Zone", "z" }, { "Version", "v" + std::to_string(version) }, { "Slots", slots }, { "State", isDraining ? "draining" : "ready" }, { "born", start } };
     }
 
     json configSpec(int version) const
--- a/tests/soak/soak_worker.h
+++ b/tests/soak/soak_worker.h
@@ -42,8 +42,8 @@
         int port = 0;
         unsigned seed = 0;
         bool injectsFaults = false;
-        // Called when the worker has crashed and started again.
-        std::function<void()> onRestart = [] {};
+        // Called with its start when the worker has crashed and started again.
+        std::function<void(int start)> onRestart = [](int) {};
         // Called with the id of a request that arrives later than expected. Without it, that violates a guarantee.
         std::function<void(const std::string&)> onLateRequest;
         // Whether routers that send requests during a pause that the worker asked for violate a guarantee.
@@ -80,6 +80,9 @@
         close();
     }
 
+    // The worker stands for its own successor from now on. Returns the start that it states.
+    int startAgain() { return ++m_start; }
+
     // Breaks off what runs here. The worker starts again under its id, with this version.
     void crash(int version)
     {
@@ -162,10 +165,10 @@
             std::this_thread::sleep_for(restartTime);
             if (m_marksVersions)
                 m_version = m_nextVersion.load();
-            ++m_starts;
+            const int start = startAgain();
             m_crashed = false;
             open();
-            m_onRestart();
+            m_onRestart(start);
         }
     }
 
@@ -245,7 +248,7 @@
     void serve(const httplib::Request& request, httplib::Response& response)
     {
         if (request.path == "/report")
-            return response.set_content("{\"born\":" + std::to_string(m_starts) + "}", "application/json");
+            return response.set_content("{\"born\":" + std::to_string(m_start) + "}", "application/json");
         const auto id = request.get_header_value("X-Attempt-Id");
         response.set_header("X-Attempt-Id", id);
         if (request.get_header_value("X-Expect-Instance") != m_id) {
@@ -313,7 +316,7 @@
 
     std::string m_id;
     int m_port;
-    std::function<void()> m_onRestart;
+    std::function<void(int start)> m_onRestart;
     std::function<void(const std::string&)> m_onLateRequest;
     bool m_injectsFaults;
     bool m_checksPauses;
@@ -322,7 +325,7 @@
     std::atomic<int> m_version;
     std::atomic<int> m_nextVersion { 0 };
     // The start that the worker states, as in its record.
-    std::atomic<int> m_starts { 1 };
+    std::atomic<int> m_start { 1 };
     soak_rate_limit m_limit;
     bool m_isLeaving = false;
     std::chrono::milliseconds m_leavingGrace { 0 };
