--- a/tests/servers/router/drain_after_silence_test.cpp
+++ b/tests/servers/router/drain_after_silence_test.cpp
@@ -14,6 +14,8 @@
 constexpr auto drainTime = milliseconds(2000);
 constexpr auto answerTime = milliseconds(20);
 constexpr int upstreamCount = 5;
+// A draw in which the watches of all of 370 routers go into a silence.
+constexpr unsigned seedOfMissedChange = 3;
 
 // Routers with steady callers, before upstreams that leave one after the other.
 class draining_fleet {
@@ -114,15 +116,19 @@
 };
 
 // Guards against requests that reach an upstream which left longer ago than the drain time (DRAIN).
+void checkSeed(std::size_t routers, unsigned seed)
+{
+    draining_fleet fleet(seed, routers);
+    fleet.playSilences();
+    INFO("seed " << seed);
+    CHECK(fleet.lateArrivals() == 0);
+    CHECK(fleet.answered() > 0);
+}
+
 void checkSeeds(std::size_t routers, unsigned seeds)
 {
-    for (unsigned seed = 1; seed <= playedDraws(seedCount(seeds)); ++seed) {
-        draining_fleet fleet(seed, routers);
-        fleet.playSilences();
-        INFO("seed " << seed);
-        CHECK(fleet.lateArrivals() == 0);
-        CHECK(fleet.answered() > 0);
-    }
+    for (unsigned seed = 1; seed <= playedDraws(seedCount(seeds)); ++seed)
+        checkSeed(routers, seed);
 }
 
 } // namespace
@@ -136,5 +142,5 @@
 
 TEST_CASE("an upstream that leaves after silences of the store gets no late request from 370 routers", "[lost-watch][slow]")
 {
-    checkSeeds(370, 1);
+    checkSeed(370, seedOfMissedChange);
 }
--- a/tests/servers/router/freshness_test.cpp
+++ b/tests/servers/router/freshness_test.cpp
@@ -79,8 +79,49 @@
     return seen;
 }
 
+// Each router begins two watches anew, and some confirm the configuration, or notice the return by a confirmation that had failed.
+int maxReadsAfterSilence(std::size_t routers)
+{
+    return 10 + 2 * static_cast<int>(routers);
+}
+
+// The reads of the store in the first second after a silence.
+int countReadsAfterSilence(std::size_t routers)
+{
+    int reads = 0;
+    bool isSilent = false;
+    fleet_fixture fleet(1);
+    fleet.recordsSent = false;
+    fleet.isStoreSilent = [&isSilent](std::size_t) { return isSilent; };
+    for (std::size_t number = 0; number < routers; ++number)
+        fleet.add("dc-" + std::to_string(number % 4));
+    // The first watches, which have begun without a neighbour, are over.
+    fleet.run(seconds(8));
+    isSilent = true;
+    fleet.run(seconds(5));
+    isSilent = false;
+    fleet.onEffect = [&reads](std::size_t, const router_effect& effect) { reads += std::holds_alternative<read_store>(effect) ? 1 : 0; };
+    fleet.run(seconds(1));
+    return reads;
+}
+
 } // namespace
 
+// Guards against a burst of calls from all routers when the store is back.
+TEST_CASE("after a silence each router begins its two watches anew, and few confirm", "[freshness]")
+{
+    const auto routers = GENERATE(std::size_t(4), std::size_t(30));
+    const auto reads = countReadsAfterSilence(routers);
+    CAPTURE(routers);
+    CHECK(reads <= maxReadsAfterSilence(routers));
+}
+
+TEST_CASE("after a silence each of 300 routers begins its two watches anew, and few confirm", "[freshness][slow]")
+{
+    const auto routers = playedDraws(300);
+    CHECK(countReadsAfterSilence(routers) <= maxReadsAfterSilence(routers));
+}
+
 // Guards against a watch that is trusted although nobody has confirmed for seconds that it has missed nothing.
 TEST_CASE("records that no router confirms are checked while the store answers", "[freshness]")
 {
