Run routers of an earlier version beside today's in the soak

SOAK_EARLIER_ROUTER names a program with which routers of an odd number run until their first restart.

--- a/tests/process/router_soak_test.sh
+++ b/tests/process/router_soak_test.sh
@@ -15,6 +15,7 @@
 # One router at a time reports to a stand-in of the platform's API, which is slow, silent or busy at times, except in the seeds with
 # planned work only. What arrives there is judged after each seed. In every fifth seed from 1 on, below 1000, faults end after
 # SOAK_SECONDS and the callers go on, so that the reports that follow are judged too.
+# SOAK_EARLIER_ROUTER names the program of an earlier version, with which routers of an odd number run until their first restart.
 # SOAK_SEEDS lists the seeds, SOAK_SECONDS is the duration of the faults of each, SOAK_CALM_SECONDS how long the callers go on after
 # the faults in all seeds (at least 12, or 24 where the store is restored, for a window to be judged), SOAK_KEEP a folder for the logs
 # of seeds that failed.
@@ -55,7 +56,11 @@
     starts[$1]=$((${starts[$1]:-0} + 1))
     write_settings "$1" "${starts[$1]}"
     record_event started "$1"
-    start "router-$1" "$bin/kumquat-router" --settings "$work/router-$1.json"
+    local program=$bin/kumquat-router
+    if [ -n "${SOAK_EARLIER_ROUTER:-}" ] && [ $(($1 % 2)) -eq 1 ] && [ "${starts[$1]}" -eq 1 ]; then
+        program=$SOAK_EARLIER_ROUTER
+    fi
+    start "router-$1" "$program" --settings "$work/router-$1.json"
 }
 
 start_exited_routers() {
