Take watches that are cut off for no outage while the store answers other calls

Cause: a failed watch counted as an outage of the store if the configuration had not been confirmed since its start, and for two seconds after an outage a removed record may return. Confirmations come each 0.75 s, so cuts that follow each other faster began that time anew each time.

The end of an outage is now told only by a gap of two seconds in the confirmations of all routers, which an upstream's record survives.

--- a/servers/router/router_confirmations.cpp
+++ b/servers/router/router_confirmations.cpp
@@ -101,14 +101,19 @@
     renew(m_configWatcher, store_kind::configuration);
 }
 
+bool router_reducer::storeIsAnswering() const
+{
+    const auto confirmed = configConfirmedAt();
+    return confirmed && m_now - *confirmed <= maxConfirmationGap;
+}
+
 // A router that has only watches in progress learns from the confirmations of the others that the store was silent.
 void router_reducer::detectStoreReturn()
 {
-    const auto confirmed = configConfirmedAt();
-    const bool isAnswering = confirmed && m_now - *confirmed <= maxConfirmationGap;
+    const bool isAnswering = storeIsAnswering();
     if (isAnswering && !m_storeIsAnswering) {
         m_storeHealthySince = m_now;
-        renewWatches(*confirmed);
+        renewWatches(*configConfirmedAt());
     }
     m_storeIsAnswering = isAnswering;
 }
--- a/servers/router/router_freshness.cpp
+++ b/servers/router/router_freshness.cpp
@@ -40,7 +40,7 @@
 void router_reducer::checkOutdatedRecords()
 {
     const auto records = knowledgeAge(knowledge::upstream_records, m_now);
-    if (m_storeIsAnswering && records.isOutdated() && m_upstreamWatcher.waitsSinceBefore(m_now - records.maxAge))
+    if (storeIsAnswering() && records.isOutdated() && m_upstreamWatcher.waitsSinceBefore(m_now - records.maxAge))
         checkRecords();
 }
 
--- a/servers/router/router_reducer.h
+++ b/servers/router/router_reducer.h
@@ -280,6 +280,15 @@
     void finish(request_progress&, int status, const char* outcome);
 
     // Reads of the store and their outcomes.
+    // A read of a watcher, and what was known of the store before its outcome.
+    struct read_in_progress {
+        instant startedAt;
+        // The watcher's last read was answered.
+        bool followsAnswer = false;
+        // The store had confirmed the configuration lately.
+        bool storeWasAnswering = false;
+    };
+
     void readUpstreams();
     void readConfig();
     void startRead(store_kind, const store_read_request&);
@@ -291,7 +300,7 @@
     void removeExpiredUpstreams();
     // Abandons the read of that kind that is in progress, if there is one.
     void cancelRead(store_kind);
-    void updateStoreHealth(const std::string& failure, bool wasHealthy, instant readStartedAt);
+    void updateStoreHealth(const std::string& failure, const read_in_progress&);
 
     // Confirmations that what was read from the store is still the newest.
     void confirmConfig();
@@ -302,6 +311,8 @@
     void checkRecords();
     // Cancels the watches that were started before the time, and starts them again.
     void renewWatches(instant startedBefore);
+    // Whether the store has confirmed the configuration lately, to this router or to another one.
+    bool storeIsAnswering() const;
     // Notices that the store answers again after a time without any confirmation.
     void detectStoreReturn();
     // Logs that a check has found so many changes.
@@ -404,7 +415,7 @@
         // The last read has failed.
         bool hasFailed = false;
     } m_confirmation;
-    // The store has confirmed the configuration lately, to this router or to another one.
+    // What storeIsAnswering() was when it was last looked at.
     bool m_storeIsAnswering = false;
     // The kinds of knowledge that were last reported as outdated.
     std::set<knowledge> m_outdated;
--- a/servers/router/router_store.cpp
+++ b/servers/router/router_store.cpp
@@ -65,15 +65,16 @@
         m_watchLag.postpone(m_now);
 }
 
-// A read that fails says nothing of the store if that has answered a later one.
-void router_reducer::updateStoreHealth(const std::string& failure, bool wasHealthy, instant readStartedAt)
+// A read that fails says nothing of the store if that has answered a later one, or another call a short time before: watches are cut off
+// while it answers all others.
+void router_reducer::updateStoreHealth(const std::string& failure, const read_in_progress& read)
 {
     if (!failure.empty())
-        m_storeIsLost = m_storeIsLost || configConfirmedAt() <= readStartedAt;
-    if (!failure.empty() && wasHealthy)
+        m_storeIsLost = m_storeIsLost || configConfirmedAt() <= read.startedAt;
+    if (!failure.empty() && read.followsAnswer)
         log(log_level::warning, "store_lost", { { "reason", failure } });
-    if (failure.empty() && !wasHealthy) {
-        if (std::exchange(m_storeIsLost, false))
+    if (failure.empty() && !read.followsAnswer) {
+        if (std::exchange(m_storeIsLost, false) && !read.storeWasAnswering)
             m_storeHealthySince = m_now;
         // The first reads of a router that starts have lost nothing.
         if (m_upstreamsListed && m_config)
@@ -90,10 +91,10 @@
     m_timers.cancel({ timer_kind::read_timeout, read.read });
     if (!followEra(read.era))
         return;
-    const bool wasHealthy = m_upstreamWatcher.healthy();
+    const read_in_progress ended { m_upstreamWatcher.readStartedAt(), m_upstreamWatcher.healthy(), storeIsAnswering() };
     const bool wasCheck = m_upstreamWatcher.isChecking();
     auto update = m_upstreamWatcher.onOutcome(std::move(read.outcome), m_now);
-    updateStoreHealth(update.failure, wasHealthy, m_upstreamWatcher.readStartedAt());
+    updateStoreHealth(update.failure, ended);
     if (wasCheck && !update.entries.empty())
         reportMissedChanges(update.entries.size());
     applyUpstreams(std::move(update));
@@ -109,9 +110,9 @@
     m_timers.cancel({ timer_kind::read_timeout, read.read });
     if (!followEra(read.era))
         return;
-    const bool wasHealthy = m_configWatcher.healthy();
+    const read_in_progress ended { m_configWatcher.readStartedAt(), m_configWatcher.healthy(), storeIsAnswering() };
     auto update = m_configWatcher.onOutcome(std::move(read.outcome), m_now);
-    updateStoreHealth(update.failure, wasHealthy, m_configWatcher.readStartedAt());
+    updateStoreHealth(update.failure, ended);
     applyConfig(std::move(update));
 }
 
--- a/tests/servers/router/lost_watch_test.cpp
+++ b/tests/servers/router/lost_watch_test.cpp
@@ -152,6 +152,81 @@
     CHECK_FALSE(fixture.reducer.upstreams().find("app-1"));
 }
 
+// Guards against a removed upstream that is kept because watches are cut off while the store answers every other call (DRAIN).
+TEST_CASE("watches that are cut off again and again don't keep an upstream whose record was removed", "[lost-watch]")
+{
+    const auto interval = GENERATE(milliseconds(200), milliseconds(500), milliseconds(1700));
+    CAPTURE(interval.count());
+    router_fixture fixture;
+    fixture.start();
+    const auto config = std::make_shared<const routing_config>(router_fixture::sampleConfig());
+    const std::vector<upstream_record> left { makeRecord("app-2"), router_fixture::makeUpstream("llm-1", "llm", 1001), router_fixture::makeUpstream("llm-2", "llm", 1002) };
+    std::uint64_t watch = fixture.upstreamRead;
+    const auto answerReads = [&](const router_effects& effects, const std::vector<upstream_record>& records, std::uint64_t revision) {
+        for (const auto& read : router_fixture::all<read_store>(effects)) {
+            if (read.kind == store_kind::configuration && !read.sinceRevision)
+                fixture.step(config_read { read.read, store_page<shared_config> { { { "main", 5, config } }, false, revision } });
+            if (read.kind == store_kind::upstreams && read.sinceRevision)
+                watch = read.read;
+            if (read.kind == store_kind::upstreams && !read.sinceRevision) {
+                fixture.answerUpstreamList(records, revision);
+                watch = fixture.upstreamRead;
+            }
+        }
+    };
+    const auto play = [&](duration elapsed, const std::vector<upstream_record>& records, std::uint64_t revision) {
+        const auto end = fixture.now + elapsed;
+        for (auto cutAt = fixture.now + interval; fixture.now < end;) {
+            answerReads(fixture.advance(milliseconds(10)), records, revision);
+            if (fixture.now < cutAt)
+                continue;
+            cutAt = fixture.now + interval;
+            answerReads(fixture.step(upstreams_read { watch, store_read_failed { "status 503" } }), records, revision);
+        }
+    };
+    auto all = left;
+    all.push_back(makeRecord("app-1"));
+    play(seconds(4), all, 5);
+    CHECK(fixture.reducer.upstreams().find("app-1"));
+    play(seconds(2), left, 6);
+    CHECK_FALSE(fixture.reducer.upstreams().find("app-1"));
+}
+
+// Guards against records that have expired in an outage being taken for removed, if another read than that of the records notices its end.
+TEST_CASE("records that expired in an outage have time to return if the configuration is answered first", "[lost-watch]")
+{
+    router_fixture fixture;
+    fixture.start();
+    fixture.step(upstreams_read { fixture.upstreamRead, store_read_failed { "reset" } });
+    const auto refuse = [&fixture](const router_effects& effects) {
+        for (const auto& read : router_fixture::all<read_store>(effects)) {
+            if (read.kind == store_kind::upstreams)
+                fixture.step(upstreams_read { read.read, store_read_failed { "reset" } });
+            else
+                fixture.step(config_read { read.read, store_read_failed { "reset" } });
+        }
+    };
+    for (int step = 0; step < 300; ++step)
+        refuse(fixture.advance(milliseconds(10)));
+    // The store is back: the next reads of both kinds are answered, that of the configuration first.
+    std::optional<std::uint64_t> upstreamList;
+    bool configIsAnswered = false;
+    for (int step = 0; step < 300 && !(upstreamList && configIsAnswered); ++step) {
+        for (const auto& read : router_fixture::all<read_store>(fixture.advance(milliseconds(10)))) {
+            if (read.kind == store_kind::upstreams) {
+                upstreamList = read.read;
+                continue;
+            }
+            fixture.step(config_read { read.read, store_page<shared_config> { { { "main", 5, std::make_shared<const routing_config>(router_fixture::sampleConfig()) } }, false, 5 } });
+            configIsAnswered = true;
+        }
+    }
+    REQUIRE(upstreamList);
+    REQUIRE(configIsAnswered);
+    fixture.step(upstreams_read { *upstreamList, store_page<upstream_record> { { { "app-2", 6, makeRecord("app-2") } }, false, 6 } });
+    CHECK(fixture.reducer.upstreams().find("app-1"));
+}
+
 // Guards against records that have expired in a silence of the store being taken for removed at once.
 TEST_CASE("records that expire in a silence of the store have time to return at all routers", "[lost-watch]")
 {
