Require keys under a configuration whose list of organisations is empty

It now takes all keys away, with the log line config_without_keys; a version without the list needs no keys, as before.

store_codec_test fails before: requiresKeys is false for an empty list.

--- a/core/routing_config.h
+++ b/core/routing_config.h
@@ -92,7 +92,7 @@
 public:
     std::uint64_t version = 0;
     caller_limits limits;
-    // Whether the configuration lists organisations. If so, a request without a valid key is refused unless its route
+    // Whether the configuration has a list of organisations, be it empty. If so, a request without a valid key is refused unless its route
     // is anonymous.
     bool requiresKeys = false;
     // Organisations by API key.
--- a/servers/router/router_store.cpp
+++ b/servers/router/router_store.cpp
@@ -222,6 +222,8 @@
         if (m_config)
             recordRouteChanges(*m_config, **config);
         m_config = std::move(*config);
+        if (m_config->requiresKeys && m_config->keys.empty())
+            log(log_level::warning, "config_without_keys", { { "config", std::to_string(m_config->version) } });
         updateStreamLifetime();
         m_urgencies = urgency_order(*m_config);
         m_gapProtection.setConfig(*m_config);
--- a/tests/platform/store_codec_test.cpp
+++ b/tests/platform/store_codec_test.cpp
@@ -74,6 +74,18 @@
     CHECK(config->match("other", "/a/b/c") == nullptr);
 }
 
+// Guards against keys that were revoked together and are accepted again, as is any other, because no list of keys is left.
+TEST_CASE("an empty list of organisations requires keys and has none, and a missing one requires none", "[platform]")
+{
+    const auto decode = [](const std::string& tenants) {
+        const auto outcome = decodeConfigs(200, R"({"Items":[{"Metadata":{"Name":"main","Revision":3},"Spec":{"Version":7,"Routes":[],"Services":[])" + tenants + R"(}}],"HasMore":false,"At":3})");
+        return std::get<shared_config>(std::get<store_page<shared_config>>(outcome).entries[0].content);
+    };
+    CHECK(decode(R"(,"Tenants":[])")->requiresKeys);
+    CHECK(decode(R"(,"Tenants":[])")->keys.empty());
+    CHECK_FALSE(decode("")->requiresKeys);
+}
+
 TEST_CASE("an invalid configuration is reported with the name of the missing field", "[platform]")
 {
     const auto outcome = decodeConfigs(200, R"({"Items":[{"Metadata":{"Name":"main","Revision":3},"Spec":{"Version":7,"Routes":[{"Name":"r","Host":"h"}],"Services":[]}}],"At":3})");
--- a/tests/servers/router/store_watcher_test.cpp
+++ b/tests/servers/router/store_watcher_test.cpp
@@ -50,6 +50,7 @@
     newer.version = 2;
     newer.keys.clear();
     fixture.answerConfigWatch(newer, 9);
+    CHECK(fixture.hasLog("config_without_keys"));
     fixture.answerConfigWatch(router_fixture::sampleConfig(), 5);
     CHECK(fixture.reducer.config()->version == 2);
     fixture.request(1, "/pay/x");
