Take event streams that end inside an event for broken off on routes of every kind

'A stream that ends inside an event has been broken off' (the users' news) names no kind of route.

What is a stream is decided once, by its type, when its head arrives; the kind of the route decides only whether its events are passed on one by one. Where they are not, and the answer ends with its connection, event_boundary follows the bytes. An end inside an event is an attempt that may have run: a repeatable request goes to another upstream, another gets 502, and what was passed on already is cut off.

--- a/servers/router/request_progress.h
+++ b/servers/router/request_progress.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/routing_config.h"
+#include "servers/router/event_boundary.h"
 #include "servers/router/router_event.h"
 #include "servers/router/stream_assembler.h"
 #include "servers/router/upstream_table.h"
@@ -25,6 +26,8 @@
     bool streaming = false;
     // The answer is a successful event stream, whose events are forwarded as they arrive.
     bool forwardsEvents = false;
+    // Present for an event stream that ends with its connection and is passed on as any other body.
+    std::optional<event_boundary> eventBoundary;
     // The answer was too large to be buffered and is forwarded as it arrives.
     bool forwardsBody = false;
     // When the first event arrived.
--- a/servers/router/router_answering.cpp
+++ b/servers/router/router_answering.cpp
@@ -48,9 +48,12 @@
         return failAttempt(*progress, number, attempt_end::may_have_run, "success status without the upstream's signature");
     }
     attempt.answer = std::move(started.answer);
-    attempt.forwardsEvents = progress->matchedRoute->streaming && progress->request->method != "HEAD" && isSuccess(attempt.answer->head.status) && isEventStream(*attempt.answer);
+    const bool isStream = progress->request->method != "HEAD" && isSuccess(attempt.answer->head.status) && isEventStream(*attempt.answer);
+    attempt.forwardsEvents = isStream && progress->matchedRoute->streaming;
     if (attempt.forwardsEvents)
-        onStreamHead(*progress, attempt);
+        return onStreamHead(*progress, attempt);
+    if (isStream && attempt.answer->head.endsWithConnection)
+        attempt.eventBoundary.emplace();
 }
 
 void router_reducer::onStreamHead(request_progress& progress, active_attempt& attempt)
@@ -67,6 +70,8 @@
     auto& attempt = *findAttempt(*progress, continued.attemptNumber);
     if (!attempt.answer)
         return;
+    if (attempt.eventBoundary)
+        attempt.eventBoundary->feed(continued.bytes);
     if (attempt.forwardsBody)
         return emit(append_reply { progress->caller, std::move(continued.bytes), attempt.number });
     if (!attempt.forwardsEvents) {
@@ -147,11 +152,22 @@
         return failAttempt(*progress, ended.attemptNumber, attempt_end::may_have_run, "the connection ended without an answer");
     if (attempt.forwardsEvents)
         return onStreamEnd(*progress, ended.attemptNumber);
+    if (attempt.eventBoundary && !attempt.eventBoundary->isBetweenEvents())
+        return onTruncatedEvents(*progress, ended.attemptNumber);
     if (attempt.forwardsBody)
         return completeReply(*progress, ended.attemptNumber);
     onCompleteAnswer(*progress, ended.attemptNumber);
 }
 
+// A stream without a length that ends inside an event has been broken off, whatever the kind of its route.
+void router_reducer::onTruncatedEvents(request_progress& progress, attempt_number number)
+{
+    recordBrokenAttempt(progress, *findAttempt(progress, number));
+    // The crash may have ended the request as a refused one.
+    if (findByAttempt(number))
+        failAttempt(progress, number, attempt_end::may_have_run, "the answer ended inside an event");
+}
+
 void router_reducer::onStreamEnd(request_progress& progress, attempt_number number)
 {
     auto& attempt = *findAttempt(progress, number);
--- a/servers/router/router_reducer.h
+++ b/servers/router/router_reducer.h
@@ -271,6 +271,7 @@
     void completeReply(request_progress&, attempt_number);
     void onCompleteAnswer(request_progress&, attempt_number);
     void onStreamEnd(request_progress&, attempt_number);
+    void onTruncatedEvents(request_progress&, attempt_number);
     void dropLargeFailure(caller_id);
     void answerWithFailure(request_progress&);
     void timeOut(request_progress&);
--- a/tests/servers/router/stream_test.cpp
+++ b/tests/servers/router/stream_test.cpp
@@ -143,6 +143,51 @@
     CHECK(fixture.hasLog("upstream_crashed"));
 }
 
+// Guards against an event stream that was broken off and is passed on as whole, since its route is not of the streaming kind.
+TEST_CASE("an event stream without a length on any route is broken off if it ends inside an event", "[router]")
+{
+    auto answer = router_fixture::answer(200, true, true);
+    answer.head.endsWithConnection = true;
+    const auto whole = events(1, 2);
+    for (std::size_t size = 0; size <= whole.size(); ++size) {
+        CAPTURE(size);
+        const bool isWhole = size == 0 || whole.substr(0, size).ends_with("\n\n");
+        router_fixture fixture;
+        fixture.start();
+        fixture.request(1, "/pay/x");
+        const auto number = fixture.only<start_attempt>().attemptNumber;
+        fixture.step(answer_started { number, answer });
+        for (std::size_t offset = 0; offset < size; ++offset)
+            fixture.step(answer_continued { number, whole.substr(offset, 1) });
+        fixture.step(answer_ended { number });
+        CHECK(fixture.replyStatus() == (isWhole ? 200 : 502));
+    }
+    SECTION("a repeatable request is sent to another upstream")
+    {
+        router_fixture fixture;
+        fixture.start();
+        fixture.request(1, "/look/x");
+        const auto first = fixture.only<start_attempt>();
+        fixture.step(answer_started { first.attemptNumber, answer });
+        fixture.step(answer_continued { first.attemptNumber, events(1, 2) + "id: 3\r\nda" });
+        fixture.step(answer_ended { first.attemptNumber });
+        CHECK(fixture.only<start_attempt>().upstreamId != first.upstreamId);
+    }
+    SECTION("one that is passed on as it arrives is cut off")
+    {
+        router_fixture fixture;
+        fixture.start();
+        fixture.request(1, "/pay/x");
+        const auto number = fixture.only<start_attempt>().attemptNumber;
+        fixture.step(answer_started { number, answer });
+        fixture.step(answer_continued { number, "data: " + std::string(2 * 1024 * 1024, 'x') });
+        CHECK(fixture.all<start_reply>().size() == 1);
+        fixture.step(answer_ended { number });
+        CHECK(fixture.all<end_reply>().empty());
+        CHECK(fixture.all<abort_reply>().size() == 1);
+    }
+}
+
 TEST_CASE("a stream without a length that ends before its first event is not answered with success", "[router]")
 {
     router_fixture fixture;
