--- a/tests/drivers/http_loop_test.cpp
+++ b/tests/drivers/http_loop_test.cpp
@@ -400,7 +400,7 @@
     CHECK(fixture.run(2, basePort + 31, checkForMe()).body == "new");
     auto other = checkForMe();
     other.identity = "me, started later";
-    CHECK(fixture.run(3, basePort + 31, std::move(other)).body == "new");
+    CHECK(fixture.run(3, basePort + 31, other).body == "new");
     CHECK(fixture.connections == 1);
 }
 
