Answer callers whose request is ended for want of memory

A caller of whose answer nothing has been sent is now answered 503 with a time to come back if the request has not run, else 504, and its connection is closed after that. What it held is given back with the answer. An answer that has begun is cut off as before: what waits to be sent is what has to be given back. The answers at the end of a planned stop use the same function. Log line request_evicted, outcome evicted.

Tests: closing_test and foreign_memory_test, '... ended at the bound of memory is answered ...', '... answered by whether it may have run'.

--- a/drivers/asio/http_server.h
+++ b/drivers/asio/http_server.h
@@ -53,6 +53,9 @@
         std::function<void(connection_id)> onWritable;
         // A request was refused before it was read completely; the server has answered it with this status.
         std::function<void(int status)> onRefused;
+        // The process is at a bound, and the request in progress has to end, of which nothing has been answered. It is to be answered at
+        // once, and the connection is closed after that. May be empty, so that the connection is closed without an answer.
+        std::function<void(connection_id)> onEvicted {};
         // The server has closed a connection on its own account. May be empty.
         std::function<void(const server_close&)> onClosed {};
     };
--- a/drivers/asio/http_server_closing.cpp
+++ b/drivers/asio/http_server_closing.cpp
@@ -60,14 +60,17 @@
     return nullptr;
 }
 
-// A request that has not been received completely has not run, so its caller is told so. A caller with a request in progress sees its
-// answer break off. A request that has arrived meanwhile is served.
+// A request that has not been received completely has not run, so its caller is told so. A caller with a request in progress is told
+// whether it may have run, or sees its answer break off. A request that has arrived meanwhile is served.
 void http_server::implementation::closeAtBound(connection_id id)
 {
     using phase = server_connection::phase;
     auto* connection = find(id);
     if (!connection)
         return;
+    const bool mayBeAnswered = connection->state.isAnswering() && !connection->state.hasBegunAnswer() && callbacks.onEvicted;
+    if (mayBeAnswered && !std::exchange(connection->isEvicted, true))
+        return callbacks.onEvicted(id);
     if (connection->state.isAnswering())
         callbacks.onDisconnected(id);
     const bool isWaiting = connection->state.current() == phase::idle && connection->state.waitingBytes() == 0;
--- a/drivers/asio/http_server_connections.h
+++ b/drivers/asio/http_server_connections.h
@@ -27,6 +27,8 @@
     bool readPaused = false;
     // A request that was sent ahead waits for a turn.
     bool awaitsTurn = false;
+    // Its request has to end, as the process is at a bound.
+    bool isEvicted = false;
     std::uint64_t transferredBytes = 0;
     // When the last bytes were received, or the connection was accepted.
     instant receivedAt = std::chrono::steady_clock::now();
@@ -67,7 +69,7 @@
     // Copies the ids, since a connection that is looked at may be closed.
     std::vector<connection_id> connectionIds() const;
     // Whether the connection stays open after the answer that begins now. A request that was sent ahead is answered first.
-    bool mayStayOpen(const caller_connection& connection) const { return !closingAfterAnswers || connection.state.waitingBytes() > 0; }
+    bool mayStayOpen(const caller_connection& connection) const { return !connection.isEvicted && (!closingAfterAnswers || connection.state.waitingBytes() > 0); }
     void closeAtBound(connection_id);
     void relieve(instant now);
     void addConnection(asio::ip::tcp::socket);
--- a/processes/router_process.cpp
+++ b/processes/router_process.cpp
@@ -223,6 +223,7 @@
                 .onDisconnected = [this](connection_id id) { post(router::caller_left { id }); },
                 .onWritable = [this](connection_id id) { post(router::caller_ready { id }); },
                 .onRefused = [this](int status) { reportRefusal(status); },
+                .onEvicted = [this](connection_id id) { post(router::caller_evicted { id }); },
                 .onClosed = [this](const server_close& closed) { reportClose(closed); } });
         if (const auto* failure = errorOf(callers))
             return *failure;
--- a/servers/router/router_endings.cpp
+++ b/servers/router/router_endings.cpp
@@ -1,6 +1,8 @@
 #include "servers/router/answer_status.h"
 #include "servers/router/router_reducer.h"
 
+#include <algorithm>
+
 // How requests end: without an answer of an upstream, at their deadline, and what is recorded of each.
 
 namespace kumquat::router {
@@ -8,6 +10,8 @@
 namespace {
 
     constexpr auto retryAfterFailure = std::chrono::milliseconds(200);
+    // Other routers may have room, and this one has it again once the requests that hold most have ended.
+    constexpr auto retryAfterEviction = std::chrono::milliseconds(200);
 
 } // namespace
 
@@ -33,6 +37,32 @@
     finish(progress, httpStatus(refusal.code), "failed");
 }
 
+void router_reducer::endUnanswered(request_progress& progress, const caller_error& ifNotRun, const char* outcome)
+{
+    auto refusal = ifNotRun;
+    if (progress.mayHaveRun())
+        refusal = { error_code::timeout, ifNotRun.message + ", and no complete answer has arrived", ran_state::unknown, std::nullopt };
+    cancelAttempts(progress);
+    refuse(progress.caller, progress.request->requestId, refusal);
+    finish(progress, httpStatus(refusal.code), outcome);
+}
+
+void router_reducer::on(caller_evicted&& evicted)
+{
+    const caller_error ifNotRun { error_code::overloaded, "this router is at a bound of its memory", ran_state::no, retryAfterEviction };
+    const auto pending = std::find_if(m_pendingRequests.begin(), m_pendingRequests.end(), [&evicted](const request_progress& item) { return item.caller == evicted.caller; });
+    if (pending != m_pendingRequests.end()) {
+        const auto requestId = pending->request->requestId;
+        m_pendingRequests.erase(pending);
+        return refuse(evicted.caller, requestId, ifNotRun);
+    }
+    const auto found = m_requests.find(evicted.caller);
+    if (found == m_requests.end() || found->second.replyStarted)
+        return;
+    log(log_level::warning, "request_evicted", { { "request", found->second.request->requestId }, { "may_have_run", found->second.mayHaveRun() ? "yes" : "no" }, { "ms", formatMilliseconds(m_now - found->second.arrivedAt) } });
+    endUnanswered(found->second, ifNotRun, "evicted");
+}
+
 void router_reducer::timeOut(request_progress& progress)
 {
     const bool mayHaveRun = progress.mayHaveRun();
--- a/servers/router/router_event.h
+++ b/servers/router/router_event.h
@@ -33,6 +33,11 @@
     caller_id caller = 0;
 };
 
+// The process is at a bound, and ends the caller's request to relieve it. Its connection is closed after the answer.
+struct caller_evicted {
+    caller_id caller = 0;
+};
+
 // The send buffer of the caller's connection has drained, so that more of the answer can be sent.
 struct caller_ready {
     caller_id caller = 0;
@@ -148,7 +153,7 @@
 // The time that nextDeadline returned has come.
 struct router_timer_due { };
 
-using router_event = std::variant<request_arrived, caller_left, caller_ready, answer_started, answer_continued, answer_ended, attempt_aborted, connection_checked,
+using router_event = std::variant<request_arrived, caller_left, caller_evicted, caller_ready, answer_started, answer_continued, answer_ended, attempt_aborted, connection_checked,
     upstreams_read, config_read, store_read_progressed, refusals_listed, refusal_written, digest_received, stream_message_received, clock_jumped, process_stalled, settings_changed, termination_requested, router_timer_due>;
 
 } // namespace kumquat::router
--- a/servers/router/router_reducer.h
+++ b/servers/router/router_reducer.h
@@ -68,6 +68,7 @@
 
     void on(request_arrived&&);
     void on(caller_left&&);
+    void on(caller_evicted&&);
     void on(caller_ready&&);
     void on(answer_started&&);
     void on(answer_continued&&);
@@ -105,6 +106,8 @@
     // Breaks off the streams that are in progress, before the process ends.
     void breakStreams();
     void logCut(const request_progress&);
+    // Ends a request of which nothing has been answered: with this error, or as one that may have run.
+    void endUnanswered(request_progress&, const caller_error& ifNotRun, const char* outcome);
     bool canServe() const;
     // Whether the configuration is new enough for its keys to be accepted.
     bool keysAreFresh(instant now) const;
--- a/servers/router/router_shutdown.cpp
+++ b/servers/router/router_shutdown.cpp
@@ -81,13 +81,7 @@
 void router_reducer::giveLastAnswer(request_progress& progress)
 {
     logCut(progress);
-    const bool mayHaveRun = progress.mayHaveRun();
-    cancelAttempts(progress);
-    const caller_error refusal = mayHaveRun
-        ? caller_error { error_code::timeout, "this router stops, and no complete answer has arrived", ran_state::unknown, std::nullopt }
-        : caller_error { error_code::draining, "this router stops, and no upstream has accepted the request", ran_state::no, retryAtOtherRouter };
-    refuse(progress.caller, progress.request->requestId, refusal);
-    finish(progress, httpStatus(refusal.code), "stopped");
+    endUnanswered(progress, { error_code::draining, "this router stops", ran_state::no, retryAtOtherRouter }, "stopped");
 }
 
 void router_reducer::logCut(const request_progress& progress)
--- a/tests/drivers/closing_test.cpp
+++ b/tests/drivers/closing_test.cpp
@@ -91,7 +91,8 @@
                  onRequest(id, received); },
                 .onDisconnected = [](connection_id) {},
                 .onWritable = [](connection_id) {},
-                .onRefused = [](int) {} });
+                .onRefused = [](int) {},
+                .onEvicted = [this](connection_id id) { server->answer(id, { 503, {}, 2, true }, "no"); } });
         REQUIRE(errorOf(opened) == nullptr);
         server = std::move(valueOf(opened));
     }
@@ -389,3 +390,42 @@
     CHECK(fixture.runUntil([&] { return ahead.has("done"); }));
     CHECK(ahead.has("Connection: close"));
 }
+
+// Guards against a caller that hears nothing of a request that the process ends because it is short of memory.
+TEST_CASE("a request in progress that is ended at the bound of memory is answered, and its connection closed after that", "[http][memory]")
+{
+    server_fixture fixture;
+    std::vector<connection_id> waiting;
+    fixture.onRequest = [&waiting](connection_id id, const http_request&) { waiting.push_back(id); };
+    const std::string body(100000, 'x');
+    caller large(fixture.port);
+    caller small(fixture.port);
+    large.send("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+    small.send(request);
+    REQUIRE(fixture.runUntil([&] { return waiting.size() == 2; }));
+    fixture.guard.budget().setBounds({ .memoryBytes = body.size() / 2 });
+    fixture.guard.relieve(false, std::chrono::steady_clock::now());
+    CHECK(fixture.runUntil([&] { return large.hasEnded(); }));
+    CHECK(large.has("HTTP/1.1 503 Service Unavailable"));
+    CHECK(large.has("Connection: close"));
+    CHECK_FALSE(small.hasEnded());
+    CHECK(fixture.guard.budget().heldBytes() < body.size() / 2);
+}
+
+// Guards against an answer of which a part has been sent and that is followed by another one.
+TEST_CASE("an answer in part is cut off at the bound of memory", "[http][memory]")
+{
+    server_fixture fixture;
+    fixture.onRequest = [&fixture](connection_id id, const http_request&) {
+        fixture.server->beginAnswer(id, { 200, {}, std::nullopt, true });
+        for (int part = 0; part < 30; ++part)
+            fixture.server->appendAnswer(id, std::string(1000000, 'x'));
+    };
+    caller slow(fixture.port);
+    slow.send(request);
+    REQUIRE(fixture.runUntil([&] { return fixture.guard.budget().heldBytes() > 1000000; }));
+    fixture.guard.budget().setBounds({ .memoryBytes = 100000 });
+    fixture.guard.relieve(false, std::chrono::steady_clock::now());
+    CHECK(fixture.runUntil([&] { return fixture.guard.budget().connectionCount() == 0; }));
+    CHECK_FALSE(slow.has("503"));
+}
--- a/tests/servers/router/foreign_memory_test.cpp
+++ b/tests/servers/router/foreign_memory_test.cpp
@@ -196,3 +196,38 @@
     fixture.step(answer_continued { next, "id: 1\n\n" });
     CHECK(fixture.only<keep_partial_event>().bytes == 0);
 }
+
+// Guards against a caller that hears nothing of its request, or is told not run of one that may have run.
+TEST_CASE("a request that is ended for want of memory is answered by whether it may have run", "[memory]")
+{
+    router_fixture fixture;
+    fixture.start();
+    SECTION("it waits at an upstream")
+    {
+        fixture.request(1, "/pay/x");
+        const auto attempt = fixture.only<start_attempt>().attemptNumber;
+        fixture.step(caller_evicted { 1 });
+        CHECK(fixture.only<cancel_attempt>().attemptNumber == attempt);
+        CHECK(fixture.replyStatus() == 504);
+        CHECK(fixture.only<refuse_reply>().refusal.ran == ran_state::unknown);
+    }
+    SECTION("it waits for the first reads of the store")
+    {
+        router_fixture starting;
+        starting.request(1, "/pay/x");
+        starting.step(caller_evicted { 1 });
+        CHECK(starting.replyStatus() == 503);
+        CHECK(starting.only<refuse_reply>().refusal.ran == ran_state::no);
+        starting.start();
+        CHECK(starting.all<start_attempt>().empty());
+    }
+    SECTION("a part of its answer has been sent")
+    {
+        fixture.request(1, "/stream/x");
+        const auto attempt = fixture.only<start_attempt>().attemptNumber;
+        fixture.step(answer_started { attempt, router_fixture::answer(200, true, true) });
+        fixture.step(answer_continued { attempt, "id: 1\ndata: x\n\n" });
+        fixture.step(caller_evicted { 1 });
+        CHECK(fixture.all<refuse_reply>().empty());
+    }
+}
