Begin streams also at engines that give no report of themselves

An engine whose answer to the question is no report (a status other than 200, or an event stream) now gets a new stream, on a new connection, and the attempt counts as unidentified. Unless its service has had one version alone, the version of that stream is uncertain, so that it doesn't go on elsewhere. A stream that goes on is sent only to an engine that has stated its start, as before.

--- a/drivers/asio/http_client.h
+++ b/drivers/asio/http_client.h
@@ -26,6 +26,9 @@
     std::string identity;
     // Whether the server is the expected one, by the status and the body of its answer.
     std::function<bool(int status, const std::string& body)> accepts;
+    // Whether an answer with that head says who the server is. If it doesn't, the call goes on with an unidentified server, on a
+    // new connection. Empty if the server has to identify itself.
+    std::function<bool(const http_answer_head&)> identifies {};
     // How often the server is asked again on a new connection if it has closed the one of the check.
     int retries = 1;
 };
@@ -76,6 +79,8 @@
         std::function<void(call_id, std::string_view)> onBody;
         std::function<void(call_id)> onEnd;
         std::function<void(call_id, http_call_failure)> onFailed;
+        // The call goes on although the server hasn't said who it is. May be empty.
+        std::function<void(call_id)> onUnidentified {};
         // A new TCP connection was established.
         std::function<void()> onConnected;
         // A server has dropped a connection that had rested for this time, so that idle ones are distrusted for a time. May be empty.
--- a/drivers/asio/http_client_connections.h
+++ b/drivers/asio/http_client_connections.h
@@ -93,6 +93,8 @@
     void startIdentityCheck(pooled_connection&, http_call);
     void handleCheckEvent(pooled_connection&, const exchange_event&);
     void finishIdentityCheck(pooled_connection&);
+    // Abandons the check, whose answer doesn't say who the server is, and sends the request on a new connection.
+    void goOnUnidentified(pooled_connection&);
     void sendRequest(pooled_connection&, std::string bytes);
     // Fails the call from the reactor, so that no handler runs within start().
     void failLater(const pooled_connection&, std::string reason);
--- a/drivers/asio/http_client_identity.cpp
+++ b/drivers/asio/http_client_identity.cpp
@@ -30,7 +30,12 @@
 void http_client::implementation::handleCheckEvent(pooled_connection& connection, const exchange_event& event)
 {
     const auto visitor = overloaded {
-        [&](const http_answer_head& head) { connection.checkStatus = head.status; },
+        [&](const http_answer_head& head) {
+            connection.checkStatus = head.status;
+            const auto& identifies = connection.checkedCall->identityCheck.identifies;
+            if (identifies && !identifies(head))
+                goOnUnidentified(connection);
+        },
         [&](const answer_body_bytes& body) {
             connection.checkBody.append(body.bytes);
             if (connection.checkBody.size() > maxIdentityBytes)
@@ -43,6 +48,16 @@
     std::visit(visitor, event);
 }
 
+void http_client::implementation::goOnUnidentified(pooled_connection& connection)
+{
+    auto call = *std::exchange(connection.checkedCall, std::nullopt);
+    call.identityCheck = {};
+    close(connection);
+    if (callbacks.onUnidentified)
+        callbacks.onUnidentified(call.id);
+    connect(std::move(call));
+}
+
 void http_client::implementation::finishIdentityCheck(pooled_connection& connection)
 {
     auto& check = connection.checkedCall->identityCheck;
--- a/processes/router_process.cpp
+++ b/processes/router_process.cpp
@@ -90,6 +90,8 @@
         void reloadSettings();
         void onCallerRequest(connection_id, http_request&&);
         void onAdminRequest(connection_id, const http_request&);
+        // How the upstream of an attempt is asked for its start.
+        static identity_check identityCheckOf(const router::start_attempt&);
         void refuse(const router::refuse_reply&);
         void stop(const router::stop_router&);
         // Ends the connections and the process.
@@ -210,6 +212,7 @@
             .onBody = [this](call_id call, std::string_view bytes) { post(router::answer_continued { call, std::string(bytes), m_connectionGuard.budget().memoryIsShort() }); },
             .onEnd = [this](call_id call) { post(router::answer_ended { call }); },
             .onFailed = [this](call_id call, http_call_failure failure) { post(router::attempt_aborted { call, failure.anyBytesSent, std::move(failure.reason), failure.connection, failure.connectionDropped, failure.endedAtMemoryBound }); },
+            .onUnidentified = [this](call_id call) { post(router::upstream_unidentified { call }); },
             .onConnected = [this] { m_metrics.apply(count_metric { "kumquat_router_connections_total", { { "to", "upstream" } } }); },
             .onDropped = [](const endpoint& upstream, duration rested, duration distrustTime) { writeLog({ log_level::warning, "connection_dropped", { { "address", formatEndpoint(upstream) }, { "rested_ms", formatMilliseconds(rested) }, { "distrusted_for_ms", formatMilliseconds(distrustTime) } } }); },
         };
@@ -474,6 +477,17 @@
         m_reactor.stop();
     }
 
+    identity_check router_process::identityCheckOf(const router::start_attempt& attempt)
+    {
+        identity_check check;
+        check.bytes = platform::encodeReportRequest(attempt.target);
+        check.identity = std::to_string(*attempt.requiredStartUnixMs);
+        check.accepts = [start = *attempt.requiredStartUnixMs](int status, const std::string& body) { return platform::isReportOf(start, status, body); };
+        if (attempt.mayBeUnidentified)
+            check.identifies = platform::isReportHead;
+        return check;
+    }
+
     void router_process::execute(router::router_effect& effect)
     {
         const auto visitor = overloaded {
@@ -486,7 +500,7 @@
                 call.expectedHeader = { platform::requestIdHeader, attempt.request->requestId };
                 call.mayBeLost = attempt.mayBeLost;
                 if (attempt.requiredStartUnixMs)
-                    call.identityCheck = { platform::encodeReportRequest(attempt.target), std::to_string(*attempt.requiredStartUnixMs), [start = *attempt.requiredStartUnixMs](int status, const std::string& body) { return platform::isReportOf(start, status, body); } };
+                    call.identityCheck = identityCheckOf(attempt);
                 m_upstreams.start(std::move(call));
             },
             [this](const router::cancel_attempt& cancel) { m_upstreams.cancel(cancel.attemptNumber); },
--- a/servers/router/request_progress.h
+++ b/servers/router/request_progress.h
@@ -22,6 +22,8 @@
     double uncachedPromptTokens = 0;
     // The upstream had to state the start of its record before it got the request.
     bool identifiesUpstream = false;
+    // It was asked, and has stated none.
+    bool isUnidentified = false;
     // The first event has arrived.
     bool streaming = false;
     // The answer is a successful event stream, whose events are forwarded as they arrive.
--- a/servers/router/router_attempts.cpp
+++ b/servers/router/router_attempts.cpp
@@ -84,6 +84,7 @@
     effect.resumeAfter = progress.stream.lastId();
     effect.targetsEngine = progress.targetsEngine;
     effect.requiredStartUnixMs = requiredStart(progress, upstream);
+    effect.mayBeUnidentified = !progress.requiredVersion;
     effect.mayBeLost = progress.matchedRoute->repeatable() && progress.mayHaveRunCount + 1 < progress.matchedRoute->maxAttempts && progress.attemptCount < maxAttemptsPerRequest;
     progress.attempts.back().identifiesUpstream = effect.requiredStartUnixMs.has_value();
     emit(std::move(effect));
--- a/servers/router/router_effect.h
+++ b/servers/router/router_effect.h
@@ -17,6 +17,8 @@
     // If present, the request is sent only on a connection on which the upstream has stated this start time, in milliseconds since
     // the Unix epoch. An upstream that states another one ends the attempt as never sent.
     std::optional<std::int64_t> requiredStartUnixMs;
+    // An upstream that states none at all gets the request nevertheless (upstream_unidentified).
+    bool mayBeUnidentified = false;
     // Another attempt may follow if the outcome of this one stays unknown.
     bool mayBeLost = false;
 };
--- a/servers/router/router_event.h
+++ b/servers/router/router_event.h
@@ -147,13 +147,18 @@
     router_settings settings;
 };
 
+// The upstream of an attempt does not answer when it is asked for its start, and gets the request without having stated it.
+struct upstream_unidentified {
+    attempt_number attemptNumber = 0;
+};
+
 // The process has received SIGTERM.
 struct termination_requested { };
 
 // The time that nextDeadline returned has come.
 struct router_timer_due { };
 
-using router_event = std::variant<request_arrived, caller_left, caller_evicted, caller_ready, answer_started, answer_continued, answer_ended, attempt_aborted, connection_checked,
+using router_event = std::variant<request_arrived, caller_left, caller_evicted, caller_ready, answer_started, answer_continued, answer_ended, attempt_aborted, upstream_unidentified, connection_checked,
     upstreams_read, config_read, store_read_progressed, refusals_listed, refusal_written, digest_received, stream_message_received, clock_jumped, process_stalled, settings_changed, termination_requested, router_timer_due>;
 
 } // namespace kumquat::router
--- a/servers/router/router_origins.cpp
+++ b/servers/router/router_origins.cpp
@@ -109,7 +109,19 @@
         return attempt.upstream->versionKey;
     const auto current = m_upstreams.find(attempt.upstream->record.id);
     const bool isReplaced = current && current->versionKey != attempt.upstream->versionKey;
-    return isReplaced ? uncertainOrigin : attempt.upstream->versionKey;
+    const bool mayBeAnother = attempt.isUnidentified && !onlyVersionOf(attempt.upstream->record.service);
+    return isReplaced || mayBeAnother ? uncertainOrigin : attempt.upstream->versionKey;
+}
+
+void router_reducer::on(upstream_unidentified&& unidentified)
+{
+    auto* progress = findByAttempt(unidentified.attemptNumber);
+    if (!progress)
+        return;
+    auto& attempt = *findAttempt(*progress, unidentified.attemptNumber);
+    attempt.identifiesUpstream = false;
+    attempt.isUnidentified = true;
+    log(log_level::info, "upstream_unidentified", { { "request", progress->request->requestId }, { "upstream", attempt.upstream->record.id } });
 }
 
 void router_reducer::beginStream(request_progress& progress, const active_attempt& attempt)
@@ -121,8 +133,8 @@
 }
 
 // A record may be older than its upstream, which may have started again under the same id with another version, and no record shows that
-// in time. A stream therefore begins and goes on only on a connection on which the upstream has stated the start of its record. Plain
-// services do not state theirs.
+// in time. A stream therefore goes on only on a connection on which the upstream has stated the start of its record, and begins on one where
+// it has stated no other. Plain services do not state theirs.
 std::optional<std::int64_t> router_reducer::requiredStart(const request_progress& progress, const upstream_state& upstream)
 {
     const bool isStated = progress.targetsEngine && upstream.record.startedUnixMs != 0;
--- a/servers/router/router_reducer.h
+++ b/servers/router/router_reducer.h
@@ -74,6 +74,7 @@
     void on(answer_continued&&);
     void on(answer_ended&&);
     void on(attempt_aborted&&);
+    void on(upstream_unidentified&&);
     void on(connection_checked&&);
     void on(upstreams_read&&);
     void on(config_read&&);
--- a/tests/drivers/http_loop_test.cpp
+++ b/tests/drivers/http_loop_test.cpp
@@ -76,6 +76,7 @@
     reactor loop;
     std::map<call_id, call_outcome> calls;
     int connections = 0;
+    std::vector<call_id> unidentified;
     std::size_t pendingCalls = 0;
     connection_guard guard { [](const connection_guard::closing&) {} };
     http_client client { loop, guard,
@@ -83,6 +84,7 @@
             .onBody = [this](call_id call, std::string_view bytes) { calls[call].body += bytes; },
             .onEnd = [this](call_id call) { calls[call].ended = true; onCallEnded(); },
             .onFailed = [this](call_id call, http_call_failure failure) { calls[call].failure = std::move(failure); onCallEnded(); },
+            .onUnidentified = [this](call_id call) { unidentified.push_back(call); },
             .onConnected = [this] { ++connections; } } };
 
     void onCallEnded()
@@ -423,6 +425,19 @@
     CHECK_FALSE(outcome.failure->anyBytesSent);
 }
 
+// Guards against a server that is not used at all because it doesn't know the question.
+TEST_CASE("a server that doesn't say who it is gets the request on a new connection, if it need not", "[http]")
+{
+    const std::string refusal = "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n";
+    scripted_server server(basePort + 32, connection_scripts { { { refusal }, { answerOfCall } } });
+    client_fixture fixture;
+    auto check = checkForMe();
+    check.identifies = [](const http_answer_head& head) { return head.status == 200; };
+    CHECK(fixture.run(1, basePort + 32, std::move(check)).body == "new");
+    CHECK(fixture.connections == 2);
+    CHECK(fixture.unidentified == std::vector<call_id> { 1 });
+}
+
 TEST_CASE("a server that closes the connection after the identity check, or sends more, is asked again on another one, once", "[http]")
 {
     const auto [number, closing] = GENERATE(table<int, std::string>({
--- a/tests/servers/router/stream_version_test.cpp
+++ b/tests/servers/router/stream_version_test.cpp
@@ -65,6 +65,27 @@
     CHECK(fixture.only<append_reply>().bytes == firstEvent);
 }
 
+// Guards against a stream that goes on after it began at an engine of which nobody knows which process it is.
+TEST_CASE("a stream that began at an engine that has not stated its start goes on only if it has stated it after all", "[stream-version]")
+{
+    for (const bool isUnidentified : { false, true }) {
+        two_versions fixture;
+        fixture.request(1, "/stream/x");
+        const auto first = fixture.only<start_attempt>();
+        CHECK(first.requiredStartUnixMs == 1);
+        CHECK(first.mayBeUnidentified);
+        if (isUnidentified)
+            fixture.step(upstream_unidentified { first.attemptNumber });
+        fixture.step(answer_started { first.attemptNumber, router_fixture::answer(200, true, true) });
+        fixture.step(answer_continued { first.attemptNumber, firstEvent });
+        CHECK(fixture.only<append_reply>().bytes == firstEvent);
+        fixture.step(attempt_aborted { first.attemptNumber, true, "reset" });
+        CHECK(fixture.all<start_attempt>().size() == (isUnidentified ? 0 : 1));
+        if (!isUnidentified)
+            CHECK_FALSE(fixture.only<start_attempt>().mayBeUnidentified);
+    }
+}
+
 TEST_CASE("a stream whose version has no other upstream ends as broken", "[stream-version]")
 {
     router_fixture fixture;
