--- a/tests/drivers/http_loop_test.cpp
+++ b/tests/drivers/http_loop_test.cpp
@@ -433,7 +433,7 @@
     client_fixture fixture;
     auto check = checkForMe();
     check.identifies = [](const http_answer_head& head) { return head.status == 200; };
-    CHECK(fixture.run(1, basePort + 32, std::move(check)).body == "new");
+    CHECK(fixture.run(1, basePort + 32, check).body == "new");
     CHECK(fixture.connections == 2);
     CHECK(fixture.unidentified == std::vector<call_id> { 1 });
 }
