--- a/servers/router/router_peers.cpp
+++ b/servers/router/router_peers.cpp
@@ -22,6 +22,7 @@
     constexpr auto waitingMessagesTime = std::chrono::milliseconds(500);
     // The first parts of ordinary prompts fit in so many entries, however many upstreams there are.
     constexpr std::size_t minModelledParts = 64;
+
 } // namespace
 
 void router_reducer::on(digest_received&& received)
