Know the router of a probe in the soak's silences, so that its disruption excuses it

The other late requests there were excused, since something had been done to the router's process within the contact time. A probe's router was not recorded, so that nothing could excuse it. The bound is unchanged.

--- a/tests/soak/router_world_main.cpp
+++ b/tests/soak/router_world_main.cpp
@@ -267,6 +267,8 @@
     std::pair<int, std::string> sendProbe(int router, const std::string& path, const std::string& key)
     {
         const auto id = "probe-" + std::to_string(m_options.seed) + "-" + std::to_string(m_probeCount++);
+        if (m_options.silencesStore)
+            m_record.recordRouter(id, router);
         auto& client = m_clients[router];
         if (!client)
             client = connect(router);
